--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,3 @@
+// Package control is a member of the control group, which keeps the durable
+// state and grants leases to nodes.
+package control
--- /dev/null
+++ b/core/outcome/outcome.go
@@ -0,0 +1,68 @@
+// Package outcome decides what a caller may be told about a request that was
+// not answered by a backend server, and whether it may be sent again.
+package outcome
+
+import "time"
+
+// Outcome says whether a refused request could have run.
+type Outcome int
+
+// Outcomes of a refused request.
+const (
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun means that no backend server ran the request or will run it.
+	OutcomeNotRun
+)
+
+// String returns the outcome as it stands in headers and refusal bodies.
+func (o Outcome) String() string {
+	if o == OutcomeNotRun {
+		return "notRun"
+	}
+	return "unknown"
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons of refusals, as they stand in refusal bodies.
+const (
+	ReasonNoRoute          Reason = "noRoute"
+	ReasonNoKey            Reason = "noKey"
+	ReasonBadRequest       Reason = "badRequest"
+	ReasonNoOwner          Reason = "noOwner"
+	ReasonNotOwner         Reason = "notOwner"
+	ReasonMoving           Reason = "moving"
+	ReasonNoLease          Reason = "noLease"
+	ReasonQueueFull        Reason = "queueFull"
+	ReasonQueueTimeout     Reason = "queueTimeout"
+	ReasonDeadline         Reason = "deadline"
+	ReasonKeyShare         Reason = "keyShare"
+	ReasonRateLimit        Reason = "rateLimit"
+	ReasonCold             Reason = "cold"
+	ReasonShed             Reason = "shed"
+	ReasonUnreachable      Reason = "unreachable"
+	ReasonConnectionLost   Reason = "connectionLost"
+	ReasonAnswerIncomplete Reason = "answerIncomplete"
+	ReasonResendUndecided  Reason = "resendUndecided"
+	ReasonBarred           Reason = "barred"
+	ReasonDepth            Reason = "depthExceeded"
+	ReasonStopping         Reason = "stopping"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonNoServer         Reason = "noServer"
+	ReasonBodyTooLarge     Reason = "bodyTooLarge"
+)
+
+// Refusal is the system's own answer to a request. It implements error.
+type Refusal struct {
+	Outcome    Outcome
+	Reason     Reason
+	RetryAfter time.Duration
+	RequestID  string
+}
+
+// Error returns the outcome and the reason.
+func (r *Refusal) Error() string {
+	return r.Outcome.String() + ": " + string(r.Reason)
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,2 @@
+// Package ctl is the operators' command line.
+package ctl
--- /dev/null
+++ b/wire/headers/headers.go
@@ -0,0 +1,49 @@
+// Package headers names the HTTP headers that jujubeknot uses towards callers,
+// backend servers and other nodes.
+package headers
+
+// Headers that callers may send and receive.
+const (
+	// IdempotencyKey is the caller's own id for a non-idempotent request.
+	IdempotencyKey = "Idempotency-Key"
+	// Attempt is 1 for the first sending of a request and higher for a resend.
+	Attempt = "Jujubeknot-Attempt"
+	// Deadline is the time left for the request in milliseconds.
+	Deadline = "Jujubeknot-Deadline"
+	// Depth is the number of calls above this one: 0 for a call from outside,
+	// 1 for a call that a backend server makes while it handles such a call.
+	Depth = "Jujubeknot-Depth"
+	// Outcome is notRun or unknown on a refusal.
+	Outcome = "Jujubeknot-Outcome"
+	// RequestID identifies a request from entry to answer.
+	RequestID = "Jujubeknot-Request-Id"
+)
+
+// Headers towards backend servers.
+const (
+	// Fence is the epoch of the partition's assignment.
+	Fence = "Jujubeknot-Fence"
+	// Partition is the partition that the request's key belongs to.
+	Partition = "Jujubeknot-Partition"
+	// BootID is the boot id of the backend server that answered.
+	BootID = "Jujubeknot-Boot-Id"
+)
+
+// Headers between nodes. They are removed from requests of callers.
+const (
+	// PeerIncarnation is the sending node's incarnation.
+	PeerIncarnation = "Jujubeknot-Peer-Incarnation"
+	// PeerSecret is the secret of the sending node's incarnation.
+	PeerSecret = "Jujubeknot-Peer-Secret"
+	// PeerUpstream is the upstream that the entry node chose.
+	PeerUpstream = "Jujubeknot-Peer-Upstream"
+	// PeerKey is the hash of the key, for fairness among keys.
+	PeerKey = "Jujubeknot-Peer-Key"
+	// PeerIdempotent is true where the request may run more than once.
+	PeerIdempotent = "Jujubeknot-Peer-Idempotent"
+	// PeerPriority is the priority of the route.
+	PeerPriority = "Jujubeknot-Peer-Priority"
+)
+
+// Prefix starts each header of the project's own.
+const Prefix = "Jujubeknot-"
