--- a/core/choice/doc.go
+++ b/core/choice/doc.go
@@ -1,2 +1,78 @@
-// Package choice selects a node for requests of upstreams that are not divided by key.
+// Package choice selects a node for requests of upstreams that are not divided
+// by key. A policy sees only what this node itself sent and got back, because
+// load reports of others lag behind.
 package choice
+
+import "time"
+
+// Candidate is a node that may be chosen.
+type Candidate struct {
+	Incarnation      uint64
+	AvailabilityZone string
+	// Cold is true while the node's backend server is in cold start.
+	Cold bool
+}
+
+// Kind says how a request to a chosen node ended.
+type Kind int
+
+// Kinds of ends.
+const (
+	KindOK Kind = iota
+	// KindShed means that the node or its backend server refused the request
+	// because of load.
+	KindShed
+	// KindRefused means that the node or its backend server was not reached.
+	KindRefused
+	KindTimeout
+	// KindCancelled means that the caller or a faster copy ended the request.
+	KindCancelled
+	// KindFailed means that the response was lost or incomplete.
+	KindFailed
+)
+
+// String returns the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case KindOK:
+		return "ok"
+	case KindShed:
+		return "shed"
+	case KindRefused:
+		return "refused"
+	case KindTimeout:
+		return "timeout"
+	case KindCancelled:
+		return "cancelled"
+	default:
+		return "failed"
+	}
+}
+
+// Reason says why a node was chosen, for logs.
+type Reason string
+
+// Reasons of choices.
+const (
+	ReasonOnlyOne       Reason = "onlyOne"
+	ReasonLowerCost     Reason = "lowerCost"
+	ReasonSameZone      Reason = "sameZone"
+	ReasonProbe         Reason = "probe"
+	ReasonAllAvoided    Reason = "allAvoided"
+	ReasonRandom        Reason = "random"
+	ReasonRoundRobin    Reason = "roundRobin"
+	ReasonLeastInFlight Reason = "leastInFlight"
+)
+
+// Policy chooses among nodes. Implementations are deterministic for a seed and
+// are not safe for concurrent use. Candidates must be in the same order on
+// each call for a run to be repeatable; Pick does not change them.
+type Policy interface {
+	// Pick chooses a candidate. It reports false only if there is none.
+	Pick(now time.Time, candidates []Candidate) (Candidate, Reason, bool)
+	// Sent reports that a request was sent to the node.
+	Sent(now time.Time, incarnation uint64)
+	// Done reports how a request that was reported with Sent ended, and the
+	// time since then.
+	Done(now time.Time, incarnation uint64, latency time.Duration, kind Kind)
+}
--- /dev/null
+++ b/core/choice/twochoices.go
@@ -0,0 +1,387 @@
+package choice
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of TwoChoicesConfig.
+const (
+	// DefaultStragglerFactor is above the spread between healthy servers and
+	// well below a tenfold slowdown.
+	DefaultStragglerFactor = 3
+	// DefaultProbeInterval lets a server that has recovered return within a
+	// second.
+	DefaultProbeInterval = 250 * time.Millisecond
+	// DefaultProbeShare keeps probes of slow servers out of the 99th
+	// percentile.
+	DefaultProbeShare = 0.002
+	// DefaultMaxProbeInterval lets a node with little traffic probe too.
+	DefaultMaxProbeInterval = 10 * time.Second
+	// DefaultColdInFlight is the number of requests that this node keeps in
+	// flight at a server in cold start.
+	DefaultColdInFlight = 1
+	// DefaultBackoff is the time without requests after a shed answer or a
+	// refused connection.
+	DefaultBackoff = 100 * time.Millisecond
+	// DefaultSilence is the time without any completion after which a server
+	// with requests in flight counts as a straggler.
+	DefaultSilence = 200 * time.Millisecond
+)
+
+const (
+	// smoothing is the weight of a new latency in the average of logarithms.
+	// Six requests of tenfold latency pass the straggler factor of 3; a single
+	// long upload does not.
+	smoothing = 0.1
+	// equalCost is the ratio up to which two costs count as equal.
+	equalCost = 1.1
+	// coldCost makes a cold server the choice only where it is clearly less
+	// loaded.
+	coldCost = 2
+	// silenceFactor keeps requests that are slow everywhere from counting as
+	// silence.
+	silenceFactor = 10
+	// unknownLatency stands in until the first completion.
+	unknownLatency = time.Millisecond
+	// forgetAfter bounds the memory for nodes that are gone.
+	forgetAfter = time.Minute
+	// forgetEvery is the number of picks between two searches for such nodes.
+	forgetEvery = 4096
+	// tries bounds the draws for two candidates that are not avoided before
+	// all candidates are looked at.
+	tries = 8
+)
+
+// TwoChoicesConfig configures TwoChoices. The zero value means the defaults.
+type TwoChoicesConfig struct {
+	Seed uint64
+	// AvailabilityZone is this node's own.
+	AvailabilityZone string
+	// StragglerFactor is the ratio of a server's latency to the median of all
+	// servers above which it gets only probes, above 1.
+	StragglerFactor float64
+	// ProbeInterval and ProbeShare bound the probes of one straggler: at least
+	// the interval apart, and at most the share of picks, 0 to 1.
+	ProbeInterval time.Duration
+	ProbeShare    float64
+	// MaxProbeInterval is the time after which a straggler is probed whatever
+	// the share.
+	MaxProbeInterval time.Duration
+	ColdInFlight     int
+	Backoff          time.Duration
+	Silence          time.Duration
+}
+
+func (c TwoChoicesConfig) withDefaults() TwoChoicesConfig {
+	if c.StragglerFactor <= 1 {
+		c.StragglerFactor = DefaultStragglerFactor
+	}
+	if c.ProbeInterval <= 0 {
+		c.ProbeInterval = DefaultProbeInterval
+	}
+	if c.ProbeShare <= 0 {
+		c.ProbeShare = DefaultProbeShare
+	}
+	if c.MaxProbeInterval <= 0 {
+		c.MaxProbeInterval = DefaultMaxProbeInterval
+	}
+	if c.ColdInFlight <= 0 {
+		c.ColdInFlight = DefaultColdInFlight
+	}
+	if c.Backoff <= 0 {
+		c.Backoff = DefaultBackoff
+	}
+	if c.Silence <= 0 {
+		c.Silence = DefaultSilence
+	}
+	return c
+}
+
+// TwoChoices draws two candidates and takes the one with the lower product of
+// requests in flight and latency, both as observed by this node. Servers whose
+// latency is a multiple of the others', that do not answer or that refused a
+// request lately get only probes. Pick takes O(1) on average and O(n) while
+// most candidates are avoided.
+type TwoChoices struct {
+	config  TwoChoicesConfig
+	random  *rand.Rand
+	servers map[uint64]*server
+	// typical is a running estimate of the median latency over all servers.
+	typical float64
+	picks   uint64
+	// slow has the stragglers in the order in which they were found.
+	slow []uint64
+}
+
+type server struct {
+	inFlight int
+	// logLatency is the moving average of the logarithm of the latency in
+	// nanoseconds; samples counts what is in it.
+	logLatency float64
+	samples    int
+	// quietSince is the time of the last completion, or of the first request
+	// after none were in flight.
+	quietSince   time.Time
+	lastSent     time.Time
+	backoffUntil time.Time
+	straggler    bool
+	probed       time.Time
+	probedAtPick uint64
+}
+
+// NewTwoChoices returns the default policy.
+func NewTwoChoices(config TwoChoicesConfig) *TwoChoices {
+	config = config.withDefaults()
+	return &TwoChoices{config: config, random: newRandom(config.Seed), servers: make(map[uint64]*server)}
+}
+
+// Pick implements Policy.
+func (t *TwoChoices) Pick(now time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, "", false
+	}
+	t.picks++
+	if t.picks%forgetEvery == 0 {
+		t.forget(now)
+	}
+	if len(candidates) == 1 {
+		return candidates[0], ReasonOnlyOne, true
+	}
+	if i, ok := t.probe(now, candidates); ok {
+		return candidates[i], ReasonProbe, true
+	}
+	first, second, found := t.draw(now, candidates)
+	switch found {
+	case 0:
+		return t.leastBad(candidates)
+	case 1:
+		return candidates[first], ReasonLowerCost, true
+	}
+	return t.better(candidates[first], candidates[second])
+}
+
+// better compares two candidates that are not avoided.
+func (t *TwoChoices) better(a, b Candidate) (Candidate, Reason, bool) {
+	costA, costB := t.cost(a), t.cost(b)
+	if costA <= costB*equalCost && costB <= costA*equalCost {
+		ownA, ownB := a.AvailabilityZone == t.config.AvailabilityZone, b.AvailabilityZone == t.config.AvailabilityZone
+		if ownA != ownB {
+			if ownB {
+				a = b
+			}
+			return a, ReasonSameZone, true
+		}
+	}
+	if costB < costA {
+		a = b
+	}
+	return a, ReasonLowerCost, true
+}
+
+// draw returns up to two different candidates that are not avoided.
+func (t *TwoChoices) draw(now time.Time, candidates []Candidate) (first, second, found int) {
+	for range tries {
+		i := t.random.IntN(len(candidates))
+		if (found == 1 && i == first) || t.avoided(now, candidates[i]) {
+			continue
+		}
+		if found == 1 {
+			return first, i, 2
+		}
+		first, found = i, 1
+	}
+	return t.drawFromAll(now, candidates)
+}
+
+// drawFromAll chooses two of the candidates that are not avoided with the same
+// probability (reservoir sampling).
+func (t *TwoChoices) drawFromAll(now time.Time, candidates []Candidate) (first, second, found int) {
+	var chosen [2]int
+	for i, c := range candidates {
+		if t.avoided(now, c) {
+			continue
+		}
+		if found < len(chosen) {
+			chosen[found] = i
+		} else if j := t.random.IntN(found + 1); j < len(chosen) {
+			chosen[j] = i
+		}
+		found++
+	}
+	return chosen[0], chosen[1], min(found, len(chosen))
+}
+
+// leastBad chooses among candidates that are all avoided. Cold servers at
+// their bound come last: they must not get more than they sustain.
+func (t *TwoChoices) leastBad(candidates []Candidate) (Candidate, Reason, bool) {
+	best, bestCost := 0, math.Inf(1)
+	offset := t.random.IntN(len(candidates))
+	for i := range candidates {
+		j := (i + offset) % len(candidates)
+		cost := t.cost(candidates[j])
+		if s := t.servers[candidates[j].Incarnation]; candidates[j].Cold && s != nil && s.inFlight >= t.config.ColdInFlight {
+			cost *= 1000
+		}
+		if cost < bestCost {
+			best, bestCost = j, cost
+		}
+	}
+	return candidates[best], ReasonAllAvoided, true
+}
+
+func (t *TwoChoices) cost(c Candidate) float64 {
+	cost := 1.0
+	latency := t.reference()
+	if s := t.servers[c.Incarnation]; s != nil {
+		cost += float64(s.inFlight)
+		if s.samples > 0 {
+			latency = math.Exp(s.logLatency)
+		}
+	}
+	cost *= latency
+	if c.Cold {
+		cost *= coldCost
+	}
+	return cost
+}
+
+func (t *TwoChoices) avoided(now time.Time, c Candidate) bool {
+	s := t.servers[c.Incarnation]
+	if s == nil {
+		return false
+	}
+	if c.Cold && s.inFlight >= t.config.ColdInFlight {
+		return true
+	}
+	if now.Before(s.backoffUntil) {
+		return true
+	}
+	if !s.straggler && t.silent(now, s) {
+		t.markSlow(now, c.Incarnation, s)
+	}
+	return s.straggler
+}
+
+func (t *TwoChoices) silent(now time.Time, s *server) bool {
+	bound := max(t.config.Silence, time.Duration(silenceFactor*t.reference()))
+	return s.inFlight > 0 && now.Sub(s.quietSince) > bound
+}
+
+func (t *TwoChoices) reference() float64 {
+	if t.typical == 0 {
+		return float64(unknownLatency)
+	}
+	return t.typical
+}
+
+func (t *TwoChoices) markSlow(now time.Time, incarnation uint64, s *server) {
+	s.straggler = true
+	s.probed = now
+	s.probedAtPick = t.picks
+	t.slow = append(t.slow, incarnation)
+}
+
+// probe returns the straggler whose turn it is to get one request.
+func (t *TwoChoices) probe(now time.Time, candidates []Candidate) (int, bool) {
+	for _, incarnation := range t.slow {
+		s := t.servers[incarnation]
+		since := now.Sub(s.probed)
+		due := since >= t.config.ProbeInterval && float64(t.picks-s.probedAtPick)*t.config.ProbeShare >= 1
+		if (!due && since < t.config.MaxProbeInterval) || now.Before(s.backoffUntil) {
+			continue
+		}
+		for i, c := range candidates {
+			if c.Incarnation != incarnation || (c.Cold && s.inFlight >= t.config.ColdInFlight) {
+				continue
+			}
+			s.probed = now
+			s.probedAtPick = t.picks
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Sent implements Policy.
+func (t *TwoChoices) Sent(now time.Time, incarnation uint64) {
+	s := t.servers[incarnation]
+	if s == nil {
+		s = &server{}
+		t.servers[incarnation] = s
+	}
+	if s.inFlight == 0 {
+		s.quietSince = now
+	}
+	s.inFlight++
+	s.lastSent = now
+}
+
+// Done implements Policy.
+func (t *TwoChoices) Done(now time.Time, incarnation uint64, latency time.Duration, kind Kind) {
+	s := t.servers[incarnation]
+	if s == nil || s.inFlight == 0 {
+		return
+	}
+	s.inFlight--
+	switch kind {
+	case KindShed, KindRefused:
+		s.backoffUntil = now.Add(t.config.Backoff)
+		s.quietSince = now
+		return
+	case KindCancelled, KindFailed:
+		return
+	}
+	s.quietSince = now
+	t.observe(now, incarnation, s, max(float64(latency), 1))
+}
+
+// observe adds a latency in nanoseconds to the estimates.
+func (t *TwoChoices) observe(now time.Time, incarnation uint64, s *server, latency float64) {
+	switch {
+	case t.typical == 0:
+		t.typical = latency
+	case latency > t.typical:
+		// Equal steps up and down settle where half of the latencies are above.
+		t.typical *= 1 + smoothing/4
+	default:
+		t.typical /= 1 + smoothing/4
+	}
+	s.samples++
+	weight := max(smoothing, 1/float64(s.samples))
+	if s.straggler {
+		// Probes are few, so each has to count: a healthy one or two end the
+		// avoidance.
+		weight = 0.6
+	}
+	s.logLatency += weight * (math.Log(latency) - s.logLatency)
+	slow := math.Exp(s.logLatency) > t.config.StragglerFactor*t.reference()
+	switch {
+	case slow && !s.straggler:
+		t.markSlow(now, incarnation, s)
+	case !slow && s.straggler:
+		s.straggler = false
+		t.dropSlow(incarnation)
+	}
+}
+
+func (t *TwoChoices) dropSlow(incarnation uint64) {
+	for i, other := range t.slow {
+		if other == incarnation {
+			t.slow = append(t.slow[:i], t.slow[i+1:]...)
+			return
+		}
+	}
+}
+
+// forget drops nodes that got no request for a while. Which ones go does not
+// depend on the order of the map.
+func (t *TwoChoices) forget(now time.Time) {
+	for incarnation, s := range t.servers {
+		if s.inFlight == 0 && now.Sub(s.lastSent) > forgetAfter {
+			t.dropSlow(incarnation)
+			delete(t.servers, incarnation)
+		}
+	}
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -52,6 +52,9 @@
 	ReasonCancelled        Reason = "cancelled"
 	ReasonNoServer         Reason = "noServer"
 	ReasonBodyTooLarge     Reason = "bodyTooLarge"
+	// ReasonTableFull means that the request id table has no room for another
+	// non-idempotent request inside its window.
+	ReasonTableFull Reason = "requestTableFull"
 )
 
 // Refusal is the system's own answer to a request. It implements error.
