--- /dev/null
+++ b/core/admission/limit.go
@@ -0,0 +1,187 @@
+package admission
+
+import "time"
+
+const (
+	// coldRounds is the number of full rounds of finished work at one limit
+	// before a cold server's limit rises by one. A server with 18 slots and
+	// service times of 10 ms so takes 1.4 s to the full limit.
+	coldRounds = 8
+	// coldCaution slows the rise above the limit at which the server shed.
+	coldCaution = 4
+	// coldWork is the finished work for each slot after which a server with
+	// little traffic counts as warm.
+	coldWork = 32
+	// coldSlowdown is the ratio to the latency at limit 1 above which the limit
+	// of a cold server does not rise: it is busy although it does not shed.
+	coldSlowdown = 2
+	// coldCut, shedCut and timeoutCut are what remains of the limit.
+	coldCut    = 0.5
+	shedCut    = 0.75
+	timeoutCut = 0.8
+)
+
+// limiter adapts the number of requests in flight to what the backend server
+// sustains: additive growth with finished work, multiplicative cuts at shed
+// answers and timeouts, at most one cut for the requests of one round.
+type limiter struct {
+	slots int
+	limit float64
+	cold  bool
+	// ceiling is the limit above which a cold server's limit rises slowly.
+	ceiling  float64
+	finished int
+	// baseline is the typical latency at limit 1, 0 before it is known.
+	baseline float64
+	// cutAt is the number of the last request that started before the last cut.
+	cutAt uint64
+}
+
+func (l *limiter) value() int {
+	return min(max(int(l.limit), 1), l.slots)
+}
+
+func (l *limiter) chill(started uint64) {
+	*l = limiter{slots: l.slots, limit: 1, cold: true, ceiling: float64(l.slots), cutAt: started}
+}
+
+// done adapts the limit to the end of a request. Number is that of the request,
+// started that of the last request started, and alone says that the request
+// had the server for itself. Typical is the typical latency in nanoseconds.
+func (l *limiter) done(kind ResultKind, number, started uint64, inFlight int, alone bool, typical float64) {
+	switch kind {
+	case ResultOK:
+		l.grow(inFlight, typical)
+	case ResultRefused:
+		l.chill(started)
+	case ResultShed:
+		if alone && !l.cold {
+			// A warm server does not shed its only request.
+			l.chill(started)
+			return
+		}
+		l.cut(shedCut, number, started)
+	case ResultTimeout:
+		l.cut(timeoutCut, number, started)
+	case ResultFailed:
+		if l.cold {
+			l.cut(coldCut, number, started)
+		}
+	case ResultCancelled:
+	}
+}
+
+func (l *limiter) cut(factor float64, number, started uint64) {
+	if number <= l.cutAt {
+		return
+	}
+	l.cutAt = started
+	if l.cold {
+		factor = coldCut
+		l.finished = 0
+	}
+	l.limit = max(1, min(l.limit, float64(l.slots))*factor)
+	if l.cold {
+		l.ceiling = l.limit
+	}
+}
+
+func (l *limiter) grow(inFlight int, typical float64) {
+	// Work below half of the limit says nothing about the limit.
+	used := 2*inFlight >= l.value()
+	if !l.cold {
+		if used {
+			l.limit = min(l.limit+1/l.limit, float64(l.slots))
+		}
+		return
+	}
+	l.finished++
+	if l.value() == 1 {
+		l.baseline = typical
+	}
+	if used && typical <= coldSlowdown*l.baseline {
+		step := 1 / (coldRounds * l.limit)
+		if l.limit >= l.ceiling {
+			step /= coldCaution
+		}
+		l.limit = min(l.limit+step, float64(l.slots))
+	}
+	if l.limit >= float64(l.slots) || l.finished >= coldWork*l.slots {
+		l.cold = false
+	}
+}
+
+func (l *limiter) configure(slots int) {
+	if !l.cold && l.limit >= float64(l.slots) {
+		l.limit = float64(slots)
+	}
+	l.slots = slots
+	l.limit = min(l.limit, float64(slots))
+}
+
+const (
+	// meanWeight is the weight of a new latency in the mean.
+	meanWeight = 1.0 / 16
+	// typicalStep is the factor by which one latency moves the estimate of the
+	// median.
+	typicalStep = 1.05
+)
+
+// estimate describes the latency of the backend server in nanoseconds. The
+// mean predicts how fast slots become free; the median predicts how long one
+// request will run, and a few long uploads do not move it.
+type estimate struct {
+	mean    float64
+	typical float64
+}
+
+func (e *estimate) add(latency time.Duration) {
+	x := max(float64(latency), 1)
+	if e.mean == 0 {
+		e.mean, e.typical = x, x
+		return
+	}
+	e.mean += meanWeight * (x - e.mean)
+	if x > e.typical {
+		e.typical *= typicalStep
+	} else {
+		e.typical /= typicalStep
+	}
+}
+
+// rate is a token bucket on time.
+type rate struct {
+	perSecond float64
+	burst     float64
+	tokens    float64
+	at        time.Time
+}
+
+func (r *rate) configure(perSecond, burst float64) {
+	if r.perSecond == 0 {
+		r.tokens = burst
+	}
+	r.perSecond, r.burst = perSecond, burst
+	r.tokens = min(r.tokens, burst)
+}
+
+// wait returns the time until a token is there, 0 for now.
+func (r *rate) wait(now time.Time) time.Duration {
+	if r.perSecond <= 0 {
+		return 0
+	}
+	if !r.at.IsZero() && now.After(r.at) {
+		r.tokens = min(r.tokens+now.Sub(r.at).Seconds()*r.perSecond, r.burst)
+	}
+	r.at = now
+	if r.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - r.tokens) / r.perSecond * float64(time.Second))
+}
+
+func (r *rate) take() {
+	if r.perSecond > 0 {
+		r.tokens--
+	}
+}
