--- /dev/null
+++ b/core/cluster/cluster_test.go
@@ -0,0 +1,308 @@
+package cluster_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/jujubeknot/jujubeknot/core/cluster"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+func register(server string, replaces uint64, id string) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{
+		Node:     &wirev1.Node{Name: "node-" + server, PeerAddress: "127.0.0.1:1", BackendServer: &wirev1.BackendServer{Name: server, Upstream: "desk"}},
+		Replaces: replaces, RequestId: id,
+	}}}
+}
+
+func assign(changes ...*wirev1.AssignChange) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_Assign{Assign: &wirev1.Assign{Changes: changes}}}
+}
+
+func applyRules(base uint64, text, id string) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_ApplyRules{ApplyRules: &wirev1.ApplyRules{BaseRevision: base, Text: text, RequestId: id}}}
+}
+
+// drawCommand draws commands of which some build on a state that is not
+// current, repeat a request id or name something that does not exist.
+func drawCommand(t *rapid.T, s *cluster.State) *wirev1.Command {
+	incarnation := rapid.Uint64Range(0, s.Index()+1)
+	id := rapid.SampledFrom([]string{"", "a", "b", "c", "d", "e", "f"}).Draw(t, "id")
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0, 1:
+		return register(rapid.SampledFrom([]string{"s1", "s2", "s3", "s4"}).Draw(t, "server"), incarnation.Draw(t, "replaces"), id)
+	case 2:
+		return &wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{Incarnation: incarnation.Draw(t, "remove")}}}
+	case 3:
+		return &wirev1.Command{Kind: &wirev1.Command_UpdateNode{UpdateNode: &wirev1.UpdateNode{
+			Incarnation: incarnation.Draw(t, "update"), Draining: rapid.Bool().Draw(t, "draining"), Cold: rapid.Bool().Draw(t, "cold"),
+		}}}
+	case 4:
+		return applyRules(rapid.Uint64Range(0, s.Revision()+1).Draw(t, "base"), rapid.SampledFrom([]string{"x", "y", "z", ""}).Draw(t, "text"), id)
+	default:
+		var changes []*wirev1.AssignChange
+		for range rapid.IntRange(0, 4).Draw(t, "changes") {
+			c := &wirev1.AssignChange{Upstream: rapid.SampledFrom([]string{"desk", "desk", "desk", "docs", ""}).Draw(t, "upstream")}
+			c.Partition = rapid.SampledFrom([]uint32{0, 1, 127, 128, 300, 1 << 20}).Draw(t, "partition")
+			c.ExpectedEpoch = s.Assignment(c.Upstream, c.Partition).GetEpoch()
+			if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+				c.ExpectedEpoch++
+			}
+			if nodes := s.NodeCount(); nodes > 0 {
+				at := rapid.IntRange(0, nodes-1).Draw(t, "owner")
+				for n := range s.Nodes() {
+					if at == 0 {
+						c.Owner = n.GetIncarnation()
+					}
+					at--
+				}
+			}
+			changes = append(changes, c)
+		}
+		return assign(changes...)
+	}
+}
+
+func encode(t *rapid.T, m proto.Message) string {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func reload(t *rapid.T, s *cluster.State) *cluster.State {
+	var snapshot wirev1.ClusterState
+	if err := proto.Unmarshal([]byte(encode(t, s.Snapshot())), &snapshot); err != nil {
+		t.Fatal(err)
+	}
+	reloaded, err := cluster.FromSnapshot(&snapshot)
+	if err != nil {
+		t.Fatalf("snapshot of a valid state: %v", err)
+	}
+	return reloaded
+}
+
+// checkStep checks what must hold between a state and the next.
+func checkStep(t *rapid.T, before, after *cluster.State, result cluster.Result) {
+	if after.Revision() < before.Revision() || after.Revision() > before.Revision()+1 {
+		t.Fatalf("revision went from %d to %d", before.Revision(), after.Revision())
+	}
+	if result.Code == cluster.CodeApplied && result.Delta == nil || result.Code != cluster.CodeApplied && result.Delta != nil {
+		t.Fatalf("result %v with delta %v", result.Code, result.Delta)
+	}
+	servers := map[string]uint64{}
+	for n := range after.Nodes() {
+		name := n.GetBackendServer().GetName()
+		if other, held := servers[name]; held {
+			t.Fatalf("backend server %s is held by %d and %d", name, other, n.GetIncarnation())
+		}
+		servers[name] = n.GetIncarnation()
+	}
+	for _, a := range result.Delta.GetAssignments() {
+		if after.Node(a.GetOwner()) == nil && a.GetOwner() != 0 {
+			t.Fatalf("owner %d is not registered", a.GetOwner())
+		}
+	}
+	for _, upstream := range before.Upstreams() {
+		for a := range before.Assignments(upstream) {
+			now := after.Assignment(upstream, a.GetPartition())
+			if now.GetEpoch() < a.GetEpoch() || now.GetEpoch() == a.GetEpoch() && now.GetOwner() != a.GetOwner() {
+				t.Fatalf("%s/%d went from %v to %v", upstream, a.GetPartition(), a, now)
+			}
+		}
+	}
+}
+
+// follower is what a node builds from updates.
+type follower struct {
+	index       uint64
+	nodes       map[uint64]*wirev1.Node
+	assignments map[string]*wirev1.Assignment
+	rules       *wirev1.RulesRevision
+}
+
+func (f *follower) apply(u *wirev1.Update) {
+	if u == nil {
+		return
+	}
+	if u.GetSnapshot() || f.nodes == nil {
+		*f = follower{nodes: map[uint64]*wirev1.Node{}, assignments: map[string]*wirev1.Assignment{}}
+	}
+	for _, n := range u.GetNodes() {
+		f.nodes[n.GetIncarnation()] = n
+	}
+	for _, i := range u.GetRemovedNodes() {
+		delete(f.nodes, i)
+	}
+	for _, a := range u.GetAssignments() {
+		f.assignments[fmt.Sprint(a.GetUpstream(), a.GetPartition())] = a
+	}
+	if u.GetRules() != nil {
+		f.rules = u.GetRules()
+	}
+	f.index = u.GetIndex()
+}
+
+func (f *follower) check(t *rapid.T, s *cluster.State) {
+	var want follower
+	want.apply(s.FullUpdate())
+	if len(want.nodes) != len(f.nodes) || len(want.assignments) != len(f.assignments) || !proto.Equal(want.rules, f.rules) {
+		t.Fatalf("follower at %d has %d nodes, %d assignments, %v; want %d, %d, %v at %d", f.index,
+			len(f.nodes), len(f.assignments), f.rules, len(want.nodes), len(want.assignments), want.rules, s.Index())
+	}
+	for i, n := range want.nodes {
+		if !proto.Equal(n, f.nodes[i]) {
+			t.Fatalf("node %d: %v, want %v", i, f.nodes[i], n)
+		}
+	}
+	for p, a := range want.assignments {
+		if !proto.Equal(a, f.assignments[p]) {
+			t.Fatalf("assignment %s: %v, want %v", p, f.assignments[p], a)
+		}
+	}
+}
+
+// TestApply guards against members that diverge after one of them restored a
+// snapshot, states that change after they were published, epochs and revisions
+// that fall, two holders of one backend server name, and followers that miss
+// a change.
+func TestApply(t *testing.T) {
+	codes := map[cluster.Code]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		s, restored := &cluster.State{}, &cluster.State{}
+		var nodes follower
+		type published struct {
+			state   *cluster.State
+			encoded string
+		}
+		var earlier []published
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			index := s.Index() + rapid.Uint64Range(1, 2).Draw(t, "gap")
+			command := drawCommand(t, s)
+			earlier = append(earlier, published{s, encode(t, s.Snapshot())})
+			next, result := s.Apply(index, command)
+			codes[result.Code]++
+			checkStep(t, s, next, result)
+			if rapid.IntRange(0, 4).Draw(t, "reload") == 0 {
+				restored = reload(t, restored)
+			}
+			var same cluster.Result
+			restored, same = restored.Apply(index, command)
+			if same.Code != result.Code || same.Index != result.Index || same.Revision != result.Revision ||
+				encode(t, restored.Snapshot()) != encode(t, next.Snapshot()) {
+				t.Fatalf("%v: restored member answered %+v, the other %+v", command, same, result)
+			}
+			s = next
+			if rapid.IntRange(0, 3).Draw(t, "follow") == 0 {
+				source := rapid.SampledFrom([]*cluster.State{s, restored}).Draw(t, "source")
+				nodes.apply(source.Since(nodes.index))
+				nodes.check(t, s)
+			}
+		}
+		for _, p := range earlier {
+			if encode(t, p.state.Snapshot()) != p.encoded {
+				t.Fatalf("the state at index %d changed after it was published", p.state.Index())
+			}
+		}
+	})
+	t.Logf("results: %v", codes)
+	for code := cluster.CodeApplied; code <= cluster.CodeInvalid; code++ {
+		if codes[code] < 50 {
+			t.Errorf("only %d results are %v", codes[code], code)
+		}
+	}
+}
+
+func mustApply(t *testing.T, s *cluster.State, command *wirev1.Command, want cluster.Code) (*cluster.State, cluster.Result) {
+	t.Helper()
+	next, result := s.Apply(s.Index()+1, command)
+	if result.Code != want {
+		t.Fatalf("%v: %v (%s), want %v", command, result.Code, result.Message, want)
+	}
+	return next, result
+}
+
+// TestRulesRace guards against two operators who change the same revision and
+// both get told that they succeeded, and against a resend that is refused or
+// makes another revision.
+func TestRulesRace(t *testing.T) {
+	s, _ := mustApply(t, &cluster.State{}, applyRules(0, "first", "r1"), cluster.CodeApplied)
+	s, won := mustApply(t, s, applyRules(1, "mine", "r2"), cluster.CodeApplied)
+	s, lost := mustApply(t, s, applyRules(1, "yours", "r3"), cluster.CodeConflict)
+	if won.Revision != 2 || lost.Revision != 2 {
+		t.Fatalf("revisions %d and %d, want 2 for both", won.Revision, lost.Revision)
+	}
+	s, _ = mustApply(t, s, applyRules(2, "later", "r4"), cluster.CodeApplied)
+	for _, c := range []*wirev1.Command{applyRules(1, "mine", "r2"), applyRules(1, "mine", ""), applyRules(1, "mine", "r9")} {
+		var again cluster.Result
+		if s, again = mustApply(t, s, c, cluster.CodeUnchanged); again.Revision != 2 {
+			t.Errorf("resend got revision %d, want 2", again.Revision)
+		}
+	}
+	s, _ = mustApply(t, s, applyRules(3, "other", "r2"), cluster.CodeConflict)
+	if s, _ = mustApply(t, s, applyRules(3, "first", "r5"), cluster.CodeApplied); s.Revision() != 4 {
+		t.Errorf("rolling back to an earlier text made revision %d, want 4", s.Revision())
+	}
+}
+
+// TestHistoryIsBounded guards against snapshots that grow with each change.
+func TestHistoryIsBounded(t *testing.T) {
+	s := &cluster.State{}
+	text := strings.Repeat("x", cluster.MaxHistoryBytes/4)
+	for i := range 2 * cluster.MaxHistory {
+		if i == 10 {
+			text = "x"
+		}
+		s, _ = mustApply(t, s, applyRules(uint64(i), fmt.Sprint(text, i), ""), cluster.CodeApplied)
+		if i == 9 && len(s.History(0)) != 4 {
+			t.Errorf("%d revisions of a quarter of the bound are kept, want the current and 3", len(s.History(0)))
+		}
+	}
+	if kept := len(s.History(0)); kept != cluster.MaxHistory+1 {
+		t.Errorf("%d revisions are kept, want %d", kept, cluster.MaxHistory+1)
+	}
+	mustApply(t, s, applyRules(s.Revision(), strings.Repeat("x", cluster.MaxRulesBytes+1), ""), cluster.CodeInvalid)
+}
+
+// TestTwoProcessesClaimOneServer guards against a second process that takes a
+// backend server name whose holder may still have a lease.
+func TestTwoProcessesClaimOneServer(t *testing.T) {
+	s, first := mustApply(t, &cluster.State{}, register("s1", 0, "a"), cluster.CodeApplied)
+	s, refused := mustApply(t, s, register("s1", 0, "b"), cluster.CodeConflict)
+	if refused.Holder != first.Index {
+		t.Errorf("holder is %d, want %d", refused.Holder, first.Index)
+	}
+	s, again := mustApply(t, s, register("s1", 0, "a"), cluster.CodeUnchanged)
+	if again.Index != first.Index {
+		t.Errorf("the repeated registration got incarnation %d, want %d", again.Index, first.Index)
+	}
+	s, other := mustApply(t, s, register("s2", 0, "c"), cluster.CodeApplied)
+	mustApply(t, s, register("s1", other.Index, "d"), cluster.CodeConflict)
+	s, next := mustApply(t, s, register("s1", first.Index, "e"), cluster.CodeApplied)
+	if s.Node(first.Index) != nil || s.NodeByServer("s1").GetIncarnation() != next.Index {
+		t.Error("the registration did not replace the earlier incarnation")
+	}
+}
+
+// TestDeltasAreBounded guards against a node that is too far behind and gets
+// an update with holes.
+func TestDeltasAreBounded(t *testing.T) {
+	s, node := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
+	for epoch := range uint64(1600) {
+		s, _ = mustApply(t, s, assign(&wirev1.AssignChange{Upstream: "desk", Partition: uint32(epoch % 3), ExpectedEpoch: epoch / 3, Owner: node.Index}), cluster.CodeApplied)
+		if u := s.Since(1); !u.GetSnapshot() && len(u.GetAssignments()) != min(3, int(epoch+1)) {
+			t.Fatalf("after %d changes a delta from index 1 has %d assignments", epoch+1, len(u.GetAssignments()))
+		}
+	}
+	if !s.Since(1).GetSnapshot() || s.Since(s.Index()-500).GetSnapshot() {
+		t.Error("want a full update for index 1 and a delta for the last 500")
+	}
+	if got := s.LastMoves("desk", 0); len(got) != 4 || got[0].GetEpoch() != got[1].GetEpoch()+1 {
+		t.Errorf("last moves %v", got)
+	}
+}
--- /dev/null
+++ b/core/cluster/nodes.go
@@ -0,0 +1,124 @@
+package cluster
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// maxRecent bounds the registrations whose request ids are kept: three times
+// the 610 nodes of the size to design for, so that a restart of all nodes
+// does not push out one that still waits for its answer.
+const maxRecent = 2048
+
+// registerNode adds a node whose incarnation is the log index.
+func (s *State) registerNode(command *wirev1.RegisterNode) Result {
+	if id := command.GetRequestId(); id != "" {
+		for _, r := range s.recent {
+			if r.GetRequestId() == id {
+				return Result{Code: CodeUnchanged, Index: r.GetIndex()}
+			}
+		}
+	}
+	if message := checkRegistration(command); message != "" {
+		return invalid("%s", message)
+	}
+	server := command.GetNode().GetBackendServer().GetName()
+	replaced := s.Node(command.GetReplaces())
+	if replaced != nil && replaced.GetName() != command.GetNode().GetName() &&
+		replaced.GetBackendServer().GetName() != server {
+		return conflict("incarnation %d is node %q, not %q", replaced.GetIncarnation(), replaced.GetName(), command.GetNode().GetName())
+	}
+	holder := s.NodeByServer(server)
+	if holder != nil && holder.GetIncarnation() != command.GetReplaces() {
+		result := conflict("backend server name %q is held by incarnation %d at %s", server, holder.GetIncarnation(), holder.GetPeerAddress())
+		result.Holder = holder.GetIncarnation()
+		return result
+	}
+	delta := &wirev1.Update{}
+	nodes := make([]*wirev1.Node, 0, len(s.nodes)+1)
+	for _, n := range s.nodes {
+		if n == replaced {
+			delta.RemovedNodes = append(delta.RemovedNodes, n.GetIncarnation())
+			continue
+		}
+		nodes = append(nodes, n)
+	}
+	node := proto.CloneOf(command.GetNode())
+	node.Incarnation = s.index
+	s.nodes = append(nodes, node)
+	delta.Nodes = []*wirev1.Node{node}
+	if id := command.GetRequestId(); id != "" {
+		first := max(0, len(s.recent)+1-maxRecent)
+		recent := append(make([]*wirev1.RecentRequest, 0, len(s.recent)+1), s.recent[first:]...)
+		s.recent = append(recent, &wirev1.RecentRequest{RequestId: id, Index: s.index})
+	}
+	return Result{Delta: delta}
+}
+
+// checkRegistration returns what is wrong with a registration, or nothing.
+func checkRegistration(command *wirev1.RegisterNode) string {
+	node := command.GetNode()
+	server := node.GetBackendServer()
+	switch {
+	case node.GetName() == "":
+		return "node without name"
+	case node.GetPeerAddress() == "":
+		return fmt.Sprintf("node %q without peer address", node.GetName())
+	case server != nil && server.GetName() == "":
+		return fmt.Sprintf("node %q: backend server without name", node.GetName())
+	case server != nil && server.GetUpstream() == "":
+		return fmt.Sprintf("node %q: backend server without upstream", node.GetName())
+	default:
+		return ""
+	}
+}
+
+// removeNode removes a node whose lease is over. Its partitions keep it as
+// their owner until they are assigned anew: an owner that is not registered
+// has no lease, also for leaders to come.
+func (s *State) removeNode(command *wirev1.RemoveNode) Result {
+	at, found := s.position(command.GetIncarnation())
+	if !found {
+		return Result{Code: CodeUnchanged}
+	}
+	nodes := append(make([]*wirev1.Node, 0, len(s.nodes)), s.nodes[:at]...)
+	s.nodes = append(nodes, s.nodes[at+1:]...)
+	return Result{Delta: &wirev1.Update{RemovedNodes: []uint64{command.GetIncarnation()}}}
+}
+
+// updateNode changes what may change while an incarnation lives. The name and
+// upstream of the backend server may not: ownership rests on them.
+func (s *State) updateNode(command *wirev1.UpdateNode) Result {
+	at, found := s.position(command.GetIncarnation())
+	if !found {
+		return conflict("incarnation %d is not registered", command.GetIncarnation())
+	}
+	old := s.nodes[at]
+	node := proto.CloneOf(old)
+	node.Draining, node.Cold = command.GetDraining(), command.GetCold()
+	if server := command.GetBackendServer(); server != nil {
+		if server.GetName() != old.GetBackendServer().GetName() || server.GetUpstream() != old.GetBackendServer().GetUpstream() {
+			return invalid("backend server %q of upstream %q cannot become %q of %q without a new registration",
+				old.GetBackendServer().GetName(), old.GetBackendServer().GetUpstream(), server.GetName(), server.GetUpstream())
+		}
+		node.BackendServer = proto.CloneOf(server)
+	}
+	if proto.Equal(old, node) {
+		return Result{Code: CodeUnchanged}
+	}
+	s.nodes = slices.Clone(s.nodes)
+	s.nodes[at] = node
+	return Result{Delta: &wirev1.Update{Nodes: []*wirev1.Node{node}}}
+}
+
+// position returns where a node with an incarnation is or would be.
+func (s *State) position(incarnation uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.nodes, incarnation, func(n *wirev1.Node, i uint64) int {
+		return cmp.Compare(n.GetIncarnation(), i)
+	})
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -1,4 +1,9 @@
 // Package lease grants and holds the leases that ownership rests on.
+//
+// A holder counts a lease from the time at which it sent the renewal, the
+// granter from the time at which it answered, plus drift and margin. Every
+// lease therefore ends at the holder before it ends at the granter, whatever
+// messages are late, lost or repeated.
 package lease
 
 import "time"
@@ -8,8 +13,8 @@
 	DefaultDuration      = 1500 * time.Millisecond
 	DefaultRenewInterval = 400 * time.Millisecond
 	DefaultMargin        = 20 * time.Millisecond
-	// DefaultDriftPercent bounds how much faster the holder's clock may be
-	// than the granter's, in percent of the duration.
+	// DefaultDriftPercent bounds how much faster the granter's clock may run
+	// than the holder's, in percent of the duration.
 	DefaultDriftPercent = 1
 )
 
@@ -20,3 +25,27 @@
 	Margin        time.Duration
 	DriftPercent  int
 }
+
+// WithDefaults returns the configuration with defaults in place of zeros.
+func (c Config) WithDefaults() Config {
+	if c.Duration == 0 {
+		c.Duration = DefaultDuration
+	}
+	if c.RenewInterval == 0 {
+		c.RenewInterval = DefaultRenewInterval
+	}
+	if c.Margin == 0 {
+		c.Margin = DefaultMargin
+	}
+	if c.DriftPercent == 0 {
+		c.DriftPercent = DefaultDriftPercent
+	}
+	return c
+}
+
+// Whole returns the time from the granter's answer until the lease is over by
+// the granter's clock: the duration plus drift and margin.
+func (c Config) Whole() time.Duration {
+	c = c.WithDefaults()
+	return c.Duration + c.Duration*time.Duration(c.DriftPercent)/100 + c.Margin
+}
