core/admission: newest first as soon as a deadline is missed, steadier median

Requests refused for their deadline now switch the queue to newest first at once, and the median moves by 2% instead of 5% with each latency, which had kept a cold server below its slots by chance.

--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -37,7 +37,10 @@
 	bootID  string
 	// backlogSince is the time since which the queue has not been empty.
 	backlogSince time.Time
-	pausedUntil  time.Time
+	// pressed is set from the first request that was refused for its deadline
+	// until the queue is empty.
+	pressed     bool
+	pausedUntil time.Time
 	// events wait for the next call that returns events.
 	events []Event
 	// changedAt is the time of a change that may let waiters start, zero for
@@ -115,6 +118,7 @@
 	g.rate.take()
 	if empty {
 		g.backlogSince = now
+		g.pressed = false
 	}
 	g.waiting[r.ID] = g.queue.push(r)
 	return Answer{Verdict: VerdictQueue}
@@ -133,6 +137,7 @@
 		return g.refuseBusy(wait), false
 	}
 	if !r.Deadline.IsZero() && now.Add(wait+g.typical()).After(r.Deadline) {
+		g.pressed = true
 		return refuse(outcome.ReasonDeadline, wait), false
 	}
 	newest := g.newestFirst(now)
@@ -265,6 +270,7 @@
 		if w == nil {
 			break
 		}
+		g.pressed = true
 		g.drop(w, outcome.ReasonQueueTimeout, g.expectedWait(now, w.request, w.class))
 	}
 	for g.queue.length > 0 && g.pausedUntil.IsZero() {
--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -145,9 +145,10 @@
 const (
 	// meanWeight is the weight of a new latency in the mean.
 	meanWeight = 1.0 / 16
-	// typicalStep is the factor by which one latency moves the estimate of the
-	// median.
-	typicalStep = 1.05
+	// typicalStep is the share by which one latency moves the estimate of the
+	// median, once there are enough of them. 5% let the estimate double by
+	// chance, which kept cold servers from warming up.
+	typicalStep = 0.02
 )
 
 // estimate describes the latency of the backend server in nanoseconds. The
@@ -156,19 +157,22 @@
 type estimate struct {
 	mean    float64
 	typical float64
+	samples int
 }
 
 func (e *estimate) add(latency time.Duration) {
 	x := max(float64(latency), 1)
-	if e.mean == 0 {
+	e.samples++
+	if e.samples == 1 {
 		e.mean, e.typical = x, x
 		return
 	}
 	e.mean += meanWeight * (x - e.mean)
+	step := 1 + max(typicalStep, 1/float64(e.samples))
 	if x > e.typical {
-		e.typical *= typicalStep
+		e.typical *= step
 	} else {
-		e.typical /= typicalStep
+		e.typical /= step
 	}
 }
 
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -76,6 +76,9 @@
 	if g.queue.length == 0 {
 		return false
 	}
+	if g.pressed {
+		return true
+	}
 	after := max(g.config.OverloadAfter, time.Duration(2*g.estimate.mean))
 	return now.Sub(g.backlogSince) >= after
 }
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -157,8 +157,9 @@
 func (s simulation) run(p policy) figures {
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	var mean float64
-	for range 1000 {
-		mean += s.service(random).Seconds() / 1000
+	const samples = 100_000
+	for range samples {
+		mean += s.service(random).Seconds() / samples
 	}
 	capacity := float64(s.slots) / mean
 	r := &simRun{
