core/choice: two choices with stragglers set aside, simulation and properties

A cold server at its bound was chosen before a warm one that had shed: the property found it, the order is now strict.

--- /dev/null
+++ b/core/choice/choice_test.go
@@ -0,0 +1,253 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jujubeknot/jujubeknot/core/choice"
+)
+
+func base(nodes int) simulation {
+	return simulation{
+		seed: 11, servers: 8, slots: 18, nodes: nodes, load: 0.5, service: 10 * time.Millisecond,
+		slowdown: 10, slowFrom: 20 * time.Second, slowTo: 40 * time.Second, duration: 50 * time.Second,
+	}
+}
+
+func makePolicies(nodes int, one func(seed uint64) choice.Policy) []choice.Policy {
+	policies := make([]choice.Policy, nodes)
+	for i := range policies {
+		policies[i] = one(uint64(i + 1))
+	}
+	return policies
+}
+
+func twoChoices(seed uint64) choice.Policy {
+	return choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: seed})
+}
+
+// TestOneSlowServer guards against requests that keep going to a server that
+// has become ten times slower, and against one that never returns.
+func TestOneSlowServer(t *testing.T) {
+	for _, nodes := range []int{1, 8} {
+		s := base(nodes)
+		samples := s.run(makePolicies(nodes, twoChoices))
+		healthy := quantile(samples, 0.99, 5*time.Second, s.slowFrom)
+		slow := quantile(samples, 0.99, s.slowFrom, s.slowTo)
+		avoided := share(samples, s.slowFrom+time.Second, s.slowTo)
+		returned := share(samples, s.slowTo+2*time.Second, s.duration)
+		t.Logf("%d nodes: 99th percentile %v healthy, %v slow; share of the slow server %.2f%%, after it %.1f%%",
+			nodes, healthy, slow, 100*avoided, 100*returned)
+		if slow > 2*healthy {
+			t.Errorf("%d nodes: 99th percentile %v with one slow server, %v without", nodes, slow, healthy)
+		}
+		if avoided > 0.01 {
+			t.Errorf("%d nodes: the slow server gets %.2f%% of requests a second later", nodes, 100*avoided)
+		}
+		if returned < 0.05 {
+			t.Errorf("%d nodes: the server gets %.2f%% of requests after it has recovered", nodes, 100*returned)
+		}
+	}
+}
+
+// TestFrozenServer guards against requests that pile up at a server that
+// accepts them and never answers.
+func TestFrozenServer(t *testing.T) {
+	p := choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: 3})
+	candidates := []choice.Candidate{{Incarnation: 1}, {Incarnation: 2}, {Incarnation: 3}}
+	now := time.Unix(0, 0)
+	stuck := 0
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		c, _, _ := p.Pick(now, candidates)
+		p.Sent(now, c.Incarnation)
+		if c.Incarnation == 1 && i > 1000 {
+			stuck++
+			continue
+		}
+		p.Done(now.Add(time.Millisecond), c.Incarnation, time.Millisecond, choice.KindOK)
+	}
+	if stuck > 40 {
+		t.Errorf("%d of 4000 requests sent to a frozen server", stuck)
+	}
+	if stuck == 0 {
+		t.Error("the frozen server is never probed")
+	}
+}
+
+// TestPickProperties guards against a choice that is not a candidate, against
+// more requests in flight at a cold server than its bound while others are
+// available, and against results that differ between two equal runs.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		config := choice.TwoChoicesConfig{Seed: seed, AvailabilityZone: "a"}
+		a, b := choice.NewTwoChoices(config), choice.NewTwoChoices(config)
+		now := time.Unix(0, 0)
+		inFlight := map[uint64]int{}
+		var sent []uint64
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				n := rapid.IntRange(0, 5).Draw(t, "candidates")
+				candidates := make([]choice.Candidate, n)
+				warm := 0
+				for i := range candidates {
+					candidates[i] = choice.Candidate{
+						Incarnation:      uint64(i + 1),
+						AvailabilityZone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+						Cold:             rapid.IntRange(0, 3).Draw(t, "cold") == 0,
+					}
+					if !candidates[i].Cold {
+						warm++
+					}
+				}
+				c, reason, ok := a.Pick(now, candidates)
+				c2, reason2, ok2 := b.Pick(now, candidates)
+				if c != c2 || reason != reason2 || ok != ok2 {
+					t.Fatalf("%v %v and %v %v with the same seed", c, reason, c2, reason2)
+				}
+				if ok != (n > 0) {
+					t.Fatalf("choice %v of %d candidates", ok, n)
+				}
+				if !ok {
+					return
+				}
+				if c != candidates[c.Incarnation-1] || reason == "" {
+					t.Fatalf("%+v chosen with reason %q from %+v", c, reason, candidates)
+				}
+				if c.Cold && warm > 0 && inFlight[c.Incarnation] >= choice.DefaultColdInFlight {
+					t.Fatalf("cold node with %d in flight chosen while %d warm ones are there", inFlight[c.Incarnation], warm)
+				}
+				a.Sent(now, c.Incarnation)
+				b.Sent(now, c.Incarnation)
+				inFlight[c.Incarnation]++
+				sent = append(sent, c.Incarnation)
+			},
+			"done": func(t *rapid.T) {
+				if len(sent) == 0 {
+					t.Skip("nothing sent")
+				}
+				i := rapid.IntRange(0, len(sent)-1).Draw(t, "sent")
+				incarnation := sent[i]
+				sent = append(sent[:i], sent[i+1:]...)
+				inFlight[incarnation]--
+				latency := time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+				kind := choice.Kind(rapid.IntRange(0, 5).Draw(t, "kind"))
+				a.Done(now, incarnation, latency, kind)
+				b.Done(now, incarnation, latency, kind)
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+// TestShedBacksOff guards against a server that sheds quickly and attracts
+// requests by its low latency.
+func TestShedBacksOff(t *testing.T) {
+	p := choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: 3})
+	candidates := []choice.Candidate{{Incarnation: 1}, {Incarnation: 2}, {Incarnation: 3}}
+	now := time.Unix(0, 0)
+	shed := 0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		c, _, _ := p.Pick(now, candidates)
+		p.Sent(now, c.Incarnation)
+		if c.Incarnation == 1 {
+			shed++
+			p.Done(now, c.Incarnation, 10*time.Microsecond, choice.KindShed)
+			continue
+		}
+		p.Done(now, c.Incarnation, 10*time.Millisecond, choice.KindOK)
+	}
+	// One per backoff of 100 ms are 100 in 10 s.
+	if shed > 110 {
+		t.Errorf("%d of 10000 requests sent to a server that sheds all of them", shed)
+	}
+}
+
+// TestOwnZone guards against a preference that never takes effect, and against
+// one that overloads the servers of the own availability zone.
+func TestOwnZone(t *testing.T) {
+	p := choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: 3, AvailabilityZone: "a"})
+	var candidates []choice.Candidate
+	for i := range uint64(8) {
+		candidates = append(candidates, choice.Candidate{Incarnation: i + 1, AvailabilityZone: string(rune('a' + i/2))})
+	}
+	now := time.Unix(0, 0)
+	own := 0
+	for range 1000 {
+		c, _, _ := p.Pick(now, candidates)
+		if c.AvailabilityZone == "a" {
+			own++
+		}
+	}
+	// Two of eight are in the zone; at least one of them is in 13 of 28 pairs.
+	if own < 400 || own > 530 {
+		t.Errorf("%d of 1000 requests stay in the zone, want about 464", own)
+	}
+	own = 0
+	for range 1000 {
+		c, _, _ := p.Pick(now, candidates)
+		p.Sent(now, c.Incarnation)
+		if c.AvailabilityZone == "a" {
+			own++
+		}
+	}
+	if own > 320 {
+		t.Errorf("%d of 1000 requests in flight are in the zone, want about a quarter", own)
+	}
+}
+
+// BenchmarkSlowServer compares the policies with one of eight servers slowed
+// tenfold; it reports 99th percentiles in milliseconds.
+func BenchmarkSlowServer(b *testing.B) {
+	policies := []struct {
+		name string
+		make func(seed uint64) choice.Policy
+	}{
+		{"twoChoices", twoChoices},
+		{"leastInFlight", func(seed uint64) choice.Policy { return choice.NewLeastInFlight(seed) }},
+		{"roundRobin", func(uint64) choice.Policy { return &choice.RoundRobin{} }},
+		{"random", func(seed uint64) choice.Policy { return choice.NewRandom(seed) }},
+	}
+	for _, nodes := range []int{1, 8} {
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("nodes=%d/%s", nodes, p.name), func(b *testing.B) {
+				for range b.N {
+					s := base(nodes)
+					samples := s.run(makePolicies(nodes, p.make))
+					b.ReportMetric(quantile(samples, 0.99, 5*time.Second, s.slowFrom).Seconds()*1e3, "healthy_p99ms")
+					b.ReportMetric(quantile(samples, 0.99, s.slowFrom, s.slowTo).Seconds()*1e3, "slow_p99ms")
+					b.ReportMetric(quantile(samples, 0.999, s.slowFrom, s.slowTo).Seconds()*1e3, "slow_p999ms")
+					b.ReportMetric(100*share(samples, s.slowFrom, s.slowTo), "slowshare%")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPick measures one choice with its reports.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 8, 30, 300} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			candidates := make([]choice.Candidate, n)
+			for i := range candidates {
+				candidates[i] = choice.Candidate{Incarnation: uint64(i + 1)}
+			}
+			p := choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: 1})
+			now := time.Unix(0, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				c, _, _ := p.Pick(now, candidates)
+				p.Sent(now, c.Incarnation)
+				p.Done(now, c.Incarnation, time.Millisecond, choice.KindOK)
+			}
+		})
+	}
+}
--- a/core/choice/twochoices.go
+++ b/core/choice/twochoices.go
@@ -216,46 +216,45 @@
 // leastBad chooses among candidates that are all avoided. Cold servers at
 // their bound come last: they must not get more than they sustain.
 func (t *TwoChoices) leastBad(candidates []Candidate) (Candidate, Reason, bool) {
-	best, bestCost := 0, math.Inf(1)
+	best, bestCost, bestFull := -1, 0.0, false
 	offset := t.random.IntN(len(candidates))
 	for i := range candidates {
 		j := (i + offset) % len(candidates)
-		cost := t.cost(candidates[j])
-		if s := t.servers[candidates[j].Incarnation]; candidates[j].Cold && s != nil && s.inFlight >= t.config.ColdInFlight {
-			cost *= 1000
-		}
-		if cost < bestCost {
-			best, bestCost = j, cost
+		cost, full := t.cost(candidates[j]), t.coldFull(candidates[j])
+		if best < 0 || (bestFull && !full) || (bestFull == full && cost < bestCost) {
+			best, bestCost, bestFull = j, cost, full
 		}
 	}
 	return candidates[best], ReasonAllAvoided, true
 }
 
 func (t *TwoChoices) cost(c Candidate) float64 {
-	cost := 1.0
-	latency := t.reference()
-	if s := t.servers[c.Incarnation]; s != nil {
-		cost += float64(s.inFlight)
-		if s.samples > 0 {
-			latency = math.Exp(s.logLatency)
-		}
+	s := t.servers[c.Incarnation]
+	cost := t.latency(s)
+	if s != nil {
+		cost *= 1 + float64(s.inFlight)
 	}
-	cost *= latency
 	if c.Cold {
 		cost *= coldCost
 	}
 	return cost
 }
 
+// latency returns the expected latency of a server in nanoseconds. A server
+// without observations counts as typical.
+func (t *TwoChoices) latency(s *server) float64 {
+	if s == nil || s.samples == 0 {
+		return t.reference()
+	}
+	return math.Exp(s.logLatency)
+}
+
 func (t *TwoChoices) avoided(now time.Time, c Candidate) bool {
 	s := t.servers[c.Incarnation]
 	if s == nil {
 		return false
 	}
-	if c.Cold && s.inFlight >= t.config.ColdInFlight {
-		return true
-	}
-	if now.Before(s.backoffUntil) {
+	if t.coldFull(c) || now.Before(s.backoffUntil) {
 		return true
 	}
 	if !s.straggler && t.silent(now, s) {
@@ -264,6 +263,13 @@
 	return s.straggler
 }
 
+// coldFull reports whether a cold server has all the requests that it may have
+// from this node.
+func (t *TwoChoices) coldFull(c Candidate) bool {
+	s := t.servers[c.Incarnation]
+	return c.Cold && s != nil && s.inFlight >= t.config.ColdInFlight
+}
+
 func (t *TwoChoices) silent(now time.Time, s *server) bool {
 	bound := max(t.config.Silence, time.Duration(silenceFactor*t.reference()))
 	return s.inFlight > 0 && now.Sub(s.quietSince) > bound
@@ -293,7 +299,7 @@
 			continue
 		}
 		for i, c := range candidates {
-			if c.Incarnation != incarnation || (c.Cold && s.inFlight >= t.config.ColdInFlight) {
+			if c.Incarnation != incarnation || t.coldFull(c) {
 				continue
 			}
 			s.probed = now
@@ -330,7 +336,14 @@
 		s.backoffUntil = now.Add(t.config.Backoff)
 		s.quietSince = now
 		return
-	case KindCancelled, KindFailed:
+	case KindFailed:
+		return
+	case KindCancelled:
+		// The request would have taken longer, so the time counts only where it
+		// is long. Without it a server that loses every hedge looks healthy.
+		if float64(latency) > t.latency(s) {
+			t.observe(now, incarnation, s, float64(latency))
+		}
 		return
 	}
 	s.quietSince = now
