--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -1,7 +1,24 @@
 // Package rules parses, checks and compares the rules file.
 package rules
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Defaults of values that a rules file may leave out. Parse fills them in.
+const (
+	DefaultTimeout       = 30 * time.Second
+	DefaultPriority      = 5
+	DefaultKeyShare      = 0.5
+	DefaultMaxBody       = 1 << 30
+	DefaultRetryBudget   = 0.1
+	DefaultRetryAttempts = 3
+	DefaultHedgeBudget   = 0.05
+	DefaultHedgeAfter    = 20 * time.Millisecond
+)
 
 // Set is a checked rules file. The zero value has no rules. A Set is not
 // changed after Parse returned it and is safe for concurrent use.
@@ -18,6 +35,19 @@
 type Comment struct {
 	Who string
 	Why string
+	// Line of the rule in its file, 0 where the set was not parsed. Compare
+	// and Format pass over it.
+	Line int
+}
+
+// String returns the comment as it stands in a file, without the line.
+func (c Comment) String() string {
+	return "# " + c.Who + ": " + c.Why
+}
+
+// given reports whether there is a comment, and so a rule that it belongs to.
+func (c Comment) given() bool {
+	return c.Who != ""
 }
 
 // Upstream is a group of backend servers that serve the same requests. The
@@ -25,7 +55,8 @@
 type Upstream struct {
 	Name string
 	// Keyed upstreams are divided by key: each key has one owner.
-	Keyed      bool
+	Keyed bool
+	// Partitions is a power of two for keyed upstreams and 0 for others.
 	Partitions uint32
 	// Slots and Connections bound what each backend server gets. 0 means as
 	// the backend server announced.
@@ -43,6 +74,9 @@
 	KeyShare float64
 	// MaxBody bounds request bodies in bytes. 0 means 1 GiB.
 	MaxBody int64
+	// MinPriority refuses requests of routes with a lower priority. 0 refuses
+	// none.
+	MinPriority int
 	// RetryBudget is the share of requests that may be retries, 0 to 1.
 	RetryBudget float64
 	// RetryAttempts bounds the sendings of one request, the first included.
@@ -52,6 +86,11 @@
 	// HedgeAfter is the time after which a hedge is sent.
 	HedgeAfter time.Duration
 	Comment    Comment
+	// Comments of the rules limit, retry and hedge, empty where the file has
+	// no such rule for the upstream.
+	LimitComment Comment
+	RetryComment Comment
+	HedgeComment Comment
 }
 
 // KeySource says where a request's key stands.
@@ -74,6 +113,7 @@
 	Name string
 	// Segment is the number of the path segment that is the key, from 1.
 	Segment int
+	// Timeout bounds the deadline of requests. Default DefaultTimeout.
 	Timeout time.Duration
 	// Idempotent lists methods that may run more than once, beside GET, HEAD,
 	// OPTIONS, PUT and DELETE.
@@ -107,19 +147,68 @@
 	Comment   Comment
 }
 
-// Option sets one value of the whole system.
+// Option sets one value of the whole system. Options lists the names.
 type Option struct {
-	Name    string
+	Name string
+	// Value in the canonical form, such as 1m for a duration of 60s.
 	Value   string
 	Comment Comment
 }
 
 // Error is one fault in a rules file.
 type Error struct {
-	Line    int
-	Column  int
+	// Line and Column count from 1, the column in characters. Line is 0 for a
+	// fault of the whole file.
+	Line   int
+	Column int
+	// Message says what was found and what was expected.
 	Message string
 }
 
-// Errors are all faults of one rules file, by line and column.
+// Error returns the fault on one line, such as "line 3, column 9: ...".
+func (e Error) Error() string {
+	if e.Line == 0 {
+		return e.Message
+	}
+	return fmt.Sprintf("line %d, column %d: %s", e.Line, e.Column, e.Message)
+}
+
+// Errors are all faults of one rules file, by line and column. MaxErrors
+// bounds them; a last one without a line then says how many are left out.
 type Errors []Error
+
+// Error returns one fault per line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the faults as an error, nil if there are none.
+func (e Errors) Err() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
+
+// Upstream returns the upstream with a name.
+func (s Set) Upstream(name string) (Upstream, bool) {
+	i := slices.IndexFunc(s.Upstreams, func(u Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return Upstream{}, false
+	}
+	return s.Upstreams[i], true
+}
+
+// ZoneOut reports whether an availability zone is taken out of service.
+func (s Set) ZoneOut(name string) bool {
+	return slices.ContainsFunc(s.Zones, func(z Zone) bool { return z.Name == name && z.Out })
+}
+
+// ServerDraining reports whether a rule drains a backend server.
+func (s Set) ServerDraining(name string) bool {
+	return slices.ContainsFunc(s.Servers, func(v Server) bool { return v.Name == name && v.Drain })
+}
--- /dev/null
+++ b/core/rules/statement.go
@@ -0,0 +1,211 @@
+package rules
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
+)
+
+// Ranges of values.
+const (
+	maxSlots       = 100_000
+	maxConnections = 100_000
+	maxQueue       = 1_000_000
+	maxRate        = 10_000_000
+	maxBody        = 1 << 40
+	maxPriority    = 9
+	maxSegment     = 32
+	maxAttempts    = 10
+	maxPrefix      = 1024
+	minTimeout     = time.Millisecond
+	maxTimeout     = time.Hour
+	minHedgeAfter  = time.Millisecond
+	maxHedgeAfter  = time.Minute
+)
+
+// Policies that upstreams may name, the default first.
+var (
+	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing"}
+	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastRequests"}
+)
+
+// KeyedPolicies returns the placement policies, the default first.
+func KeyedPolicies() []string { return slices.Clone(keyedPolicies) }
+
+// UnkeyedPolicies returns the selection policies, the default first.
+func UnkeyedPolicies() []string { return slices.Clone(unkeyedPolicies) }
+
+func (p *parser) upstream(c *cursor) {
+	name, ok := c.name("an upstream")
+	if !ok {
+		return
+	}
+	first := p.first("upstream "+name.text, c.line, name.column)
+	if first {
+		p.upstreams[name.text] = -1
+	}
+	kind, ok := c.oneOf("keyed", "unkeyed")
+	if !ok {
+		return
+	}
+	u := Upstream{
+		Name: name.text, Keyed: kind == "keyed", Comment: c.comment,
+		RetryBudget: DefaultRetryBudget, RetryAttempts: DefaultRetryAttempts,
+	}
+	policies := unkeyedPolicies
+	if u.Keyed {
+		policies = keyedPolicies
+		u.Partitions = keyspace.DefaultPartitions
+	}
+	c.settings(
+		setting{"partitions", func(w word) {
+			u.Partitions = uint32(c.integer(w, keyspace.MinPartitions, keyspace.MaxPartitions))
+			if !u.Keyed {
+				c.fail(w.column, "an unkeyed upstream has no partitions; expected keyed, or no partitions=")
+			} else if !keyspace.Valid(u.Partitions) {
+				c.fail(w.column, "found %q; expected a power of two from %d to %d",
+					w.text, keyspace.MinPartitions, keyspace.MaxPartitions)
+			}
+		}},
+		setting{"slots", func(w word) { u.Slots = int(c.integer(w, 1, maxSlots)) }},
+		setting{"connections", func(w word) { u.Connections = int(c.integer(w, 1, maxConnections)) }},
+		setting{"queue", func(w word) { u.Queue = int(c.integer(w, 1, maxQueue)) }},
+		setting{"policy", func(w word) {
+			u.Policy = w.text
+			if !slices.Contains(policies, w.text) {
+				c.fail(w.column, "found %q; expected a policy of %s upstreams: %s", w.text, kind, strings.Join(policies, ", "))
+			}
+		}},
+	)
+	if first {
+		p.upstreams[name.text] = len(p.set.Upstreams)
+		p.set.Upstreams = append(p.set.Upstreams, u)
+	}
+}
+
+func (p *parser) route(c *cursor) {
+	prefix, ok := c.word("the prefix of a path, such as /applications")
+	if !ok {
+		return
+	}
+	if fault := prefixFault(prefix.text); fault != "" {
+		c.fail(prefix.column, "found %q; expected the prefix of a path that %s", prefix.text, fault)
+		return
+	}
+	// Prefixes that differ only in a slash at the end match the same paths.
+	identity := prefix.text
+	if len(identity) > 1 {
+		identity = strings.TrimSuffix(identity, "/")
+	}
+	p.first("route "+identity, c.line, prefix.column)
+	if !c.literal("to") {
+		return
+	}
+	name, upstream, ok := c.knownUpstream()
+	if !ok {
+		return
+	}
+	r := Route{
+		Prefix: prefix.text, Upstream: name.text, Timeout: DefaultTimeout, Priority: DefaultPriority, Comment: c.comment,
+	}
+	keyed := false
+	c.settings(
+		setting{"key", func(w word) {
+			keyed = true
+			c.keySource(w, &r)
+		}},
+		setting{"timeout", func(w word) { r.Timeout = c.duration(w, minTimeout, maxTimeout) }},
+		setting{"idempotent", func(w word) { r.Idempotent = c.methods(w) }},
+		setting{"priority", func(w word) { r.Priority = int(c.integer(w, 0, maxPriority)) }},
+	)
+	if upstream != nil && upstream.Keyed && !keyed {
+		c.fail(name.column, "upstream %s is keyed and the route has no key; expected key=header:NAME, key=segment:N or key=query:NAME",
+			name.text)
+	}
+	p.set.Routes = append(p.set.Routes, r)
+}
+
+// prefixFault returns what a prefix lacks, empty if nothing.
+func prefixFault(prefix string) string {
+	switch {
+	case !strings.HasPrefix(prefix, "/"):
+		return "begins with /"
+	case len(prefix) > maxPrefix:
+		return "has at most 1024 bytes"
+	case strings.Contains(prefix, "//"):
+		return "has no empty segment"
+	case strings.ContainsAny(prefix, "?#\"\\%"):
+		return "has none of ? # \" \\ %"
+	}
+	for segment := range strings.SplitSeq(prefix, "/") {
+		if segment == "." || segment == ".." {
+			return "has no segment . or .."
+		}
+	}
+	return ""
+}
+
+func (c *cursor) keySource(w word, r *Route) {
+	const expected = "header:NAME, segment:N or query:NAME"
+	kind, text, found := strings.Cut(w.text, ":")
+	value := word{text, w.column + len(kind) + 1}
+	switch {
+	case found && kind == "segment":
+		r.Source = KeySourceSegment
+		r.Segment = int(c.integer(value, 1, maxSegment))
+	case found && (kind == "header" || kind == "query"):
+		r.Source, r.Name = KeySourceQuery, text
+		if kind == "header" {
+			r.Source, r.Name = KeySourceHeader, http.CanonicalHeaderKey(text)
+		}
+		if !validName(text) {
+			c.fail(value.column, "found %q; expected the name of a header or query parameter: %s", text, nameForm)
+		}
+	default:
+		c.fail(w.column, "found %q; expected %s", w.text, expected)
+	}
+}
+
+// methods reads the methods of a list, sorted and without repetition.
+func (c *cursor) methods(w word) []string {
+	all := strings.Split(w.text, ",")
+	for _, method := range all {
+		if method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" {
+			c.fail(w.column, "found %q; expected methods in capitals such as POST,PATCH", w.text)
+			return nil
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (p *parser) zone(c *cursor) {
+	name, ok := c.name("an availability zone")
+	if !ok {
+		return
+	}
+	state, ok := c.oneOf("out", "in")
+	if !ok {
+		return
+	}
+	c.settings()
+	p.first("zone "+name.text, c.line, name.column)
+	p.set.Zones = append(p.set.Zones, Zone{name.text, state == "out", c.comment})
+}
+
+func (p *parser) server(c *cursor) {
+	name, ok := c.name("a backend server")
+	if !ok {
+		return
+	}
+	state, ok := c.oneOf("drain", "in")
+	if !ok {
+		return
+	}
+	c.settings()
+	p.first("server "+name.text, c.line, name.column)
+	p.set.Servers = append(p.set.Servers, Server{name.text, state == "drain", c.comment})
+}
--- /dev/null
+++ b/core/rules/traffic.go
@@ -0,0 +1,108 @@
+package rules
+
+import (
+	"strconv"
+
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
+)
+
+// amend reads a rule that sets fields of an upstream, which the callback
+// returns as settings.
+func (p *parser) amend(c *cursor, rule string, settings func(*Upstream) []setting) {
+	name, upstream, ok := c.knownUpstream()
+	if !ok {
+		return
+	}
+	if upstream == nil {
+		upstream = &Upstream{}
+	}
+	p.first(rule+" "+name.text, c.line, name.column)
+	allowed := settings(upstream)
+	if c.settings(allowed...) == 0 {
+		c.fail(c.end, "the rule sets nothing; expected at least %s=", allowed[0].name)
+	}
+}
+
+func (p *parser) limit(c *cursor) {
+	p.amend(c, "limit", func(u *Upstream) []setting {
+		u.LimitComment = c.comment
+		return []setting{
+			{"requestsPerSecond", func(w word) { u.RequestsPerSecond = c.decimal(w, 0.001, maxRate) }},
+			{"keyShare", func(w word) { u.KeyShare = c.share(w, 0.1, 100) }},
+			{"priority", func(w word) { u.MinPriority = int(c.integer(w, 0, maxPriority)) }},
+			{"body", func(w word) { u.MaxBody = c.size(w, 1, maxBody) }},
+		}
+	})
+}
+
+func (p *parser) retry(c *cursor) {
+	p.amend(c, "retry", func(u *Upstream) []setting {
+		u.RetryComment = c.comment
+		return []setting{
+			{"budget", func(w word) { u.RetryBudget = c.share(w, 0, 100) }},
+			{"attempts", func(w word) { u.RetryAttempts = int(c.integer(w, 1, maxAttempts)) }},
+		}
+	})
+}
+
+func (p *parser) hedge(c *cursor) {
+	p.amend(c, "hedge", func(u *Upstream) []setting {
+		if u.Keyed {
+			c.fail(c.words[1].column, "upstream %s is keyed, so each request has one server; expected an unkeyed upstream", u.Name)
+		}
+		u.HedgeComment = c.comment
+		u.HedgeBudget, u.HedgeAfter = DefaultHedgeBudget, DefaultHedgeAfter
+		return []setting{
+			{"budget", func(w word) { u.HedgeBudget = c.share(w, 0, 100) }},
+			{"after", func(w word) { u.HedgeAfter = c.duration(w, minHedgeAfter, maxHedgeAfter) }},
+		}
+	})
+}
+
+func (p *parser) pin(c *cursor) {
+	name, upstream, ok := c.knownUpstream()
+	if !ok {
+		return
+	}
+	if upstream != nil && !upstream.Keyed {
+		c.fail(name.column, "upstream %s is unkeyed; expected a keyed upstream, whose partitions have owners", name.text)
+		return
+	}
+	w, ok := c.word("key=KEY or partition=N")
+	if !ok {
+		return
+	}
+	pin := Pin{Upstream: name.text, Comment: c.comment}
+	partitions := uint32(keyspace.MaxPartitions)
+	if upstream != nil && keyspace.Valid(upstream.Partitions) {
+		partitions = upstream.Partitions
+	}
+	kind, value, _ := w.split()
+	switch {
+	case kind == "key" && value.text != "":
+		if pin.Key, ok = c.quoted(value); !ok {
+			return
+		}
+		pin.Partition = keyspace.Partition(keyspace.Hash(pin.Key), partitions)
+	case kind == "partition" && value.text != "":
+		pin.Partition = uint32(c.integer(value, 0, int64(partitions)-1))
+	default:
+		c.fail(w.column, "found %q; expected key=KEY or partition=N", w.text)
+		return
+	}
+	if !c.literal("to") {
+		return
+	}
+	server, ok := c.name("a backend server")
+	if !ok {
+		return
+	}
+	pin.Server = server.text
+	c.settings()
+	p.first(pinIdentity(pin), c.line, w.column)
+	p.set.Pins = append(p.set.Pins, pin)
+}
+
+func pinIdentity(pin Pin) string {
+	return "pin " + pin.Upstream + " partition " + strconv.FormatUint(uint64(pin.Partition), 10)
+}
