core/rules: bound the text as core/cluster does, name the policies of core/choice

A text between 1 MiB and 4 MiB passed the check and was then refused by the state machine. Bound before: 4 MiB, after: 1 MiB, which holds 10,000 rules of 100 bytes.

--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -76,7 +76,7 @@
 func TestBounds(t *testing.T) {
 	const good = "zone a out  # Rahma: bound"
 	for name, c := range map[string]struct{ text, want string }{
-		"file":    {strings.Repeat("#\n", rules.MaxText/2) + "#", "expected at most 4194304"},
+		"file":    {strings.Repeat("#\n", rules.MaxText/2) + "#", "expected at most 1048576"},
 		"line":    {good + strings.Repeat("x", rules.MaxLine), "line 1, column 1: the line has"},
 		"control": {"\n" + good + "\x1b[2K", "line 2, column 27: the character U+001B"},
 		"utf-8":   {"# \xff", "line 1, column 3: bytes that are not UTF-8"},
--- a/core/rules/scan.go
+++ b/core/rules/scan.go
@@ -9,8 +9,9 @@
 
 // Bounds of a rules file.
 const (
-	// MaxText bounds the bytes of the text, MaxLine those of one line.
-	MaxText = 4 << 20
+	// MaxText bounds the bytes of the text, as the replicated state does;
+	// MaxLine those of one line.
+	MaxText = 1 << 20
 	MaxLine = 4096
 	// MaxErrors bounds the faults that are reported, so that a file of another
 	// kind gives a message of bounded size.
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -29,7 +29,7 @@
 // Policies that upstreams may name, the default first.
 var (
 	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing"}
-	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastRequests"}
+	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastInFlight"}
 )
 
 // KeyedPolicies returns the placement policies, the default first.
