--- /dev/null
+++ b/ctl/apply.go
@@ -0,0 +1,168 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/ctl/internal/operator"
+	"github.com/jujubeknot/jujubeknot/ctl/internal/screen"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// pollInterval is the time between two looks at what is waited for. A change
+// is expected to be in force within 2 s, so this shows a tenth of that.
+const pollInterval = 200 * time.Millisecond
+
+type applyCommand struct {
+	Expect    *uint64 `long:"expect" value-name:"REVISION" description:"revision that the change builds on (default: the one in force)"`
+	RequestID string  `long:"request-id" value-name:"ID" description:"id of an earlier sending whose answer was lost (default: a new one)"`
+	Wait      bool    `long:"wait" description:"wait until the change is in force everywhere"`
+	Force     bool    `long:"force" description:"apply even if an upstream then has no availability zone in service"`
+	fileArgument
+}
+
+func (c *applyCommand) run(ctx context.Context, s *session) error {
+	text, set, err := c.read()
+	if err != nil {
+		return err
+	}
+	if err := s.connect(); err != nil {
+		return err
+	}
+	current, before, err := s.current(ctx)
+	if err != nil {
+		return err
+	}
+	p := proposal{file: c.fileArgument, text: text, base: current.GetRevision(), requestID: c.RequestID}
+	if c.Expect != nil {
+		p.base = *c.Expect
+	}
+	if p.requestID == "" {
+		p.requestID = rand.Text()
+	}
+	if err := c.refuse(rules.CheckChange(before, set)); err != nil {
+		return err
+	}
+	if !c.Force {
+		if err := s.checkService(ctx, before, set); err != nil {
+			return err
+		}
+	}
+	revision, err := s.propose(ctx, p)
+	if err != nil {
+		return err
+	}
+	if !c.Wait {
+		s.Out("nodes follow within seconds; status shows where it is in force")
+		return nil
+	}
+	return s.waitInForce(ctx, revision)
+}
+
+// proposal is one change of the rules.
+type proposal struct {
+	file      fileArgument
+	text      string
+	base      uint64
+	requestID string
+}
+
+// propose sends a proposal and writes what became of it. It returns the
+// revision that has the text.
+func (s *session) propose(ctx context.Context, p proposal) (uint64, error) {
+	response, err := s.client.ApplyRules(ctx, &wirev1.ApplyRulesRequest{
+		BaseRevision: p.base, Text: p.text, RequestId: p.requestID, Author: s.author(),
+	})
+	var unknown *operator.UnknownError
+	if errors.As(err, &unknown) {
+		return 0, fmt.Errorf("%w\nthe change may have been accepted; run the same command again with --request-id %s --expect %d",
+			err, p.requestID, p.base)
+	}
+	if err != nil {
+		return 0, err
+	}
+	revision := response.GetRevision()
+	switch response.GetOutcome() {
+	case wirev1.ApplyRulesResponse_OUTCOME_ACCEPTED:
+		s.Out("accepted as revision %d", revision)
+		return revision, nil
+	case wirev1.ApplyRulesResponse_OUTCOME_UNCHANGED:
+		s.Out("accepted earlier: revision %d has this content", revision)
+		return revision, nil
+	case wirev1.ApplyRulesResponse_OUTCOME_CONFLICT:
+		return 0, s.conflict(ctx, p, revision)
+	case wirev1.ApplyRulesResponse_OUTCOME_INVALID:
+		var faults rules.Errors
+		for _, e := range response.GetErrors() {
+			faults = append(faults, rules.Error{Line: int(e.GetLine()), Column: int(e.GetColumn()), Message: e.GetMessage()})
+		}
+		if len(faults) == 0 {
+			faults = rules.Errors{{Message: "control finds the rules invalid and does not say why"}}
+		}
+		return 0, p.file.refuse(faults)
+	default:
+		return 0, fmt.Errorf("control gave an answer that this version does not know: %v", response.GetOutcome())
+	}
+}
+
+// conflict says who changed the rules in between.
+func (s *session) conflict(ctx context.Context, p proposal, revision uint64) error {
+	text := fmt.Sprintf("conflict, nothing was changed: the change builds on revision %d, but the rules are at revision %d", p.base, revision)
+	if winner, err := s.client.GetRules(ctx, revision); err == nil && winner.GetRevision() == revision {
+		text += fmt.Sprintf(", accepted %s from %s", wallTime(winner.GetAcceptedUnixMs()), screen.Clean(winner.GetAuthor()))
+	}
+	return coded(ExitConflict, text+fmt.Sprintf("\nlook at the difference with diff %s, then apply with --expect %d", p.file.Args.File, revision))
+}
+
+// wallTime shows a time of the control members in UTC.
+func wallTime(unixMs int64) string {
+	return time.UnixMilli(unixMs).UTC().Format("2006-01-02 15:04:05Z")
+}
+
+// checkService refuses a change that leaves an upstream without a backend
+// server in service, and one that removes all rules, as a file does that an
+// editor has only begun to write.
+func (s *session) checkService(ctx context.Context, before, after rules.Set) error {
+	if len(rules.Compare(rules.Set{}, after)) == 0 && len(rules.Compare(before, after)) > 0 {
+		return coded(ExitRefused, "the file has no rules, so this would remove all of them; add --force if that is intended")
+	}
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	var faults []string
+	for _, u := range after.Upstreams {
+		old := zonesInService(u.Name, before, status.GetNodes())
+		if len(old) > 0 && len(zonesInService(u.Name, after, status.GetNodes())) == 0 {
+			faults = append(faults, fmt.Sprintf("the last availability zone of upstream %s would go out of service (in service now: %s)",
+				u.Name, strings.Join(old, ", ")))
+		}
+	}
+	if len(faults) > 0 {
+		return coded(ExitRefused, strings.Join(faults, "\n")+"\nnothing was changed; add --force if that is intended")
+	}
+	return nil
+}
+
+// zonesInService lists the availability zones in which an upstream has a
+// backend server that takes work under the rules.
+func zonesInService(upstream string, set rules.Set, nodes []*wirev1.NodeStatus) []string {
+	var zones []string
+	seen := map[string]bool{}
+	for _, n := range nodes {
+		server, zone := n.GetNode().GetBackendServer(), n.GetNode().GetAvailabilityZone()
+		if server.GetUpstream() != upstream || seen[zone] || n.GetLeaseLeftMs() == 0 || n.GetNode().GetDraining() ||
+			set.ZoneOut(zone) || set.ServerDraining(server.GetName()) {
+			continue
+		}
+		seen[zone] = true
+		zones = append(zones, screen.Clean(zone))
+	}
+	return zones
+}
--- /dev/null
+++ b/ctl/drain.go
@@ -0,0 +1,109 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+type drainCommand struct {
+	Undo  bool `long:"undo" description:"return the backend server to service"`
+	Wait  bool `long:"wait" description:"wait until all partitions have moved"`
+	Force bool `long:"force" description:"drain even the last backend server in service of an upstream"`
+	Args  struct {
+		Server string `positional-arg-name:"SERVER" description:"name of the backend server"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *drainCommand) run(ctx context.Context, s *session) error {
+	if c.Undo && c.Wait {
+		return coded(ExitUsage, "--wait and --undo exclude each other: partitions return over minutes")
+	}
+	if err := s.connect(); err != nil {
+		return err
+	}
+	if !c.Undo && !c.Force {
+		if err := c.check(ctx, s); err != nil {
+			return err
+		}
+	}
+	response, err := s.client.Drain(ctx, c.Args.Server, c.Undo)
+	if err != nil {
+		return fmt.Errorf("%w\nto drain, or to undo, twice does no harm: run the same command again", err)
+	}
+	if c.Undo {
+		s.Out("%s is back in service; partitions return over the next minutes", c.Args.Server)
+		return nil
+	}
+	s.Out("%s drains: %s left", c.Args.Server, count(int(response.GetPartitionsLeft()), "partition"))
+	if !c.Wait {
+		return nil
+	}
+	return c.wait(ctx, s, response.GetIncarnation())
+}
+
+// check refuses to drain the last backend server of an upstream.
+func (c *drainCommand) check(ctx context.Context, s *session) error {
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	_, set, err := s.current(ctx)
+	if err != nil {
+		return err
+	}
+	upstream := ""
+	for _, n := range status.GetNodes() {
+		if n.GetNode().GetBackendServer().GetName() == c.Args.Server {
+			upstream = n.GetNode().GetBackendServer().GetUpstream()
+		}
+	}
+	after := set
+	after.Servers = append(after.Servers[:len(after.Servers):len(after.Servers)], rules.Server{Name: c.Args.Server, Drain: true})
+	if len(zonesInService(upstream, set, status.GetNodes())) > 0 && len(zonesInService(upstream, after, status.GetNodes())) == 0 {
+		return coded(ExitRefused, fmt.Sprintf("%s is the last backend server of upstream %s in service; nothing was changed, add --force if that is intended",
+			c.Args.Server, upstream))
+	}
+	return nil
+}
+
+// wait waits until the node has no partition and no request left.
+func (c *drainCommand) wait(ctx context.Context, s *session, incarnation uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
+	defer cancel()
+	last := "control has not said how far it is"
+	for {
+		status, err := s.client.Status(ctx)
+		if err == nil {
+			n := nodeOf(status, incarnation)
+			if n == nil || n.GetPartitions() == 0 && n.GetInFlight() == 0 {
+				s.Out("%s has no partitions and no requests in flight", c.Args.Server)
+				return nil
+			}
+			text := fmt.Sprintf("%s left, %s in flight", count(int(n.GetPartitions()), "partition"), count(int(n.GetInFlight()), "request"))
+			if text != last {
+				s.Out("  %s", text)
+			}
+			last = text
+		} else if ctx.Err() == nil {
+			last = err.Error()
+		}
+		select {
+		case <-ctx.Done():
+			return coded(ExitPending, fmt.Sprintf("%s drains, but is not empty yet: %s", c.Args.Server, last))
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func nodeOf(status *wirev1.StatusResponse, incarnation uint64) *wirev1.NodeStatus {
+	for _, n := range status.GetNodes() {
+		if n.GetNode().GetIncarnation() == incarnation {
+			return n
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/explain.go
@@ -0,0 +1,134 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/ctl/internal/screen"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+type explainCommand struct {
+	Upstream string `long:"upstream" value-name:"NAME" required:"yes" description:"keyed upstream"`
+	Args     struct {
+		Key string `positional-arg-name:"KEY" description:"key as it stands in requests"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *explainCommand) run(ctx context.Context, s *session) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
+	_, set, err := s.current(ctx)
+	if err != nil {
+		return err
+	}
+	upstream, ok := set.Upstream(c.Upstream)
+	if !ok || !upstream.Keyed {
+		return coded(ExitRefused, fmt.Sprintf("%q is not a keyed upstream of the rules in force", c.Upstream))
+	}
+	explained, err := s.client.Explain(ctx, c.Upstream, c.Args.Key)
+	if err != nil {
+		return err
+	}
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	names := map[uint64]string{}
+	for _, n := range status.GetNodes() {
+		names[n.GetNode().GetIncarnation()] = serverName(n.GetNode())
+	}
+	assignment, owner := explained.GetAssignment(), explained.GetOwner()
+	rows := [][]string{
+		{"key", c.Args.Key},
+		{"partition", fmt.Sprintf("%d of %d of upstream %s", assignment.GetPartition(), upstream.Partitions, c.Upstream)},
+	}
+	if owner.GetIncarnation() == 0 {
+		rows = append(rows, []string{"owner", "none"})
+	} else {
+		rows = append(rows, []string{"owner", fmt.Sprintf("%s in %s at %s, %s", serverName(owner), owner.GetAvailabilityZone(),
+			owner.GetPeerAddress(), ownerState(owner, set))})
+	}
+	rows = append(rows,
+		[]string{"epoch", number(assignment.GetEpoch())},
+		[]string{"since", "log index " + number(assignment.GetSinceIndex())},
+		[]string{"why", why(assignment)},
+	)
+	if text := explained.GetWaitingFor(); text != "" {
+		rows = append(rows, []string{"waiting for", text})
+	}
+	s.Table(rows)
+	s.Out("\nrules that bear on it:")
+	for _, line := range bearing(set, assignment, owner) {
+		s.Out("  %s", line)
+	}
+	s.Out("\nlast moves:")
+	moves := [][]string{{"  EPOCH", "OWNER", "LOG INDEX", "WHY"}}
+	for _, m := range explained.GetLastMoves() {
+		moves = append(moves, []string{"  " + number(m.GetEpoch()), ownerName(names, m.GetOwner()), number(m.GetSinceIndex()), why(m)})
+	}
+	s.Table(moves)
+	return nil
+}
+
+// why shows the reason of an assignment.
+func why(a *wirev1.Assignment) string {
+	reason := a.GetReason()
+	if reason == "" {
+		reason = "never assigned"
+	}
+	if a.GetPlanned() {
+		reason += ", released by the owner before"
+	}
+	return reason
+}
+
+func ownerState(n *wirev1.Node, set rules.Set) string {
+	switch {
+	case n.GetDraining() || set.ServerDraining(n.GetBackendServer().GetName()):
+		return "draining"
+	case n.GetCold():
+		return "cold"
+	}
+	return "warm"
+}
+
+// ownerName names an incarnation by its backend server as far as it is known.
+func ownerName(names map[uint64]string, incarnation uint64) string {
+	if incarnation == 0 {
+		return "none"
+	}
+	if name, ok := names[incarnation]; ok {
+		return name
+	}
+	return fmt.Sprintf("gone (incarnation %d)", incarnation)
+}
+
+// bearing lists the rules that have a part in where the partition is.
+func bearing(set rules.Set, a *wirev1.Assignment, owner *wirev1.Node) []string {
+	var lines []string
+	for _, change := range rules.Compare(rules.Set{}, set) {
+		fields := strings.Fields(change.Rule)
+		kind, name := fields[0], fields[1]
+		bears := false
+		switch kind {
+		case "upstream":
+			bears = name == a.GetUpstream()
+		case "route":
+			bears = strings.Contains(change.New, " to "+a.GetUpstream()+" ")
+		case "zone":
+			bears = name == owner.GetAvailabilityZone() || strings.HasSuffix(change.New, " out")
+		case "server":
+			bears = name == owner.GetBackendServer().GetName() || strings.HasSuffix(change.New, " drain")
+		case "pin":
+			bears = change.Rule == fmt.Sprintf("pin %s partition %d", a.GetUpstream(), a.GetPartition())
+		}
+		if bears {
+			lines = append(lines, screen.Clean(change.New+"  "+change.NewComment.String()))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/ctl/internal/operator/failure.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"fmt"
+	"net/netip"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+// RefusedError means that control answered and changed nothing.
+type RefusedError struct {
+	Address netip.AddrPort
+	cause   error
+}
+
+// Error has the words of control.
+func (e *RefusedError) Error() string {
+	var c *connect.Error
+	if errors.As(e.cause, &c) {
+		return fmt.Sprintf("control refused: %s (%s)", c.Message(), c.Code())
+	}
+	return "control refused: " + e.cause.Error()
+}
+
+// Unwrap returns the error of the call.
+func (e *RefusedError) Unwrap() error { return e.cause }
+
+// UnreachableError means that no member took the request, so that it changed
+// nothing.
+type UnreachableError struct {
+	cause error
+}
+
+// Error has the last failure.
+func (e *UnreachableError) Error() string {
+	return "control is not reachable, nothing was changed; last failure: " + e.cause.Error()
+}
+
+// Unwrap returns the last failure.
+func (e *UnreachableError) Unwrap() error { return e.cause }
+
+// UnknownError means that a request was sent and its answer is not known: it
+// may have taken effect, or may still.
+type UnknownError struct {
+	cause error
+}
+
+// Error has the last failure.
+func (e *UnknownError) Error() string {
+	return "no answer from control; last failure: " + e.cause.Error()
+}
+
+// Unwrap returns the last failure.
+func (e *UnknownError) Unwrap() error { return e.cause }
+
+// failureKind says what a failed attempt means for the call.
+type failureKind int
+
+const (
+	// failureNotTaken: this member did not take the request.
+	failureNotTaken failureKind = iota
+	// failureLost: the request may have been taken.
+	failureLost
+	// failureRefused: the leader refused the request for good.
+	failureRefused
+)
+
+type failure struct {
+	kind failureKind
+	// leader is the address that a member without the lead named.
+	leader netip.AddrPort
+}
+
+// classify judges the error of an attempt. Without a connection the request
+// cannot have been taken.
+func classify(err error, connected bool) failure {
+	if !connected {
+		return failure{}
+	}
+	var c *connect.Error
+	if !errors.As(err, &c) {
+		return failure{kind: failureLost}
+	}
+	if hint, ok := c.Meta()[LeaderKey]; ok {
+		leader, err := netip.ParseAddrPort(hint[0])
+		if err != nil {
+			leader = netip.AddrPort{}
+		}
+		return failure{leader: leader}
+	}
+	if !connect.IsWireError(err) {
+		return failure{kind: failureLost}
+	}
+	switch c.Code() {
+	case connect.CodeUnimplemented:
+		// The address is not an operator listener.
+		return failure{}
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeUnknown,
+		connect.CodeAborted, connect.CodeInternal:
+		return failure{kind: failureLost}
+	default:
+		return failure{kind: failureRefused}
+	}
+}
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,228 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+type statusCommand struct {
+	JSON bool `long:"json" description:"write JSON"`
+}
+
+// view is the state of the system for operators, and the form of --json.
+type view struct {
+	Leader               uint64       `json:"leader"`
+	Term                 uint64       `json:"term"`
+	Index                uint64       `json:"index"`
+	RulesRevision        uint64       `json:"rulesRevision"`
+	UnassignedPartitions uint32       `json:"unassignedPartitions"`
+	MovesInFlight        uint32       `json:"movesInFlight"`
+	TakeoverWaitMs       uint32       `json:"takeoverWaitMs"`
+	Members              []memberView `json:"members"`
+	Zones                []zoneView   `json:"zones"`
+	Servers              []serverView `json:"servers"`
+}
+
+type memberView struct {
+	ID          uint64 `json:"id"`
+	Address     string `json:"address"`
+	Role        string `json:"role"`
+	MatchIndex  uint64 `json:"matchIndex"`
+	LagEntries  uint64 `json:"lagEntries"`
+	AnswerAgeMs uint64 `json:"answerAgeMs"`
+}
+
+type zoneView struct {
+	Name              string  `json:"name"`
+	State             string  `json:"state"`
+	Servers           int     `json:"servers"`
+	Partitions        uint32  `json:"partitions"`
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	InFlight          uint32  `json:"inFlight"`
+	// Rule has who and why of the rule that names the zone.
+	Rule string `json:"rule,omitempty"`
+}
+
+type serverView struct {
+	Name              string  `json:"name"`
+	Upstream          string  `json:"upstream"`
+	Zone              string  `json:"zone"`
+	Region            string  `json:"region"`
+	State             string  `json:"state"`
+	Partitions        uint32  `json:"partitions"`
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	InFlight          uint32  `json:"inFlight"`
+	RulesRevision     uint64  `json:"rulesRevision"`
+	LagEntries        uint64  `json:"lagEntries"`
+	LeaseLeftMs       uint32  `json:"leaseLeftMs"`
+	RenewAgeMs        uint64  `json:"renewAgeMs"`
+	Incarnation       uint64  `json:"incarnation"`
+	Address           string  `json:"address"`
+}
+
+func (c *statusCommand) run(ctx context.Context, s *session) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	_, set, err := s.current(ctx)
+	if err != nil {
+		return err
+	}
+	v := newView(status, set)
+	if c.JSON {
+		data, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return fmt.Errorf("encoding the status: %w", err)
+		}
+		s.Out("%s", data)
+		return nil
+	}
+	s.showView(v)
+	return nil
+}
+
+// newView sorts and sums the answer of the leader.
+func newView(status *wirev1.StatusResponse, set rules.Set) view {
+	v := view{
+		Leader: status.GetLeader(), Term: status.GetTerm(), Index: status.GetIndex(), RulesRevision: status.GetRulesRevision(),
+		UnassignedPartitions: status.GetUnassignedPartitions(), MovesInFlight: status.GetMovesInFlight(),
+		TakeoverWaitMs: status.GetTakeoverWaitMs(), Members: memberViews(status),
+		Zones: []zoneView{}, Servers: []serverView{},
+	}
+	zones := map[string]*zoneView{}
+	zone := func(name string) *zoneView {
+		if zones[name] == nil {
+			zones[name] = &zoneView{Name: name, State: either(set.ZoneOut(name), "out", "in")}
+		}
+		return zones[name]
+	}
+	for _, z := range set.Zones {
+		zone(z.Name).Rule = z.Comment.String()
+	}
+	for _, n := range status.GetNodes() {
+		server := newServerView(n, status.GetIndex(), set)
+		v.Servers = append(v.Servers, server)
+		z := zone(server.Zone)
+		z.Servers++
+		z.Partitions += server.Partitions
+		z.RequestsPerSecond += server.RequestsPerSecond
+		z.InFlight += server.InFlight
+	}
+	for _, z := range zones {
+		v.Zones = append(v.Zones, *z)
+	}
+	slices.SortFunc(v.Zones, func(a, b zoneView) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(v.Servers, func(a, b serverView) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return v
+}
+
+func memberViews(status *wirev1.StatusResponse) []memberView {
+	all := []memberView{}
+	for _, m := range status.GetMembers() {
+		role := "follower"
+		if m.GetMember().GetLearner() {
+			role = "learner"
+		}
+		if m.GetLeader() {
+			role = "leader"
+		}
+		all = append(all, memberView{
+			ID: m.GetMember().GetId(), Address: m.GetMember().GetAddress(), Role: role, MatchIndex: m.GetMatchIndex(),
+			LagEntries: lag(status.GetIndex(), m.GetMatchIndex()), AnswerAgeMs: m.GetAnswerAgeMs(),
+		})
+	}
+	slices.SortFunc(all, func(a, b memberView) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func newServerView(n *wirev1.NodeStatus, index uint64, set rules.Set) serverView {
+	node := n.GetNode()
+	v := serverView{
+		Name: serverName(node), Upstream: node.GetBackendServer().GetUpstream(), Zone: node.GetAvailabilityZone(),
+		Region: node.GetRegion(), State: "warm", Partitions: n.GetPartitions(),
+		RequestsPerSecond: float64(n.GetRequestsPerSecond()), InFlight: n.GetInFlight(), RulesRevision: n.GetRulesRevision(),
+		LagEntries: lag(index, n.GetIndex()), LeaseLeftMs: n.GetLeaseLeftMs(), RenewAgeMs: n.GetRenewAgeMs(),
+		Incarnation: node.GetIncarnation(), Address: node.GetPeerAddress(),
+	}
+	switch {
+	case n.GetLeaseLeftMs() == 0:
+		v.State = "lost"
+	case node.GetDraining() || set.ServerDraining(v.Name):
+		v.State = "draining"
+	case node.GetBackendServer().GetName() == "":
+		v.State = "no backend server"
+	case node.GetCold():
+		v.State = "cold"
+	}
+	return v
+}
+
+// lag returns how far the second index is behind the first.
+func lag(index, has uint64) uint64 {
+	return index - min(index, has)
+}
+
+func (s *session) showView(v view) {
+	s.Out("leader %d, term %d, index %d, rules revision %d", v.Leader, v.Term, v.Index, v.RulesRevision)
+	s.Out("partitions without an owner: %d, moves in flight: %d", v.UnassignedPartitions, v.MovesInFlight)
+	if v.TakeoverWaitMs > 0 {
+		s.Out("new leader: partitions of lost nodes are assigned in %s", milliseconds(uint64(v.TakeoverWaitMs)))
+	}
+	s.Out("")
+	s.Table(memberRows(v.Members))
+	s.Out("")
+	rows := [][]string{{"ZONE", "STATE", "SERVERS", "PARTITIONS", "REQUESTS/S", "IN FLIGHT", "RULE"}}
+	for _, z := range v.Zones {
+		rows = append(rows, []string{
+			z.Name, z.State, strconv.Itoa(z.Servers), number(z.Partitions), rate(z.RequestsPerSecond), number(z.InFlight), z.Rule,
+		})
+	}
+	s.Table(rows)
+	s.Out("")
+	rows = [][]string{{"SERVER", "UPSTREAM", "ZONE", "STATE", "PARTITIONS", "REQUESTS/S", "IN FLIGHT", "RULES", "LAG", "LEASE LEFT", "LAST RENEWAL"}}
+	for _, n := range v.Servers {
+		rows = append(rows, []string{
+			n.Name, n.Upstream, n.Zone, n.State, number(n.Partitions), rate(n.RequestsPerSecond), number(n.InFlight),
+			number(n.RulesRevision), number(n.LagEntries), milliseconds(uint64(n.LeaseLeftMs)), milliseconds(n.RenewAgeMs),
+		})
+	}
+	s.Table(rows)
+}
+
+func memberRows(members []memberView) [][]string {
+	rows := [][]string{{"MEMBER", "ADDRESS", "ROLE", "LAG", "LAST ANSWER"}}
+	for _, m := range members {
+		answer := milliseconds(m.AnswerAgeMs)
+		if m.Role == "leader" {
+			answer = "-"
+		}
+		rows = append(rows, []string{number(m.ID), m.Address, m.Role, number(m.LagEntries), answer})
+	}
+	return rows
+}
+
+func number[T uint32 | uint64](n T) string {
+	return strconv.FormatUint(uint64(n), 10)
+}
+
+func rate(perSecond float64) string {
+	return strconv.FormatFloat(perSecond, 'f', 1, 64)
+}
+
+func milliseconds(ms uint64) string {
+	return (time.Duration(ms) * time.Millisecond).String()
+}
