--- /dev/null
+++ b/core/placement/balance.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// returnBelow is the ratio to the mean utilization under which a server
+	// counts as returned to use rather than as unevenly loaded.
+	returnBelow = 0.5
+	// hotAbove is the ratio to the mean cost of a partition above which the
+	// heaviest partition of a server stays where it is.
+	hotAbove = 2
+)
+
+// balance is the work of evening out load between warm servers.
+type balance struct {
+	*task
+	mean float64
+	// owned has the partitions of each server, the heaviest first, filled
+	// when a server is first looked at.
+	owned map[int][]int
+	// spent marks servers that have nothing left to give.
+	spent map[int]bool
+}
+
+// balance moves partitions from the highest to the lowest utilized servers
+// while the planner is evening out load.
+func (t *task) balance() {
+	b := &balance{task: t, spent: map[int]bool{}}
+	cost, weight := 0.0, 0.0
+	for _, at := range t.pool.warm {
+		cost += t.pool.entries[at].cost
+		weight += t.pool.entries[at].Weight
+	}
+	if len(t.pool.warm) < 2 || cost <= 0 {
+		t.planner.balancing = false
+		return
+	}
+	b.mean = cost / weight
+	if high, low := b.spread(); high > t.config.StartAbove || low < 1/t.config.StartAbove {
+		t.planner.balancing = true
+	}
+	for t.planner.balancing {
+		if b.even(b.spread()) {
+			t.planner.balancing = false
+		} else if !b.step() {
+			return
+		}
+	}
+}
+
+// even reports whether utilizations are close enough to stop.
+func (b *balance) even(high, low float64) bool {
+	return high < b.config.StopBelow && low > 1/b.config.StopBelow
+}
+
+// spread returns the highest and lowest utilization of warm servers in
+// relation to the mean.
+func (b *balance) spread() (high, low float64) {
+	high, low = 0, 1
+	for i, at := range b.pool.warm {
+		u := b.pool.entries[at].utilization() / b.mean
+		if i == 0 {
+			high, low = u, u
+		}
+		high, low = max(high, u), min(low, u)
+	}
+	return high, low
+}
+
+// step plans one move and reports whether it found one.
+func (b *balance) step() bool {
+	from, to := -1, -1
+	for _, at := range b.pool.warm {
+		e := &b.pool.entries[at]
+		if b.pool.full(at) {
+			continue
+		}
+		if !b.spent[at] && (from < 0 || e.utilization() > b.pool.entries[from].utilization()) {
+			from = at
+		}
+		if to < 0 || e.utilization() < b.pool.entries[to].utilization() {
+			to = at
+		}
+	}
+	if from < 0 || to < 0 || from == to {
+		return false
+	}
+	high := b.pool.entries[from].utilization() / b.mean
+	low := b.pool.entries[to].utilization() / b.mean
+	if b.even(high, low) {
+		return false
+	}
+	i := b.pick(from, to)
+	if i < 0 {
+		b.spent[from] = true
+		return len(b.spent) < len(b.pool.warm)
+	}
+	if !b.churn() {
+		return false
+	}
+	reason := ReasonRebalance
+	if low < returnBelow {
+		reason = ReasonReturn
+	}
+	b.move(i, to, reason, true)
+	return true
+}
+
+// pick returns the heaviest partition of a server whose move leaves the
+// target no higher than the source, -1 if there is none. The heaviest of all
+// stays if it is hot: moving it would interrupt the busiest keys and only
+// carry the excess elsewhere, so the others move away from it.
+func (b *balance) pick(from, to int) int {
+	f, t := &b.pool.entries[from], &b.pool.entries[to]
+	most := (f.utilization() - t.utilization()) / (1/f.Weight + 1/t.Weight)
+	owned := b.ownedBy(from)
+	for n, i := range owned {
+		part := &b.partitions[i]
+		cost := b.cost(part)
+		if n == 0 && cost > hotAbove*f.cost/float64(max(1, f.partitions)) {
+			continue
+		}
+		if cost <= most && b.free(i) && part.PinnedTo != part.Owner {
+			return i
+		}
+	}
+	return -1
+}
+
+func (b *balance) ownedBy(at int) []int {
+	if b.owned == nil {
+		b.owned = make(map[int][]int, len(b.pool.entries))
+		for i, owner := range b.owners {
+			if owner >= 0 {
+				b.owned[owner] = append(b.owned[owner], i)
+			}
+		}
+		for _, owned := range b.owned {
+			slices.SortStableFunc(owned, func(x, y int) int {
+				return cmp.Compare(b.partitions[y].Load, b.partitions[x].Load)
+			})
+		}
+	}
+	return b.owned[at]
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -11,6 +11,9 @@
 	Cold   bool
 	// Leaving servers are draining or in an availability zone taken out.
 	Leaving bool
+	// LeaveReason is the reason of moves away from a leaving server. Empty
+	// means ReasonDrain.
+	LeaveReason Reason
 	// Lost servers have no lease; their partitions may be taken.
 	Lost bool
 }
@@ -27,6 +30,11 @@
 	PinnedTo uint64
 	// Moving partitions have a planned move in flight.
 	Moving bool
+	// MovingTo is the incarnation that a moving partition goes to.
+	MovingTo uint64
+	// Held partitions are not moved while their owner lives, because a move
+	// was put off a short time ago.
+	Held bool
 }
 
 // View is the input of a plan for one upstream.
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,281 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jujubeknot/jujubeknot/core/placement"
+)
+
+func drawView(t *rapid.T) placement.View {
+	v := placement.View{Upstream: "desk"}
+	for i := range rapid.IntRange(1, 9).Draw(t, "servers") {
+		s := placement.Server{Incarnation: uint64(i + 1), Name: fmt.Sprintf("s%d", i+1), Weight: float64(rapid.IntRange(1, 18).Draw(t, "weight"))}
+		switch rapid.IntRange(0, 9).Draw(t, "kind") {
+		case 0:
+			s.Lost = true
+		case 1, 2:
+			s.Leaving, s.LeaveReason = true, placement.ReasonZoneOut
+		case 3, 4, 5:
+			s.Cold = true
+		}
+		v.Servers = append(v.Servers, s)
+	}
+	count := 1 << rapid.IntRange(0, 8).Draw(t, "bits")
+	for i := range count {
+		p := placement.Partition{Number: uint32(i), Load: rapid.Float64Range(0, 10).Draw(t, "load")}
+		if i%8 == 0 {
+			p.Load *= 30
+		}
+		p.Owner = rapid.Uint64Range(0, uint64(len(v.Servers))+1).Draw(t, "owner")
+		if p.Owner > 0 {
+			p.Epoch = 1
+		}
+		if rapid.IntRange(0, 15).Draw(t, "pin") == 0 {
+			p.PinnedTo = rapid.Uint64Range(1, uint64(len(v.Servers))+1).Draw(t, "pinned")
+		}
+		v.Partitions = append(v.Partitions, p)
+	}
+	return v
+}
+
+// cluster applies moves to a view, with planned moves that end later.
+type cluster struct {
+	view   placement.View
+	config placement.Config
+	even   []time.Time
+}
+
+func (c *cluster) server(incarnation uint64) *placement.Server {
+	for i := range c.view.Servers {
+		if c.view.Servers[i].Incarnation == incarnation {
+			return &c.view.Servers[i]
+		}
+	}
+	return nil
+}
+
+func (c *cluster) rate(incarnation uint64) (rate float64, partitions int) {
+	for _, p := range c.view.Partitions {
+		if p.Moving && p.MovingTo == incarnation || !p.Moving && p.Owner == incarnation {
+			rate += p.Load
+			partitions++
+		}
+	}
+	return rate, partitions
+}
+
+// take checks one move against the state before it and applies it.
+func (c *cluster) take(t *rapid.T, now time.Time, m placement.Move) {
+	p := &c.view.Partitions[m.Partition]
+	to, from := c.server(m.To), c.server(p.Owner)
+	if to == nil || to.Leaving || to.Lost {
+		t.Fatalf("%+v goes to %+v", m, to)
+	}
+	if m.From != p.Owner || m.Epoch != p.Epoch || p.Moving || m.To == p.Owner {
+		t.Fatalf("%+v does not fit %+v", m, p)
+	}
+	if alive := from != nil && !from.Lost; alive != m.Planned {
+		t.Fatalf("%+v while the owner is %+v", m, from)
+	}
+	if rate, partitions := c.rate(m.To); to.Cold && partitions > 0 && rate+p.Load > c.config.ColdRate*to.Weight+1e-9 {
+		t.Fatalf("%+v brings cold %s from %.1f to %.1f requests/s, it sustains %.1f", m, to.Name, rate, rate+p.Load, c.config.ColdRate*to.Weight)
+	}
+	for _, s := range c.view.Servers {
+		if to.Cold && m.Reason != placement.ReasonPin && p.PinnedTo != m.To && !s.Cold && !s.Leaving && !s.Lost && !m.Planned {
+			t.Fatalf("%+v goes to a cold server while %s is warm", m, s.Name)
+		}
+	}
+	if m.Reason == placement.ReasonRebalance || m.Reason == placement.ReasonReturn {
+		c.even = append(c.even, now)
+	}
+	if m.Planned {
+		p.Moving, p.MovingTo = true, m.To
+	} else {
+		p.Owner, p.Epoch = m.To, p.Epoch+1
+	}
+}
+
+func (c *cluster) checkBounds(t *rapid.T, now time.Time) {
+	moving, perServer := 0, map[uint64]int{}
+	for _, p := range c.view.Partitions {
+		if p.Moving {
+			moving++
+			perServer[p.Owner]++
+			perServer[p.MovingTo]++
+		}
+	}
+	if moving > c.config.MovesInFlight {
+		t.Fatalf("%d moves in flight", moving)
+	}
+	for s, n := range perServer {
+		if n > c.config.MovesPerServer {
+			t.Fatalf("%d moves in flight at server %d", n, s)
+		}
+	}
+	lastMinute := 0
+	for _, at := range c.even {
+		if now.Sub(at) < time.Minute {
+			lastMinute++
+		}
+	}
+	if budget := max(1, int(c.config.ChurnPerMinute*float64(len(c.view.Partitions)))); lastMinute > budget {
+		t.Fatalf("%d moves within a minute, the budget is %d of %d", lastMinute, budget, len(c.view.Partitions))
+	}
+}
+
+// TestPlan guards against moves to leaving, lost or overloaded cold servers,
+// moves of partitions whose owner is alive without a release, and more moves
+// than the bounds allow, with each policy.
+func TestPlan(t *testing.T) {
+	reasons := map[placement.Reason]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		c := cluster{view: drawView(t), config: placement.Config{
+			MovesInFlight: rapid.IntRange(1, 20).Draw(t, "inFlight"), MovesPerServer: rapid.IntRange(1, 8).Draw(t, "perServer"),
+			ChurnPerMinute: rapid.Float64Range(0.01, 0.2).Draw(t, "churn"), ColdRate: rapid.Float64Range(0.5, 20).Draw(t, "coldRate"),
+		}}
+		name := rapid.SampledFrom([]string{placement.PolicyLeastLoad, placement.PolicyLeastLoad, placement.PolicyRandom, placement.PolicyRoundRobin, placement.PolicyHash}).Draw(t, "policy")
+		policy, err := placement.NewPolicy(name, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		planner := placement.NewPlanner(c.config, policy)
+		now := time.Unix(0, 0)
+		for range 30 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "ms")) * time.Millisecond)
+			for i := range c.view.Partitions {
+				p := &c.view.Partitions[i]
+				if p.Moving && rapid.Bool().Draw(t, "ends") {
+					p.Moving, p.Owner, p.Epoch = false, p.MovingTo, p.Epoch+1
+				}
+			}
+			if rapid.IntRange(0, 5).Draw(t, "change") == 0 {
+				s := &c.view.Servers[rapid.IntRange(0, len(c.view.Servers)-1).Draw(t, "server")]
+				s.Cold, s.Leaving = rapid.Bool().Draw(t, "cold"), rapid.Bool().Draw(t, "leaving")
+			}
+			for _, m := range planner.Plan(now, c.view) {
+				c.take(t, now, m)
+				reasons[m.Reason]++
+			}
+			c.checkBounds(t, now)
+		}
+	})
+	t.Logf("moves: %v", reasons)
+	for _, r := range []placement.Reason{placement.ReasonFirst, placement.ReasonLoss, placement.ReasonDrain, placement.ReasonPin, placement.ReasonRebalance} {
+		if reasons[r] < 20 {
+			t.Errorf("only %d moves for reason %s", reasons[r], r)
+		}
+	}
+}
+
+func evenView(servers, partitions int, load float64) placement.View {
+	v := placement.View{Upstream: "desk"}
+	for i := range servers {
+		v.Servers = append(v.Servers, placement.Server{Incarnation: uint64(i + 1), Name: fmt.Sprintf("s%04d", i+1), Weight: 18})
+	}
+	for i := range partitions {
+		v.Partitions = append(v.Partitions, placement.Partition{Number: uint32(i), Load: load})
+	}
+	return v
+}
+
+func settle(planner *placement.Planner, v *placement.View, now *time.Time, rounds int) (moved map[placement.Reason]int) {
+	moved = map[placement.Reason]int{}
+	for range rounds {
+		for _, m := range planner.Plan(*now, *v) {
+			p := &v.Partitions[m.Partition]
+			p.Owner, p.Epoch = m.To, p.Epoch+1
+			moved[m.Reason]++
+		}
+		*now = now.Add(time.Second)
+	}
+	return moved
+}
+
+func ratio(v *placement.View) float64 {
+	loads := map[uint64]float64{}
+	total, highest := 0.0, 0.0
+	for _, p := range v.Partitions {
+		loads[p.Owner] += p.Load
+		total += p.Load
+	}
+	for _, l := range loads {
+		highest = max(highest, l)
+	}
+	return highest / (total / float64(len(v.Servers)))
+}
+
+// TestHotPartitionStays guards against a planner that hands the hottest
+// partition around instead of moving the others away from it.
+func TestHotPartitionStays(t *testing.T) {
+	v, now := evenView(8, 1024, 1), time.Unix(0, 0)
+	planner := placement.NewPlanner(placement.Config{}, mustPolicy(t, ""))
+	settle(planner, &v, &now, 2)
+	v.Partitions[7].Load = 60
+	owner := v.Partitions[7].Owner
+	if before := ratio(&v); before < 1.3 {
+		t.Fatalf("max/mean is only %.2f before", before)
+	}
+	moved := settle(planner, &v, &now, 60)
+	if after := ratio(&v); after > 1.2 || moved[placement.ReasonRebalance] > 51 || v.Partitions[7].Owner != owner {
+		t.Errorf("max/mean %.2f after %v, hot partition went from %d to %d", after, moved, owner, v.Partitions[7].Owner)
+	}
+}
+
+// TestHysteresis guards against moves for small differences and against
+// moves that go on once evening out has stopped.
+func TestHysteresis(t *testing.T) {
+	v, now := evenView(8, 1024, 1), time.Unix(0, 0)
+	planner := placement.NewPlanner(placement.Config{}, mustPolicy(t, ""))
+	settle(planner, &v, &now, 2)
+	set := func(load float64) {
+		for i := range v.Partitions {
+			if v.Partitions[i].Owner == 1 {
+				v.Partitions[i].Load = load
+			}
+		}
+	}
+	for _, step := range []struct {
+		load  float64
+		moves bool
+	}{{1.18, false}, {1.4, true}, {1.3, false}, {1.47, false}} {
+		set(step.load)
+		if moved := settle(planner, &v, &now, 90); (len(moved) > 0) != step.moves {
+			t.Errorf("load %.2f on one server: moves %v, balancing %v", step.load, moved, planner.Balancing())
+		}
+	}
+}
+
+// TestReturnIsGradual guards against a returned server that is handed its
+// whole share at once, and against one that never gets it.
+func TestReturnIsGradual(t *testing.T) {
+	v, now := evenView(8, 1024, 1), time.Unix(0, 0)
+	planner := placement.NewPlanner(placement.Config{}, mustPolicy(t, ""))
+	v.Servers[7].Leaving = true
+	settle(planner, &v, &now, 2)
+	v.Servers[7].Leaving, v.Servers[7].Cold = false, true
+	if moved := settle(planner, &v, &now, 90); len(moved) > 0 {
+		t.Errorf("moves to a cold server with warm ones present: %v", moved)
+	}
+	v.Servers[7].Cold = false
+	first := settle(planner, &v, &now, 30)
+	if first[placement.ReasonReturn] != 51 {
+		t.Errorf("moves in the first 30 s: %v, want the 51 that 5%% of 1,024 allow", first)
+	}
+	settle(planner, &v, &now, 270)
+	if after := ratio(&v); after > 1.1 {
+		t.Errorf("max/mean %.2f 5 minutes after the return", after)
+	}
+}
+
+func mustPolicy(t testing.TB, name string) placement.Policy[placement.Partition] {
+	t.Helper()
+	policy, err := placement.NewPolicy(name, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return policy
+}
--- /dev/null
+++ b/core/placement/planner.go
@@ -0,0 +1,293 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Defaults of the configuration.
+const (
+	// DefaultMovesInFlight lets a quarter of 1,024 partitions leave within a
+	// second if one move takes 100 ms.
+	DefaultMovesInFlight  = 128
+	DefaultMovesPerServer = 32
+	DefaultChurnPerMinute = 0.05
+	DefaultStartAbove     = 1.20
+	DefaultStopBelow      = 1.10
+	// DefaultColdRate is 2 requests/s for each slot: a cold server starts with
+	// 1 request in flight, which at 50 ms each is 20 requests/s.
+	DefaultColdRate = 2
+	// DefaultBaseLoad keeps the planner from chasing noise: at a few requests
+	// per second the number of partitions decides, not their load.
+	DefaultBaseLoad = 0.05
+)
+
+// Config bounds what a planner does. The zero value means the defaults.
+type Config struct {
+	// MovesInFlight bounds planned moves at a time.
+	MovesInFlight int
+	// MovesPerServer bounds planned moves at a time from and to one server.
+	MovesPerServer int
+	// ChurnPerMinute is the share of partitions that may be moved within any
+	// minute to even out load or to return servers to use, 0 to 1.
+	ChurnPerMinute float64
+	// StartAbove and StopBelow are the ratios of the highest to the mean
+	// utilization at which evening out starts and stops. Their inverses apply
+	// to the lowest.
+	StartAbove, StopBelow float64
+	// ColdRate is what a cold server sustains, in requests/s per weight.
+	ColdRate float64
+	// BaseLoad is counted for each partition in addition to its load, in
+	// requests/s.
+	BaseLoad float64
+}
+
+// WithDefaults returns the configuration with defaults in place of zeros.
+func (c Config) WithDefaults() Config {
+	return Config{
+		MovesInFlight:  cmp.Or(c.MovesInFlight, DefaultMovesInFlight),
+		MovesPerServer: cmp.Or(c.MovesPerServer, DefaultMovesPerServer),
+		ChurnPerMinute: cmp.Or(c.ChurnPerMinute, DefaultChurnPerMinute),
+		StartAbove:     cmp.Or(c.StartAbove, DefaultStartAbove),
+		StopBelow:      cmp.Or(c.StopBelow, DefaultStopBelow),
+		ColdRate:       cmp.Or(c.ColdRate, DefaultColdRate),
+		BaseLoad:       cmp.Or(c.BaseLoad, DefaultBaseLoad),
+	}
+}
+
+// Planner decides the moves of one upstream. It remembers the moves of the
+// last minute and whether it is evening out load. It is not safe for
+// concurrent use.
+type Planner struct {
+	config    Config
+	policy    Policy[Partition]
+	balancing bool
+	// churned has the times of moves that count against the churn budget.
+	churned []time.Time
+}
+
+// NewPlanner returns a planner for one upstream.
+func NewPlanner(config Config, policy Policy[Partition]) *Planner {
+	return &Planner{config: config.WithDefaults(), policy: policy}
+}
+
+// Balancing reports whether the planner is evening out load.
+func (p *Planner) Balancing() bool { return p.balancing }
+
+// Plan returns the moves to begin now: first those of partitions without a
+// living owner, then pins, then moves away from leaving servers, then those
+// that even out load. Each returned move counts as begun.
+func (p *Planner) Plan(now time.Time, view View) []Move {
+	p.forget(now)
+	t := newTask(p, now, view)
+	t.placeLost()
+	t.placePinned()
+	t.empty()
+	switch {
+	case len(t.moves) > 0 && p.policy.Mode() == ModeBalance:
+		// Loads are about to change; evening out waits for the next plan.
+	case p.policy.Mode() == ModeBalance:
+		t.balance()
+	case p.policy.Mode() == ModeFollow:
+		t.follow()
+	}
+	return t.moves
+}
+
+// forget drops moves from the churn budget that are over a minute old.
+func (p *Planner) forget(now time.Time) {
+	first := 0
+	for first < len(p.churned) && now.Sub(p.churned[first]) >= time.Minute {
+		first++
+	}
+	p.churned = slices.Delete(p.churned, 0, first)
+}
+
+// task is the work on one plan.
+type task struct {
+	planner    *Planner
+	config     Config
+	now        time.Time
+	partitions []Partition
+	pool       *Pool
+	// owners has the position of each partition's owner in the pool, -1 for
+	// owners that are lost.
+	owners   []int
+	position map[uint64]int
+	inFlight int
+	moves    []Move
+	// taken marks partitions that have a move in this plan.
+	taken []bool
+}
+
+func newTask(p *Planner, now time.Time, view View) *task {
+	t := &task{
+		planner: p, config: p.config, now: now, partitions: view.Partitions,
+		pool:     newPool(p.config, view.Servers),
+		owners:   make([]int, len(view.Partitions)),
+		position: make(map[uint64]int, len(view.Servers)),
+		taken:    make([]bool, len(view.Partitions)),
+	}
+	for i, s := range view.Servers {
+		t.position[s.Incarnation] = i
+	}
+	// Neighbouring partitions often have the same owner.
+	last, lastAt := uint64(0), -1
+	for i := range view.Partitions {
+		part := &view.Partitions[i]
+		if part.Owner != last {
+			last, lastAt = part.Owner, t.lookUp(part.Owner)
+		}
+		at := lastAt
+		if at >= 0 && t.pool.entries[at].Lost {
+			at = -1
+		}
+		t.owners[i] = at
+		if part.Moving {
+			t.inFlight++
+			if at >= 0 {
+				t.pool.entries[at].moves++
+			}
+			if at = t.lookUp(part.MovingTo); at >= 0 {
+				t.pool.entries[at].moves++
+			}
+		}
+		if at >= 0 {
+			t.pool.add(at, t.cost(part), part.Load, 1)
+		}
+	}
+	t.pool.start()
+	return t
+}
+
+func (t *task) lookUp(incarnation uint64) int {
+	if at, known := t.position[incarnation]; known && incarnation != 0 {
+		return at
+	}
+	return -1
+}
+
+func (t *task) cost(part *Partition) float64 { return part.Load + t.config.BaseLoad }
+
+// free reports whether a planned move of a partition may begin.
+func (t *task) free(i int) bool {
+	from := t.owners[i]
+	return !t.partitions[i].Moving && !t.partitions[i].Held && !t.taken[i] && from >= 0 &&
+		t.inFlight < t.config.MovesInFlight && !t.pool.full(from)
+}
+
+// move adds a move to the plan. Planned moves take a slot of both servers.
+func (t *task) move(i, to int, reason Reason, planned bool) {
+	part := &t.partitions[i]
+	t.taken[i] = true
+	m := Move{Partition: part.Number, From: part.Owner, To: t.pool.entries[to].Incarnation, Epoch: part.Epoch, Reason: reason, Planned: planned}
+	t.moves = append(t.moves, m)
+	if from := t.owners[i]; from >= 0 {
+		t.pool.add(from, t.cost(part), part.Load, -1)
+	}
+	t.pool.add(to, t.cost(part), part.Load, 1)
+	if planned {
+		t.inFlight++
+		t.pool.entries[t.owners[i]].moves++
+		t.pool.entries[to].moves++
+		t.pool.dropFull(t.owners[i])
+		t.pool.dropFull(to)
+	}
+}
+
+// placeLost gives partitions without a living owner to others at once, the
+// heaviest first. Their moves need no release and are not bounded.
+func (t *task) placeLost() {
+	var lost []int
+	for i, at := range t.owners {
+		if at < 0 {
+			lost = append(lost, i)
+		}
+	}
+	slices.SortStableFunc(lost, func(a, b int) int {
+		return cmp.Compare(t.partitions[b].Load, t.partitions[a].Load)
+	})
+	for _, i := range lost {
+		part := t.partitions[i]
+		to := t.pinTarget(&part)
+		if to < 0 {
+			to = t.planner.policy.Choose(part, t.pool)
+		}
+		if to < 0 {
+			continue
+		}
+		reason := ReasonLoss
+		if part.Epoch == 0 {
+			reason = ReasonFirst
+		}
+		t.move(i, to, reason, false)
+	}
+	// From here on moves are planned and servers without a free slot drop out.
+	for at := range t.pool.entries {
+		t.pool.dropFull(at)
+	}
+}
+
+// pinTarget returns the server that a partition is pinned to if it may get it.
+func (t *task) pinTarget(part *Partition) int {
+	at := t.lookUp(part.PinnedTo)
+	if at < 0 || !t.pool.sustains(at, part.Load) {
+		return -1
+	}
+	return at
+}
+
+// placePinned moves pinned partitions to their servers.
+func (t *task) placePinned() {
+	for i := range t.partitions {
+		part := &t.partitions[i]
+		if part.PinnedTo == 0 || part.PinnedTo == part.Owner || !t.free(i) {
+			continue
+		}
+		if to := t.pinTarget(part); to >= 0 {
+			t.move(i, to, ReasonPin, true)
+		}
+	}
+}
+
+// empty moves partitions away from leaving servers.
+func (t *task) empty() {
+	for i := range t.partitions {
+		at := t.owners[i]
+		if at < 0 || !t.pool.entries[at].Leaving || !t.free(i) {
+			continue
+		}
+		if to := t.planner.policy.Choose(t.partitions[i], t.pool); to >= 0 {
+			t.move(i, to, cmp.Or(t.pool.entries[at].LeaveReason, ReasonDrain), true)
+		}
+	}
+}
+
+// churn takes one move from the churn budget and reports whether it was left.
+func (t *task) churn() bool {
+	budget := max(1, int(t.config.ChurnPerMinute*float64(len(t.partitions))))
+	if len(t.planner.churned) >= budget {
+		return false
+	}
+	t.planner.churned = append(t.planner.churned, t.now)
+	return true
+}
+
+// follow moves partitions to the servers that the policy names.
+func (t *task) follow() {
+	for i := range t.partitions {
+		part := &t.partitions[i]
+		if !t.free(i) || part.PinnedTo == part.Owner && part.PinnedTo != 0 {
+			continue
+		}
+		to := t.planner.policy.Choose(*part, t.pool)
+		if to < 0 || to == t.owners[i] || t.pool.full(to) {
+			continue
+		}
+		if !t.churn() {
+			return
+		}
+		t.move(i, to, ReasonRebalance, true)
+	}
+}
