--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,95 @@
+package raft
+
+import (
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// hearsLeader reports whether a leader was heard within the shortest election
+// timeout, or this member leads.
+func (m *Member) hearsLeader() bool {
+	if m.role == RoleLeader {
+		return true
+	}
+	return !m.leaderContact.IsZero() && m.now.Sub(m.leaderContact) < m.config.ElectionMin
+}
+
+// campaign starts a pre-vote, or an election at once if the leader ordered it.
+func (m *Member) campaign(transfer bool) {
+	m.leader = 0
+	m.resetElectionDeadline()
+	if transfer {
+		m.startElection(true)
+		return
+	}
+	m.role = RolePreCandidate
+	m.votes = map[uint64]bool{m.config.ID: true}
+	if m.wins() {
+		m.startElection(false)
+		return
+	}
+	m.requestVotes(wirev1.RaftMessage_KIND_PRE_VOTE, m.term+1, false)
+}
+
+func (m *Member) startElection(transfer bool) {
+	m.role = RoleCandidate
+	m.setTerm(m.term+1, m.config.ID)
+	m.votes = map[uint64]bool{m.config.ID: true}
+	if m.wins() {
+		m.becomeLeader()
+		return
+	}
+	m.requestVotes(wirev1.RaftMessage_KIND_VOTE, m.term, transfer)
+}
+
+func (m *Member) requestVotes(kind wirev1.RaftMessage_Kind, term uint64, transfer bool) {
+	for _, p := range m.Membership().Members {
+		if p.Id == m.config.ID || p.Learner {
+			continue
+		}
+		m.send(&wirev1.RaftMessage{
+			Kind: kind, To: p.Id, Term: term, Transfer: transfer,
+			LogIndex: m.log.last(), LogTerm: m.log.lastTerm(),
+		}, false)
+	}
+}
+
+func (m *Member) wins() bool {
+	return m.quorum(func(id uint64) bool { return m.votes[id] })
+}
+
+func (m *Member) handlePreVote(r *wirev1.RaftMessage) {
+	granted := r.Term > m.term && !m.hearsLeader() && m.log.upToDate(r.LogIndex, r.LogTerm)
+	answer := &wirev1.RaftMessage{Kind: wirev1.RaftMessage_KIND_PRE_VOTE_RESPONSE, To: r.From, Reject: !granted}
+	if granted {
+		answer.Term = r.Term
+	}
+	m.send(answer, false)
+}
+
+func (m *Member) handleVote(r *wirev1.RaftMessage) {
+	granted := (m.vote == 0 || m.vote == r.From) && m.leader == 0 && m.log.upToDate(r.LogIndex, r.LogTerm)
+	if granted {
+		m.setTerm(m.term, r.From)
+		m.resetElectionDeadline()
+	}
+	m.send(&wirev1.RaftMessage{Kind: wirev1.RaftMessage_KIND_VOTE_RESPONSE, To: r.From, Reject: !granted}, false)
+}
+
+// handleVoteResponse counts the responses that belong to the given role.
+func (m *Member) handleVoteResponse(r *wirev1.RaftMessage, role Role) {
+	if m.role != role || r.Reject {
+		return
+	}
+	if role == RolePreCandidate && r.Term != m.term+1 {
+		return
+	}
+	m.votes[r.From] = true
+	if !m.wins() {
+		return
+	}
+	if role == RolePreCandidate {
+		m.startElection(false)
+		return
+	}
+	m.becomeLeader()
+}
--- /dev/null
+++ b/core/raft/sim_test.go
@@ -0,0 +1,367 @@
+package raft_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// fataler is the part of testing.T and rapid.T that the checks need.
+type fataler interface {
+	Fatalf(format string, args ...any)
+	Helper()
+}
+
+// stored is a fake disk: it holds what was synced.
+type stored struct{ raft.Stored }
+
+func (d *stored) persist(e raft.Persist) {
+	if e.Hard != nil {
+		d.Hard = *e.Hard
+	}
+	if len(e.Entries) > 0 {
+		keep := e.Entries[0].Index - d.BaseIndex - 1
+		d.Entries = append(slices.Clone(d.Entries[:keep]), e.Entries...)
+	}
+}
+
+func (d *stored) persistSnapshot(e raft.PersistSnapshot) {
+	d.Snapshot = e.Snapshot
+	if e.Reset {
+		d.BaseIndex, d.BaseTerm, d.Entries = e.Snapshot.Index, e.Snapshot.Term, nil
+		return
+	}
+	for d.BaseIndex+1 < e.FirstIndex {
+		d.BaseIndex, d.BaseTerm, d.Entries = d.BaseIndex+1, d.Entries[0].Term, d.Entries[1:]
+	}
+}
+
+// process is one member with its disk, clock and applied state.
+type process struct {
+	id      uint64
+	folder  uint64
+	member  *raft.Member
+	disk    stored
+	applied []string
+	paused  bool
+	// inbox has what arrived while the process was paused.
+	inbox  []*wirev1.RaftMessage
+	halted raft.HaltReason
+	isOut  bool
+	rate   float64
+	offset time.Duration
+	role   raft.RoleChanged
+}
+
+type delivery struct {
+	at      time.Duration
+	message *wirev1.RaftMessage
+}
+
+// group is a set of processes, a network with faults and what the checks
+// remember.
+type group struct {
+	t         fataler
+	random    *rand.Rand
+	now       time.Duration
+	processes map[uint64]*process
+	ids       []uint64
+	network   []delivery
+	// lossy turns on loss, duplication and delay.
+	lossy  bool
+	cut    map[[2]uint64]bool
+	nextID uint64
+
+	leaders   map[uint64]uint64
+	entries   map[[2]uint64]string
+	committed map[uint64]string
+	// proposed maps request ids to their data, acked has what was confirmed.
+	proposed map[uint64][2]uint64
+	acked    map[uint64]string
+	ackedTop uint64
+	reads    map[uint64]uint64
+	ready    map[uint64]bool
+	failed   map[uint64]raft.Rejected
+	// crashAfter ends a process after that many further effects, below 0 never.
+	crashAfter int
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newGroup(t fataler, seed uint64, size int) *group {
+	g := &group{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), processes: map[uint64]*process{}, cut: map[[2]uint64]bool{},
+		leaders: map[uint64]uint64{}, entries: map[[2]uint64]string{}, committed: map[uint64]string{},
+		proposed: map[uint64][2]uint64{}, acked: map[uint64]string{}, reads: map[uint64]uint64{},
+		ready: map[uint64]bool{}, failed: map[uint64]raft.Rejected{}, crashAfter: -1,
+	}
+	var members []*wirev1.Member
+	for id := uint64(1); id <= uint64(size); id++ {
+		members = append(members, &wirev1.Member{Id: id, Address: fmt.Sprint("m", id), Folder: 100 + id})
+	}
+	first, err := raft.Bootstrap(members)
+	if err != nil {
+		t.Fatalf("bootstrap: %v", err)
+	}
+	for _, m := range members {
+		g.add(m.Id, m.Folder, first)
+	}
+	return g
+}
+
+// add starts a process with what its disk holds.
+func (g *group) add(id, folder uint64, disk raft.Stored) *process {
+	p := &process{id: id, folder: folder, disk: stored{disk}, rate: 1}
+	if g.processes[id] == nil {
+		g.ids = append(g.ids, id)
+	}
+	g.processes[id] = p
+	g.start(p)
+	return p
+}
+
+func (g *group) start(p *process) {
+	g.nextID++
+	member, err := raft.New(raft.Config{ID: p.id, Folder: p.folder, Seed: g.nextID, MaxMessageBytes: 300, MaxInFlight: 4}, g.clock(p), p.disk.Stored)
+	if err != nil {
+		g.t.Fatalf("restart of %d: %v", p.id, err)
+	}
+	p.member, p.applied, p.role = member, nil, raft.RoleChanged{}
+	g.step(p, raft.Tick{})
+}
+
+func (g *group) crash(p *process) {
+	p.member, p.inbox, p.paused = nil, nil, false
+}
+
+func (g *group) clock(p *process) time.Time {
+	return start.Add(p.offset + time.Duration(float64(g.now)*p.rate))
+}
+
+func (g *group) step(p *process, event raft.Event) {
+	for _, effect := range p.member.Step(g.clock(p), event) {
+		if g.crashAfter >= 0 {
+			if g.crashAfter--; g.crashAfter < 0 {
+				g.crash(p)
+				return
+			}
+		}
+		g.carryOut(p, effect)
+	}
+}
+
+func (g *group) carryOut(p *process, effect raft.Effect) {
+	switch e := effect.(type) {
+	case raft.Persist:
+		p.disk.persist(e)
+		g.checkLogMatching(p)
+	case raft.PersistSnapshot:
+		p.disk.persistSnapshot(e)
+	case raft.Send:
+		g.send(e.Message)
+	case raft.Restore:
+		p.applied = decodeState(e.Snapshot.Data)
+		if uint64(len(p.applied)) != e.Snapshot.Index {
+			g.t.Fatalf("snapshot at %d restores %d entries", e.Snapshot.Index, len(p.applied))
+		}
+	case raft.Apply:
+		g.apply(p, e.Entries)
+	case raft.Proposed:
+		g.proposed[e.ID] = [2]uint64{e.Index, e.Term}
+	case raft.ReadReady:
+		if required := g.reads[e.ID]; e.Index < required || uint64(len(p.applied)) < required {
+			g.t.Fatalf("stale read: member %d in term %d answers read %d at %d with %d applied, %d was acknowledged before",
+				p.id, p.role.Term, e.ID, e.Index, len(p.applied), required)
+		}
+		g.ready[e.ID] = true
+	case raft.Rejected:
+		g.failed[e.ID] = e
+	case raft.RoleChanged:
+		p.role = e
+		if e.Role == raft.RoleLeader {
+			g.checkLeader(p, e.Term)
+		}
+	case raft.Halted:
+		p.halted, p.isOut = e.Reason, true
+	}
+}
+
+// apply checks agreement and acknowledges what this member proposed.
+func (g *group) apply(p *process, entries []*wirev1.Entry) {
+	for _, e := range entries {
+		if e.Index != uint64(len(p.applied))+1 {
+			g.t.Fatalf("member %d applies %d after %d", p.id, e.Index, len(p.applied))
+		}
+		text := describe(e)
+		if known, ok := g.committed[e.Index]; ok && known != text {
+			g.t.Fatalf("state machines disagree at %d: %s and on member %d %s", e.Index, known, p.id, text)
+		}
+		g.committed[e.Index] = text
+		p.applied = append(p.applied, text)
+		if p.role.Role == raft.RoleLeader && p.role.Term == e.Term {
+			g.acked[e.Index] = text
+			g.ackedTop = max(g.ackedTop, e.Index)
+		}
+	}
+}
+
+func (g *group) checkLeader(p *process, term uint64) {
+	if other, ok := g.leaders[term]; ok && other != p.id {
+		g.t.Fatalf("election safety: %d and %d lead in term %d", other, p.id, term)
+	}
+	g.leaders[term] = p.id
+	for index, text := range g.committed {
+		if index <= p.disk.BaseIndex {
+			continue
+		}
+		if at := index - p.disk.BaseIndex; at > uint64(len(p.disk.Entries)) || describe(p.disk.Entries[at-1]) != text {
+			g.t.Fatalf("leader completeness: leader %d of term %d lacks entry %d, %s", p.id, term, index, text)
+		}
+	}
+}
+
+// checkLogMatching compares each entry and its predecessor's term with the
+// entry of the same index and term on other members.
+func (g *group) checkLogMatching(p *process) {
+	previous := p.disk.BaseTerm
+	for _, e := range p.disk.Entries {
+		key, text := [2]uint64{e.Index, e.Term}, fmt.Sprint(previous, " then ", describe(e))
+		if known, ok := g.entries[key]; ok && known != text {
+			g.t.Fatalf("log matching: entry %d of term %d is %s and on member %d %s", e.Index, e.Term, known, p.id, text)
+		}
+		g.entries[key], previous = text, e.Term
+	}
+}
+
+func (g *group) send(m *wirev1.RaftMessage) {
+	if g.cut[[2]uint64{m.From, m.To}] {
+		return
+	}
+	copies := 1
+	delay := time.Duration(1+g.random.IntN(3)) * time.Millisecond
+	if g.lossy {
+		switch g.random.IntN(10) {
+		case 0:
+			copies = 0
+		case 1:
+			copies = 2
+		case 2:
+			delay = time.Duration(g.random.IntN(800)) * time.Millisecond
+		}
+	}
+	for range copies {
+		g.network = append(g.network, delivery{at: g.now + delay, message: proto.Clone(m).(*wirev1.RaftMessage)})
+		delay += time.Duration(g.random.IntN(100)) * time.Millisecond
+	}
+}
+
+// run lets time pass in steps of 5 ms.
+func (g *group) run(d time.Duration) {
+	for end := g.now + d; g.now < end; g.now += 5 * time.Millisecond {
+		var due []delivery
+		g.network = slices.DeleteFunc(g.network, func(m delivery) bool {
+			if m.at <= g.now {
+				due = append(due, m)
+			}
+			return m.at <= g.now
+		})
+		for _, m := range due {
+			g.deliver(m.message)
+		}
+		for _, id := range g.ids {
+			p := g.processes[id]
+			if p.member == nil || p.paused {
+				continue
+			}
+			if at := p.member.NextDeadline(); !at.IsZero() && !g.clock(p).Before(at) {
+				g.step(p, raft.Tick{})
+			}
+		}
+	}
+}
+
+func (g *group) deliver(m *wirev1.RaftMessage) {
+	p := g.processes[m.To]
+	switch {
+	case p == nil || p.member == nil:
+	case p.paused:
+		p.inbox = append(p.inbox, m)
+	default:
+		g.step(p, raft.Receive{Message: m})
+	}
+}
+
+// resume continues a paused process with what it received meanwhile in one
+// batch, before its clock had a tick.
+func (g *group) resume(p *process) {
+	if !p.paused {
+		return
+	}
+	p.paused = false
+	var batch raft.Batch
+	for _, m := range p.inbox {
+		batch = append(batch, raft.Receive{Message: m})
+	}
+	p.inbox = nil
+	if p.member != nil {
+		g.step(p, batch)
+	}
+}
+
+// leader returns the running leader of the highest term, or nil.
+func (g *group) leader() *process {
+	var best *process
+	for _, id := range g.ids {
+		p := g.processes[id]
+		if p.member != nil && p.role.Role == raft.RoleLeader && (best == nil || p.role.Term > best.role.Term) {
+			best = p
+		}
+	}
+	return best
+}
+
+// isolate cuts all connections of a member, or heals them.
+func (g *group) isolate(id uint64, cut bool) {
+	for _, other := range g.ids {
+		g.cut[[2]uint64{id, other}], g.cut[[2]uint64{other, id}] = cut, cut
+	}
+}
+
+func (g *group) propose(p *process) uint64 {
+	g.nextID++
+	g.step(p, raft.Propose{ID: g.nextID, Data: fmt.Append(nil, "command ", g.nextID)})
+	return g.nextID
+}
+
+func (g *group) read(p *process) uint64 {
+	g.nextID++
+	g.reads[g.nextID] = g.ackedTop
+	g.step(p, raft.ReadIndex{ID: g.nextID})
+	return g.nextID
+}
+
+func (g *group) compact(p *process, keep uint64) {
+	if count := uint64(len(p.applied)); count > 0 {
+		g.step(p, raft.Compact{Index: count, Data: encodeState(p.applied), Keep: keep})
+	}
+}
+
+func (g *group) describeMembers() string {
+	var b strings.Builder
+	for _, id := range g.ids {
+		p := g.processes[id]
+		if p.member == nil {
+			fmt.Fprintf(&b, "[%d down, halted %v %v] ", id, p.isOut, p.halted)
+			continue
+		}
+		fmt.Fprintf(&b, "[%d %+v halted %v %v members %v] ", id, p.member.Status(), p.isOut, p.halted, p.member.Membership().Members)
+	}
+	return b.String()
+}
--- a/wire/v1/wirev1connect/wire.connect.go
+++ b/wire/v1/wirev1connect/wire.connect.go
@@ -51,6 +51,8 @@
 	ControlDeregisterProcedure = "/jujubeknot.wire.v1.Control/Deregister"
 	// MemberServiceStepProcedure is the fully-qualified name of the MemberService's Step RPC.
 	MemberServiceStepProcedure = "/jujubeknot.wire.v1.MemberService/Step"
+	// MemberServiceFormProcedure is the fully-qualified name of the MemberService's Form RPC.
+	MemberServiceFormProcedure = "/jujubeknot.wire.v1.MemberService/Form"
 	// OperatorApplyRulesProcedure is the fully-qualified name of the Operator's ApplyRules RPC.
 	OperatorApplyRulesProcedure = "/jujubeknot.wire.v1.Operator/ApplyRules"
 	// OperatorGetRulesProcedure is the fully-qualified name of the Operator's GetRules RPC.
@@ -244,6 +246,8 @@
 // MemberServiceClient is a client for the jujubeknot.wire.v1.MemberService service.
 type MemberServiceClient interface {
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// Form exchanges the folder ids from which the first membership is made.
+	Form(context.Context, *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error)
 }
 
 // NewMemberServiceClient constructs a client for the jujubeknot.wire.v1.MemberService service. By
@@ -263,12 +267,19 @@
 			connect.WithSchema(memberServiceMethods.ByName("Step")),
 			connect.WithClientOptions(opts...),
 		),
+		form: connect.NewClient[v1.FormRequest, v1.FormResponse](
+			httpClient,
+			baseURL+MemberServiceFormProcedure,
+			connect.WithSchema(memberServiceMethods.ByName("Form")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // memberServiceClient implements MemberServiceClient.
 type memberServiceClient struct {
 	step *connect.Client[v1.StepRequest, v1.StepResponse]
+	form *connect.Client[v1.FormRequest, v1.FormResponse]
 }
 
 // Step calls jujubeknot.wire.v1.MemberService.Step.
@@ -276,9 +287,16 @@
 	return c.step.CallUnary(ctx, req)
 }
 
+// Form calls jujubeknot.wire.v1.MemberService.Form.
+func (c *memberServiceClient) Form(ctx context.Context, req *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error) {
+	return c.form.CallUnary(ctx, req)
+}
+
 // MemberServiceHandler is an implementation of the jujubeknot.wire.v1.MemberService service.
 type MemberServiceHandler interface {
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// Form exchanges the folder ids from which the first membership is made.
+	Form(context.Context, *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error)
 }
 
 // NewMemberServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -294,10 +312,18 @@
 		connect.WithSchema(memberServiceMethods.ByName("Step")),
 		connect.WithHandlerOptions(opts...),
 	)
+	memberServiceFormHandler := connect.NewUnaryHandler(
+		MemberServiceFormProcedure,
+		svc.Form,
+		connect.WithSchema(memberServiceMethods.ByName("Form")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jujubeknot.wire.v1.MemberService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MemberServiceStepProcedure:
 			memberServiceStepHandler.ServeHTTP(w, r)
+		case MemberServiceFormProcedure:
+			memberServiceFormHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -311,6 +337,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubeknot.wire.v1.MemberService.Step is not implemented"))
 }
 
+func (UnimplementedMemberServiceHandler) Form(context.Context, *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubeknot.wire.v1.MemberService.Form is not implemented"))
+}
+
 // OperatorClient is a client for the jujubeknot.wire.v1.Operator service.
 type OperatorClient interface {
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
