--- /dev/null
+++ b/control/internal/disk/fs.go
@@ -0,0 +1,155 @@
+package disk
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// FS is the part of a file system that a data folder needs. Names are those of
+// files in the folder.
+type FS interface {
+	// Create makes an empty file for writing and replaces one of that name.
+	Create(name string) (File, error)
+	// Append opens a file for writing at its end.
+	Append(name string) (File, error)
+	Read(name string) ([]byte, error)
+	// List returns the names of all files.
+	List() ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes creations, renames and removals durable.
+	SyncDir() error
+	// Lock prevents a second process from using the folder until the result is
+	// closed.
+	Lock() (io.Closer, error)
+}
+
+// File is an open file. What was written is durable only after Sync.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// lockFile is the name of the file that is locked while a process uses a data
+// folder.
+const lockFile = "lock"
+
+type folder string
+
+// Folder returns the file system of a data folder and creates the folder if it
+// does not exist.
+func Folder(dir string) (FS, error) {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	return folder(dir), nil
+}
+
+// ExistingFolder returns the file system of a data folder that must exist.
+func ExistingFolder(dir string) (FS, error) {
+	info, err := os.Stat(dir)
+	if err != nil {
+		return nil, fmt.Errorf("open data folder: %w", err)
+	}
+	if !info.IsDir() {
+		return nil, errors.Errorf("%s is not a folder", dir)
+	}
+	return folder(dir), nil
+}
+
+func (f folder) path(name string) string {
+	return filepath.Join(string(f), name)
+}
+
+func (f folder) Create(name string) (File, error) {
+	return os.OpenFile(f.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o640)
+}
+
+func (f folder) Append(name string) (File, error) {
+	return os.OpenFile(f.path(name), os.O_WRONLY|os.O_APPEND, 0)
+}
+
+func (f folder) Read(name string) ([]byte, error) {
+	return os.ReadFile(f.path(name))
+}
+
+func (f folder) List() ([]string, error) {
+	entries, err := os.ReadDir(string(f))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+func (f folder) Rename(from, to string) error {
+	return os.Rename(f.path(from), f.path(to))
+}
+
+func (f folder) Remove(name string) error {
+	return os.Remove(f.path(name))
+}
+
+func (f folder) SyncDir() error {
+	dir, err := os.Open(string(f))
+	if err != nil {
+		return err
+	}
+	if err := dir.Sync(); err != nil {
+		_ = dir.Close()
+		return err
+	}
+	return dir.Close()
+}
+
+func (f folder) Lock() (io.Closer, error) {
+	file, err := os.OpenFile(f.path(lockFile), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, fmt.Errorf("open lock file: %w", err)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, errors.Errorf("data folder %s is in use by another process", string(f))
+		}
+		return nil, fmt.Errorf("lock data folder %s: %w", string(f), err)
+	}
+	return file, nil
+}
+
+// writeFile replaces a file atomically: after a crash it has either the old or
+// the new content.
+func writeFile(fs FS, name string, data []byte) error {
+	temporary := name + temporarySuffix
+	file, err := fs.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", temporary, err)
+	}
+	if _, err := file.Write(data); err != nil {
+		_ = file.Close()
+		return fmt.Errorf("write %s: %w", temporary, err)
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return fmt.Errorf("sync %s: %w", temporary, err)
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", temporary, err)
+	}
+	if err := fs.Rename(temporary, name); err != nil {
+		return fmt.Errorf("rename %s: %w", temporary, err)
+	}
+	if err := fs.SyncDir(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/control/internal/disk/load.go
@@ -0,0 +1,162 @@
+package disk
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+func (d *Disk) open() (Contents, error) {
+	identity, err := readIdentity(d.files)
+	if err != nil {
+		return Contents{}, err
+	}
+	found, err := list(d.files)
+	if err != nil {
+		return Contents{}, err
+	}
+	for _, name := range found.temporary {
+		if err := d.files.Remove(name); err != nil {
+			return Contents{}, fmt.Errorf("remove %s: %w", name, err)
+		}
+	}
+	d.identity = identity
+	switch {
+	case identity == nil:
+		if len(found.segments)+len(found.snapshots) > 0 {
+			return Contents{}, &DamageError{File: identityFile, Reason: "identity is missing although a log exists"}
+		}
+		return Contents{}, nil
+	case !identity.Formed:
+		return Contents{Identity: identity}, nil
+	case len(found.segments) == 0:
+		return Contents{}, &DamageError{File: segmentPrefix + "*", Reason: "all segments are missing"}
+	}
+	contents := Contents{Identity: identity}
+	return contents, d.load(found, &contents)
+}
+
+// load replays the log and repairs what a crash left behind.
+func (d *Disk) load(found listing, contents *Contents) error {
+	r, torn, size, err := replayLog(d.files, found)
+	if err != nil {
+		return err
+	}
+	if torn > 0 || len(r.segments) < len(found.segments) {
+		contents.TornFile, contents.TornBytes = segmentName(found.segments[len(found.segments)-1]), torn
+	}
+	d.segments, d.hard, d.last = r.segments, r.hard, r.last()
+	snapshot, err := readNewest(d.files, found.snapshots)
+	if err != nil {
+		return err
+	}
+	if snapshot == nil && r.base.Index > 0 || snapshot != nil && snapshot.Index < r.base.Index {
+		return &DamageError{
+			File:   segmentName(found.segments[0]),
+			Reason: fmt.Sprintf("log starts after entry %d but the snapshot ends at %d", r.base.Index, snapshot.GetIndex()),
+		}
+	}
+	if err := d.reopen(found, size, torn); err != nil {
+		return err
+	}
+	if snapshot != nil && !r.has(Position{Index: snapshot.Index, Term: snapshot.Term}) {
+		// The process ended between the two steps of a received snapshot.
+		r.base, r.entries = Position{Index: snapshot.Index, Term: snapshot.Term}, nil
+		if err := d.reset(r.base); err != nil {
+			return err
+		}
+	}
+	contents.Stored = raft.Stored{
+		Hard: r.hard, Snapshot: snapshot, BaseIndex: r.base.Index, BaseTerm: r.base.Term, Entries: r.entries,
+	}
+	return nil
+}
+
+// has reports whether the log has an entry, the base included.
+func (r *replay) has(p Position) bool {
+	if p.Index == r.base.Index {
+		return p.Term == r.base.Term
+	}
+	if p.Index < r.base.Index || p.Index > r.last().Index {
+		return false
+	}
+	return r.entries[p.Index-r.base.Index-1].Term == p.Term
+}
+
+// replayLog returns the log, and torn tail and size of the last segment.
+func replayLog(files FS, found listing) (r replay, torn, size int64, err error) {
+	for i, sequence := range found.segments {
+		data, err := files.Read(segmentName(sequence))
+		if err != nil {
+			return r, 0, 0, fmt.Errorf("read segment: %w", err)
+		}
+		size, err = r.segment(sequence, data, i == len(found.segments)-1)
+		if err != nil {
+			return r, 0, 0, err
+		}
+		torn = int64(len(data)) - size
+	}
+	if len(r.segments) == 0 {
+		return r, 0, 0, &DamageError{File: segmentName(found.segments[0]), Reason: "the only segment has no header"}
+	}
+	return r, torn, size, nil
+}
+
+// reopen cuts the torn tail and opens the last segment for writing. A segment
+// without header was not in use yet.
+func (d *Disk) reopen(found listing, size, torn int64) error {
+	newest := found.segments[len(found.segments)-1]
+	if d.segments[len(d.segments)-1].sequence != newest {
+		if err := d.files.Remove(segmentName(newest)); err != nil {
+			return fmt.Errorf("remove unused segment: %w", err)
+		}
+		return d.startSegment(SegmentHeader{Previous: d.last, Hard: d.hard})
+	}
+	file, err := d.files.Append(segmentName(newest))
+	if err != nil {
+		return fmt.Errorf("open segment: %w", err)
+	}
+	d.file, d.size = file, size
+	if torn == 0 {
+		return nil
+	}
+	if err := file.Truncate(size); err != nil {
+		return fmt.Errorf("truncate torn tail: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync truncated segment: %w", err)
+	}
+	return nil
+}
+
+// readNewest returns the newest snapshot, nil where there is none.
+func readNewest(files FS, indexes []uint64) (*wirev1.Snapshot, error) {
+	if len(indexes) == 0 {
+		return nil, nil
+	}
+	index := indexes[len(indexes)-1]
+	data, err := files.Read(snapshotName(index))
+	if err != nil {
+		return nil, fmt.Errorf("read snapshot: %w", err)
+	}
+	return decodeSnapshot(index, data)
+}
+
+func decodeSnapshot(index uint64, data []byte) (*wirev1.Snapshot, error) {
+	file := snapshotName(index)
+	payload, err := readSingle(file, KindSnapshot, data)
+	if err != nil {
+		return nil, err
+	}
+	snapshot := &wirev1.Snapshot{}
+	if err := proto.Unmarshal(payload, snapshot); err != nil {
+		return nil, &DamageError{File: file, Offset: headerSize, Reason: err.Error()}
+	}
+	if snapshot.Index != index || snapshot.Membership == nil {
+		return nil, &DamageError{File: file, Offset: headerSize, Reason: "snapshot has another index or no membership"}
+	}
+	return snapshot, nil
+}
--- /dev/null
+++ b/control/internal/disk/segment.go
@@ -0,0 +1,225 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+const (
+	segmentPrefix   = "log-"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+)
+
+func segmentName(sequence uint32) string {
+	return fmt.Sprintf("%s%08x", segmentPrefix, sequence)
+}
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016x", snapshotPrefix, index)
+}
+
+// Position names a log entry.
+type Position struct {
+	Index uint64
+	Term  uint64
+}
+
+// SegmentHeader is the first record of a segment. It has what earlier segments
+// tell, so that they can be removed.
+type SegmentHeader struct {
+	// Previous is the entry before the first of the segment. Entries of earlier
+	// segments after it were replaced.
+	Previous Position
+	Hard     raft.HardState
+	// Reset says that entries of earlier segments are not part of the log.
+	Reset bool
+}
+
+const segmentHeaderSize = 40
+
+func (h SegmentHeader) encode() []byte {
+	var b []byte
+	for _, v := range []uint64{h.Previous.Index, h.Previous.Term, h.Hard.Term, h.Hard.Vote} {
+		b = binary.LittleEndian.AppendUint64(b, v)
+	}
+	reset := uint64(0)
+	if h.Reset {
+		reset = 1
+	}
+	return binary.LittleEndian.AppendUint64(b, reset)
+}
+
+// DecodeSegmentHeader decodes the payload of a KindHeader record.
+func DecodeSegmentHeader(payload []byte) (SegmentHeader, error) {
+	if len(payload) != segmentHeaderSize {
+		return SegmentHeader{}, errors.Errorf("segment header has %d bytes, not %d", len(payload), segmentHeaderSize)
+	}
+	u := func(i int) uint64 { return binary.LittleEndian.Uint64(payload[8*i:]) }
+	if u(4) > 1 {
+		return SegmentHeader{}, errors.Errorf("segment header has flags %#x", u(4))
+	}
+	return SegmentHeader{
+		Previous: Position{Index: u(0), Term: u(1)}, Hard: raft.HardState{Term: u(2), Vote: u(3)}, Reset: u(4) == 1,
+	}, nil
+}
+
+func encodeHardState(h raft.HardState) []byte {
+	return binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, h.Term), h.Vote)
+}
+
+// DecodeHardState decodes the payload of a KindHardState record.
+func DecodeHardState(payload []byte) (raft.HardState, error) {
+	if len(payload) != 16 {
+		return raft.HardState{}, errors.Errorf("hard state has %d bytes, not 16", len(payload))
+	}
+	return raft.HardState{Term: binary.LittleEndian.Uint64(payload), Vote: binary.LittleEndian.Uint64(payload[8:])}, nil
+}
+
+// DecodeEntry decodes the payload of a KindEntry record.
+func DecodeEntry(payload []byte) (*wirev1.Entry, error) {
+	entry := &wirev1.Entry{}
+	if err := proto.Unmarshal(payload, entry); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	return entry, nil
+}
+
+// segment is one file of the log.
+type segment struct {
+	sequence uint32
+	previous Position
+	reset    bool
+}
+
+// replay rebuilds the log from the records of the segments in order.
+type replay struct {
+	segments []segment
+	base     Position
+	hard     raft.HardState
+	entries  []*wirev1.Entry
+}
+
+func (r *replay) last() Position {
+	if count := len(r.entries); count > 0 {
+		return Position{Index: r.entries[count-1].Index, Term: r.entries[count-1].Term}
+	}
+	return r.base
+}
+
+// segment replays one file. The file may end in a torn tail if it is the last
+// one. The result is the offset after the last record.
+func (r *replay) segment(sequence uint32, data []byte, last bool) (int64, error) {
+	file := segmentName(sequence)
+	if count := len(r.segments); count > 0 && r.segments[count-1].sequence+1 != sequence {
+		return 0, &DamageError{File: segmentName(r.segments[count-1].sequence + 1), Reason: "segment is missing"}
+	}
+	started := false
+	end, err := ScanRecords(file, sequence, data, func(record Record) error {
+		if started != (record.Kind != KindHeader) {
+			return errors.New("segment header is not the first record or not the only one")
+		}
+		started = true
+		return r.record(sequence, record)
+	})
+	if err != nil {
+		return end, err
+	}
+	if !last && (end < int64(len(data)) || !started) {
+		return end, &DamageError{File: file, Offset: end, Reason: "segment is cut off although later segments exist"}
+	}
+	return end, nil
+}
+
+func (r *replay) record(sequence uint32, record Record) error {
+	switch record.Kind {
+	case KindHeader:
+		header, err := DecodeSegmentHeader(record.Payload)
+		if err != nil {
+			return err
+		}
+		return r.header(sequence, header)
+	case KindHardState:
+		hard, err := DecodeHardState(record.Payload)
+		if err != nil {
+			return err
+		}
+		r.hard = hard
+	case KindEntry:
+		entry, err := DecodeEntry(record.Payload)
+		if err != nil {
+			return err
+		}
+		return r.entry(entry)
+	case KindClosed:
+	default:
+		return errors.Errorf("a %v record does not belong into a segment", record.Kind)
+	}
+	return nil
+}
+
+func (r *replay) header(sequence uint32, header SegmentHeader) error {
+	switch {
+	case len(r.segments) == 0 || header.Reset:
+		r.base, r.entries = header.Previous, nil
+	case !r.has(header.Previous):
+		return errors.Errorf("segment continues entry %v, which is not in the log up to %v", header.Previous, r.last())
+	default:
+		r.entries = r.entries[:header.Previous.Index-r.base.Index]
+	}
+	r.hard = header.Hard
+	r.segments = append(r.segments, segment{sequence: sequence, previous: header.Previous, reset: header.Reset})
+	return nil
+}
+
+func (r *replay) entry(entry *wirev1.Entry) error {
+	if last := r.last(); entry.Index != last.Index+1 || entry.Term < last.Term {
+		return errors.Errorf("entry %d of term %d does not follow entry %d of term %d", entry.Index, entry.Term, last.Index, last.Term)
+	}
+	r.entries = append(r.entries, entry)
+	return nil
+}
+
+// listing is the content of a data folder by kind of file.
+type listing struct {
+	segments  []uint32
+	snapshots []uint64
+	temporary []string
+}
+
+func list(files FS) (listing, error) {
+	names, err := files.List()
+	if err != nil {
+		return listing{}, fmt.Errorf("list data folder: %w", err)
+	}
+	slices.Sort(names)
+	var l listing
+	for _, name := range names {
+		switch {
+		case strings.HasSuffix(name, temporarySuffix):
+			l.temporary = append(l.temporary, name)
+		case strings.HasPrefix(name, segmentPrefix):
+			sequence, err := strconv.ParseUint(name[len(segmentPrefix):], 16, 32)
+			if err != nil || segmentName(uint32(sequence)) != name {
+				return l, errors.Errorf("file %s is not the name of a segment", name)
+			}
+			l.segments = append(l.segments, uint32(sequence))
+		case strings.HasPrefix(name, snapshotPrefix):
+			index, err := strconv.ParseUint(name[len(snapshotPrefix):], 16, 64)
+			if err != nil || snapshotName(index) != name {
+				return l, errors.Errorf("file %s is not the name of a snapshot", name)
+			}
+			l.snapshots = append(l.snapshots, index)
+		}
+	}
+	return l, nil
+}
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -173,7 +174,7 @@
 		}
 		membership, err := decodeMembership(e.Data)
 		if err != nil {
-			return errors.Wrapf(err, "membership in entry %d", e.Index)
+			return fmt.Errorf("membership in entry %d: %w", e.Index, err)
 		}
 		m.memberships = append(m.memberships, indexedMembership{index: e.Index, membership: membership})
 	}
--- a/core/raft/effect.go
+++ b/core/raft/effect.go
@@ -22,6 +22,8 @@
 	// Hard is nil where the hard state did not change.
 	Hard    *HardState
 	Entries []*wirev1.Entry
+	// PreviousTerm is the term of the entry before the first one.
+	PreviousTerm uint64
 }
 
 // PersistSnapshot must be synced before the next effect is carried out.
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -197,6 +197,7 @@
 	}
 	if m.changedFrom != 0 && m.changedFrom <= m.log.last() {
 		p.Entries = m.log.between(m.changedFrom-1, m.log.last())
+		p.PreviousTerm, _ = m.log.term(m.changedFrom - 1)
 	}
 	m.hardChanged, m.changedFrom = false, 0
 	return p, p.Hard != nil || len(p.Entries) > 0
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"slices"
 	"unicode/utf8"
 
@@ -165,7 +166,7 @@
 func encodeMembership(membership *wirev1.Membership) []byte {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(membership)
 	if err != nil {
-		panic(errors.Wrap(err, "encode membership"))
+		panic(fmt.Errorf("encode membership: %w", err))
 	}
 	return data
 }
@@ -173,7 +174,7 @@
 func decodeMembership(data []byte) (*wirev1.Membership, error) {
 	membership := &wirev1.Membership{}
 	if err := proto.Unmarshal(data, membership); err != nil {
-		return nil, errors.Wrap(err, "decode membership")
+		return nil, fmt.Errorf("decode membership: %w", err)
 	}
 	return membership, checkMembership(membership)
 }
