--- /dev/null
+++ b/node/internal/backend/conn.go
@@ -0,0 +1,265 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+)
+
+// Bounds of what a backend server may send.
+const (
+	maxHeaderBytes   = 256 << 10
+	maxInformational = 8
+)
+
+var (
+	errHeaderTooLarge = errors.New("response header over 256 KiB")
+	errFraming        = errors.New("response without length or chunks")
+	errExtraBytes     = errors.New("bytes after the response")
+	errCrossed        = errors.New("response carries the id of another request")
+	errInformational  = errors.New("too many informational responses")
+)
+
+// past is a deadline that ends every read and write at once.
+var past = time.Unix(1, 0)
+
+// conn is one HTTP/1.1 connection to the backend server. It carries one
+// request at a time.
+type conn struct {
+	nc net.Conn
+	br *bufio.Reader
+	bw *bufio.Writer
+	// generation of the pool that the connection was opened in.
+	generation uint64
+	// headerLeft bounds the bytes read while a header is expected, -1 for no
+	// bound.
+	headerLeft int
+	wrote      int64
+}
+
+func newConn(nc net.Conn, generation uint64) *conn {
+	c := &conn{nc: nc, generation: generation, headerLeft: -1}
+	c.br = bufio.NewReaderSize((*connReader)(c), 4<<10)
+	c.bw = bufio.NewWriterSize((*connWriter)(c), 4<<10)
+	return c
+}
+
+type connReader conn
+
+// Read counts header bytes against their bound.
+func (r *connReader) Read(p []byte) (int, error) {
+	if r.headerLeft == 0 {
+		return 0, errHeaderTooLarge
+	}
+	if r.headerLeft > 0 && len(p) > r.headerLeft {
+		p = p[:r.headerLeft]
+	}
+	n, err := r.nc.Read(p)
+	if r.headerLeft > 0 {
+		r.headerLeft -= n
+	}
+	return n, err
+}
+
+type connWriter conn
+
+// Write counts the bytes that the kernel has taken.
+func (w *connWriter) Write(p []byte) (int, error) {
+	n, err := w.nc.Write(p)
+	w.wrote += int64(n)
+	return n, err
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+// Anything to read would be taken for the answer to the next request.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = n <= 0 && (e == syscall.EAGAIN || e == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange is one request and its response on a connection.
+type exchange struct {
+	c        *conn
+	method   string
+	response *http.Response
+	// sent is closed when a streamed body has been written or given up; nil for
+	// bodies in memory.
+	sent     chan struct{}
+	sendErr  error
+	aborted  atomic.Bool
+	stops    []func() bool
+	abortSrc func()
+}
+
+// watch ends the exchange when a context ends.
+func (x *exchange) watch(ctx context.Context) {
+	if ctx == nil || ctx.Done() == nil {
+		return
+	}
+	x.stops = append(x.stops, context.AfterFunc(ctx, x.abort))
+}
+
+// abort makes all reads and writes of the exchange return an error.
+func (x *exchange) abort() {
+	x.aborted.Store(true)
+	_ = x.c.nc.SetDeadline(past)
+}
+
+// release stops watching. It reports whether the connection was left alone.
+func (x *exchange) release() bool {
+	for _, stop := range x.stops {
+		if !stop() {
+			x.aborted.Store(true)
+		}
+	}
+	x.stops = nil
+	return !x.aborted.Load()
+}
+
+// field is a header field that the node adds.
+type field struct {
+	name  string
+	value string
+}
+
+// writeField leaves errors to the flush, which returns the first one.
+func writeField(w *bufio.Writer, name, value string) {
+	_, _ = w.WriteString(name)
+	_, _ = w.WriteString(": ")
+	_, _ = w.WriteString(value)
+	_, _ = w.WriteString("\r\n")
+}
+
+// writeRequest sends header and body. A streamed body is sent by a goroutine
+// that ends before finishBody returns.
+func (x *exchange) writeRequest(call *relay.Call, own []field) error {
+	w := x.c.bw
+	_, _ = w.WriteString(call.Method)
+	_ = w.WriteByte(' ')
+	_, _ = w.WriteString(call.URI)
+	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
+	_, _ = w.WriteString(call.Host)
+	_, _ = w.WriteString("\r\n")
+	for name, values := range call.Header {
+		for _, v := range values {
+			writeField(w, name, v)
+		}
+	}
+	for _, f := range own {
+		writeField(w, f.name, f.value)
+	}
+	size := call.Body.Size()
+	switch {
+	case size < 0:
+		writeField(w, "Transfer-Encoding", "chunked")
+	case size > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch:
+		writeField(w, "Content-Length", strconv.FormatInt(size, 10))
+	}
+	_, _ = w.WriteString("\r\n")
+	if !call.Body.Streamed() {
+		_, _ = w.Write(call.Body.Kept)
+		return w.Flush()
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	x.sent, x.abortSrc = make(chan struct{}), call.Body.Abort
+	go func() {
+		defer close(x.sent)
+		if x.sendErr = x.streamBody(call.Body); x.sendErr != nil {
+			// The backend server must see a short body, and the goroutine that
+			// waits for the answer must not wait longer.
+			x.abort()
+		}
+	}()
+	return nil
+}
+
+func (x *exchange) streamBody(b *relay.Body) error {
+	w := x.c.bw
+	if b.Length < 0 {
+		chunks := httputil.NewChunkedWriter(w)
+		if _, err := relay.Copy(chunks, b.Reader(), w.Flush); err != nil {
+			return err
+		}
+		_ = chunks.Close()
+		_, _ = w.WriteString("\r\n")
+		return w.Flush()
+	}
+	n, err := relay.Copy(w, b.Reader(), nil)
+	if err != nil {
+		return err
+	}
+	if n != b.Length {
+		return io.ErrUnexpectedEOF
+	}
+	return w.Flush()
+}
+
+// readResponse reads the response's header.
+func (x *exchange) readResponse() error {
+	x.c.headerLeft = maxHeaderBytes
+	for range maxInformational {
+		response, err := http.ReadResponse(x.c.br, &http.Request{Method: x.method})
+		if err != nil {
+			return err
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		x.c.headerLeft = -1
+		x.response = response
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
+			// A body that ends with the connection cannot be told from a short
+			// one.
+			return errFraming
+		}
+		return nil
+	}
+	return errInformational
+}
+
+// finishBody waits for the goroutine that streams the body. Early is true if
+// the body was not sent to its end.
+func (x *exchange) finishBody() (early bool) {
+	if x.sent == nil {
+		return false
+	}
+	select {
+	case <-x.sent:
+	default:
+		x.abort()
+		x.abortSrc()
+		<-x.sent
+		return true
+	}
+	return x.sendErr != nil
+}
--- /dev/null
+++ b/node/internal/backend/control.go
@@ -0,0 +1,175 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// Timeouts and bounds of the node's own calls to the backend server.
+const (
+	controlTimeout = 500 * time.Millisecond
+	controlBytes   = 64 << 10
+)
+
+// Load is the backend server's own report. It may be old; the node's decisions
+// rest on what the node itself observes.
+type Load struct {
+	InFlight int `json:"inFlight"`
+	Queued   int `json:"queued"`
+}
+
+// Grant gives or closes partitions at the backend server.
+type Grant struct {
+	Upstream string `json:"upstream"`
+	// ExpiryMs is the time until the grant ends in milliseconds, 0 to close it
+	// now.
+	ExpiryMs   int64              `json:"expiryMs"`
+	Partitions []GrantedPartition `json:"partitions"`
+}
+
+// GrantedPartition is one partition with its fencing token.
+type GrantedPartition struct {
+	Partition uint32 `json:"partition"`
+	Epoch     uint64 `json:"epoch"`
+}
+
+// Grant sends a grant. The error says that the backend server may not have
+// taken it.
+func (s *Server) Grant(ctx context.Context, g Grant) error {
+	if len(g.Partitions) == 0 {
+		return nil
+	}
+	_, err := s.control(ctx, http.MethodPost, "/v1/grant", g, nil)
+	return err
+}
+
+// Drain tells the backend server that it gets no new work, or that it does
+// again.
+func (s *Server) Drain(ctx context.Context, drain bool) error {
+	_, err := s.control(ctx, http.MethodPost, "/v1/drain", map[string]bool{"drain": drain}, nil)
+	return err
+}
+
+// control makes one call. Status is 0 if nothing answered.
+func (s *Server) control(ctx context.Context, method, path string, body, target any) (status int, err error) {
+	s.mu.Lock()
+	b := s.announced
+	s.mu.Unlock()
+	if b == nil {
+		return 0, errors.New("no backend server is announced")
+	}
+	var payload io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", path, err)
+		}
+		payload = bytes.NewReader(encoded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+b.GetAddress()+path, payload)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", path, err)
+	}
+	if body != nil {
+		q.Header.Set("Content-Type", "application/json")
+	}
+	response, err := s.client.Do(q)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	s.heard(response.Header.Get(headers.BootID))
+	content, err := io.ReadAll(io.LimitReader(response.Body, controlBytes))
+	if err != nil {
+		return response.StatusCode, fmt.Errorf("%s: %w", path, err)
+	}
+	if response.StatusCode/100 != 2 {
+		return response.StatusCode, errors.Errorf("%s: status %d", path, response.StatusCode)
+	}
+	if target == nil {
+		return response.StatusCode, nil
+	}
+	if err := json.Unmarshal(content, target); err != nil {
+		return response.StatusCode, fmt.Errorf("%s: %w", path, err)
+	}
+	return response.StatusCode, nil
+}
+
+// probe asks for health. Any answer is a sign of life; a bad one is only
+// logged, because health reports are stale or misleading at times. Without a
+// sign of life for the configured time the backend server is lost.
+func (s *Server) probe(ctx context.Context) {
+	s.mu.Lock()
+	b, lost := s.announced, s.lost
+	s.mu.Unlock()
+	if b == nil || lost {
+		return
+	}
+	var health struct {
+		BootID string `json:"bootId"`
+	}
+	status, err := s.control(ctx, http.MethodGet, "/v1/health", nil, &health)
+	if err == nil {
+		s.heard(health.BootID)
+		return
+	}
+	if status != 0 {
+		s.log.Debug().Err(err).Msg("backend server reports bad health")
+		return
+	}
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	silent := now.Sub(s.alive)
+	gone := !s.lost && silent > s.cfg.LostAfter
+	s.lost = s.lost || gone
+	s.mu.Unlock()
+	if gone {
+		s.log.Warn().Err(err).Dur("silentFor", silent).Msg("backend server lost")
+		s.pool.configure(b.GetAddress(), 0, true)
+		s.cfg.Changed()
+	}
+}
+
+func (s *Server) readLoad(ctx context.Context) {
+	var l Load
+	if _, err := s.control(ctx, http.MethodGet, "/v1/load", nil, &l); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.load = l
+	s.mu.Unlock()
+}
+
+// cancelLater tells the backend server to cancel a request, without waiting.
+// Under a flood of failures ids are dropped: the closed connection and the
+// deadline then have to do.
+func (s *Server) cancelLater(id string) {
+	select {
+	case s.cancels <- id:
+	default:
+	}
+}
+
+func (s *Server) sendCancels(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-s.cancels:
+			if _, err := s.control(ctx, http.MethodPost, "/v1/cancel", map[string]string{"requestId": id}, nil); err != nil {
+				s.log.Debug().Err(err).Str("requestId", id).Msg("cancel did not reach the backend server")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/internal/backend/do.go
@@ -0,0 +1,221 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/admission"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// Term is the right to run keyed calls.
+type Term struct {
+	// Context ends with the lease. It is nil for calls without a key.
+	Context context.Context
+	// Until caps the deadline that the backend server is told, zero for no cap.
+	Until time.Time
+}
+
+// Before is asked right before the first byte of a call is written. It returns
+// the term, or a refusal that keeps the call from being written.
+type Before func() (Term, *outcome.Refusal)
+
+// Do runs one call: it waits for a slot, takes a connection, asks before, and
+// sends the call. A refusal with outcome notRun means that no byte was written
+// or that the backend server said that it ran nothing.
+func (s *Server) Do(ctx context.Context, call *relay.Call, before Before) (*relay.Answer, *outcome.Refusal) {
+	ticket, refusal := s.guard.enter(ctx, call)
+	if refusal != nil {
+		return nil, refusal
+	}
+	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.Clock.Now()}
+	c, err := s.pool.get(ctx)
+	if err != nil {
+		return nil, a.notConnected(ctx, err)
+	}
+	a.x.c, a.x.method = c, call.Method
+	if a.term, refusal = before(); refusal != nil {
+		a.end(admission.ResultCancelled, true)
+		return nil, refusal
+	}
+	return a.run(ctx)
+}
+
+// attempt is a call that holds a slot and a connection.
+type attempt struct {
+	s       *Server
+	call    *relay.Call
+	ticket  uint64
+	started time.Time
+	term    Term
+	x       exchange
+	once    sync.Once
+	body    io.ReadCloser
+}
+
+func (a *attempt) notConnected(ctx context.Context, err error) *outcome.Refusal {
+	switch {
+	case ctx.Err() != nil:
+		a.s.guard.leave(a.ticket, admission.ResultCancelled, 0)
+		return relay.NotRun(outcome.ReasonCancelled)
+	case errors.Is(err, errNoConnection):
+		a.s.guard.leave(a.ticket, admission.ResultCancelled, 0)
+		return relay.NotRun(outcome.ReasonQueueFull)
+	}
+	a.s.guard.leave(a.ticket, admission.ResultRefused, 0)
+	a.s.log.Debug().Err(err).Msg("backend server refused a connection")
+	return relay.NotRun(outcome.ReasonUnreachable)
+}
+
+func (a *attempt) run(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
+	left := a.call.Deadline.Sub(a.s.cfg.Clock.Now())
+	if left <= 0 {
+		a.end(admission.ResultCancelled, true)
+		return nil, relay.NotRun(outcome.ReasonDeadline)
+	}
+	x := &a.x
+	_ = x.c.nc.SetDeadline(time.Now().Add(left))
+	x.watch(ctx)
+	x.watch(a.term.Context)
+	x.c.wrote = 0
+	if err := x.writeRequest(a.call, a.fields(left)); err != nil {
+		if x.c.wrote == 0 {
+			a.end(admission.ResultRefused, false)
+			return nil, relay.NotRun(outcome.ReasonUnreachable)
+		}
+		return nil, a.failed(ctx, err)
+	}
+	if err := x.readResponse(); err != nil {
+		return nil, a.failed(ctx, err)
+	}
+	a.s.heard(x.response.Header.Get(headers.BootID))
+	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.ID {
+		return nil, a.failed(ctx, errCrossed)
+	}
+	if shed(x.response) {
+		_, err := relay.Copy(io.Discard, io.LimitReader(x.response.Body, relay.KeepBytes), nil)
+		a.end(admission.ResultShed, err == nil)
+		return nil, a.retryAfter(relay.NotRun(outcome.ReasonShed))
+	}
+	return a.answer(ctx)
+}
+
+// shed reports whether the backend server says that it ran nothing.
+func shed(r *http.Response) bool {
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(headers.Outcome) == outcome.OutcomeNotRun.String()
+}
+
+func (a *attempt) retryAfter(r *outcome.Refusal) *outcome.Refusal {
+	if s, err := strconv.Atoi(a.x.response.Header.Get("Retry-After")); err == nil && s > 0 && s < 3600 {
+		r.RetryAfter = time.Duration(s) * time.Second
+	}
+	return r
+}
+
+// answer hands the response on. Short answers are read whole first, so that
+// the connection and the slot are free before the next hop gets the answer.
+func (a *attempt) answer(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
+	r := a.x.response
+	answer := &relay.Answer{
+		Status: r.StatusCode, Header: relay.EndToEnd(r.Header), Length: r.ContentLength,
+		Trailer: func() http.Header { return r.Trailer },
+	}
+	if a.call.Method == http.MethodHead || r.Body == http.NoBody {
+		answer.Body = http.NoBody
+		a.end(admission.ResultOK, true)
+		return answer, nil
+	}
+	a.body, answer.Body = r.Body, a
+	if err := answer.Keep(); err != nil {
+		return nil, a.failed(ctx, err)
+	}
+	return answer, nil
+}
+
+// fields returns the headers that tell the backend server about the call.
+func (a *attempt) fields(left time.Duration) []field {
+	if !a.term.Until.IsZero() && !a.call.Body.Streamed() {
+		left = min(left, a.term.Until.Sub(a.s.cfg.Clock.Now()))
+	}
+	list := make([]field, 0, 5)
+	list = append(list,
+		field{headers.RequestID, a.call.ID},
+		field{headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+		field{headers.Depth, strconv.Itoa(a.call.Depth)})
+	if a.call.Keyed {
+		list = append(list,
+			field{headers.Fence, strconv.FormatUint(a.call.Epoch, 10)},
+			field{headers.Partition, strconv.FormatUint(uint64(a.call.Partition), 10)})
+	}
+	return list
+}
+
+// failed ends an attempt of which at least one byte was written. The backend
+// server is told to cancel it.
+func (a *attempt) failed(ctx context.Context, err error) *outcome.Refusal {
+	kind, refusal := admission.ResultFailed, relay.Unknown(outcome.ReasonConnectionLost)
+	switch {
+	case a.term.Context != nil && a.term.Context.Err() != nil:
+		kind, refusal.Reason = admission.ResultCancelled, outcome.ReasonNoLease
+	case ctx.Err() != nil:
+		kind, refusal.Reason = admission.ResultCancelled, outcome.ReasonCancelled
+	case errors.Is(err, os.ErrDeadlineExceeded) && !a.x.aborted.Load():
+		kind, refusal.Reason = admission.ResultTimeout, outcome.ReasonDeadline
+	case a.x.response != nil, errors.Is(err, errFraming), errors.Is(err, errHeaderTooLarge), errors.Is(err, io.ErrUnexpectedEOF):
+		refusal.Reason = outcome.ReasonAnswerIncomplete
+	}
+	if a.end(kind, false) && a.x.sendErr != nil {
+		refusal.Reason = outcome.ReasonCancelled
+	}
+	a.s.log.Debug().Err(err).Str("requestId", a.call.ID).Str("reason", string(refusal.Reason)).Msg("request to backend server failed")
+	a.s.cancelLater(a.call.ID)
+	return refusal
+}
+
+// end gives slot and connection back, once. Complete means that the response
+// was read to its end. It reports whether this call ended the attempt.
+func (a *attempt) end(kind admission.ResultKind, complete bool) (ended bool) {
+	a.once.Do(func() {
+		ended = true
+		x := &a.x
+		early := x.finishBody()
+		untouched := x.release()
+		reusable := complete && untouched && !early && x.c.br.Buffered() == 0 && (x.response == nil || !x.response.Close)
+		if reusable {
+			_ = x.c.nc.SetDeadline(time.Time{})
+		}
+		a.s.pool.put(x.c, reusable)
+		a.s.guard.leave(a.ticket, kind, a.s.cfg.Clock.Now().Sub(a.started))
+	})
+	return ended
+}
+
+// Read reads the body of the response. The end of the body frees slot and
+// connection.
+func (a *attempt) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if err == io.EOF {
+		a.end(admission.ResultOK, true)
+	} else if err != nil && a.end(admission.ResultFailed, false) {
+		a.s.cancelLater(a.call.ID)
+	}
+	return n, err
+}
+
+// Close ends the attempt. If the body was not read to its end, the backend
+// server is told to cancel the request.
+func (a *attempt) Close() error {
+	if a.end(admission.ResultCancelled, false) {
+		a.s.cancelLater(a.call.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/internal/backend/server.go
@@ -0,0 +1,236 @@
+// Package backend is the node's side of the backend server on its own VM:
+// announcements, health, grants, and the requests themselves, which pass the
+// guard first.
+package backend
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/admission"
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// Defaults of the configuration.
+const (
+	DefaultHealthInterval = 250 * time.Millisecond
+	DefaultConnectTimeout = 500 * time.Millisecond
+	// DefaultLostAfter is the time without any sign of life after which the
+	// node gives up its lease. Announcements come every second, health
+	// answers every DefaultHealthInterval.
+	DefaultLostAfter = time.Second
+)
+
+// warmSpare is the number of connections kept open beyond the slots, for
+// requests that start while others end.
+const warmSpare = 2
+
+// Config has the parts and settings of a Server. Clock is required; the zero
+// value of the others means the default.
+type Config struct {
+	Clock          clock.Clock
+	Log            zerolog.Logger
+	HealthInterval time.Duration
+	ConnectTimeout time.Duration
+	LostAfter      time.Duration
+	// Changed is called without locks held after the backend server appeared,
+	// restarted, changed its announcement, or was lost. It must not block.
+	Changed func()
+}
+
+// Server is the backend server beside the node. It is safe for concurrent use.
+type Server struct {
+	cfg    Config
+	log    zerolog.Logger
+	guard  *guard
+	pool   pool
+	client *http.Client
+	// cancels are request ids that the backend server is told to cancel.
+	cancels chan string
+
+	mu        sync.Mutex
+	announced *wirev1.BackendServer
+	alive     time.Time
+	lost      bool
+	leaving   bool
+	upstream  rules.Upstream
+	load      Load
+	// left reports what still keeps a leaving backend server from stopping.
+	left func() (partitions int)
+}
+
+// New returns a server that nothing has announced yet. It panics without a
+// clock.
+func New(cfg Config) *Server {
+	if cfg.Clock == nil {
+		panic("backend: no clock")
+	}
+	if cfg.HealthInterval == 0 {
+		cfg.HealthInterval = DefaultHealthInterval
+	}
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = DefaultConnectTimeout
+	}
+	if cfg.LostAfter == 0 {
+		cfg.LostAfter = DefaultLostAfter
+	}
+	if cfg.Changed == nil {
+		cfg.Changed = func() {}
+	}
+	return &Server{
+		cfg: cfg, log: cfg.Log, pool: pool{timeout: cfg.ConnectTimeout}, cancels: make(chan string, 256),
+		guard: newGuard(cfg.Clock, admission.Config{}),
+		client: &http.Client{
+			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true},
+		},
+		left: func() int { return 0 },
+	}
+}
+
+// OnLeave sets the function that counts the partitions which a leaving backend
+// server still owns. Set it before Run.
+func (s *Server) OnLeave(left func() (partitions int)) { s.left = left }
+
+// Announced returns the backend server, or nil if there is none or it is lost.
+func (s *Server) Announced() *wirev1.BackendServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return nil
+	}
+	return s.announced
+}
+
+// Leaving reports whether the backend server has said that it leaves.
+func (s *Server) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// Cold reports whether the backend server is in cold start.
+func (s *Server) Cold() bool { return s.guard.cold() }
+
+// Configure applies the rules of the backend server's upstream.
+func (s *Server) Configure(u rules.Upstream) {
+	s.mu.Lock()
+	s.upstream = u
+	s.mu.Unlock()
+	s.apply(false)
+}
+
+// apply passes announcement and rules on to pool and guard.
+func (s *Server) apply(restarted bool) {
+	s.mu.Lock()
+	b, u := s.announced, s.upstream
+	s.mu.Unlock()
+	if b == nil {
+		s.pool.configure("", 0, true)
+		return
+	}
+	s.pool.configure(b.GetAddress(), connections(b, u), restarted)
+	s.guard.configure(guardConfig(b, u))
+}
+
+func connections(b *wirev1.BackendServer, u rules.Upstream) int {
+	return least(int(b.GetConnections()), u.Connections, 1)
+}
+
+func slots(b *wirev1.BackendServer, u rules.Upstream) int {
+	return min(least(int(b.GetSlots()), u.Slots, 1), connections(b, u))
+}
+
+// least returns the smaller of two bounds where 0 means no bound.
+func least(announced, ruled, otherwise int) int {
+	switch {
+	case announced > 0 && ruled > 0:
+		return min(announced, ruled)
+	case announced+ruled > 0:
+		return announced + ruled
+	}
+	return otherwise
+}
+
+// heard notes a sign of life with the boot id that came with it, empty if none
+// did.
+func (s *Server) heard(bootID string) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	s.alive = now
+	found, restarted := s.lost, false
+	s.lost = false
+	if bootID != "" && s.announced != nil && bootID != s.announced.GetBootId() {
+		b := proto.CloneOf(s.announced)
+		b.BootId = bootID
+		s.announced, restarted = b, true
+	}
+	s.mu.Unlock()
+	if restarted {
+		s.log.Warn().Str("bootId", bootID).Msg("backend server restarted")
+		s.apply(true)
+		s.guard.backendStarted(bootID)
+	}
+	if found || restarted {
+		s.cfg.Changed()
+	}
+}
+
+// Run probes the backend server until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	probe := time.NewTicker(s.cfg.HealthInterval)
+	defer probe.Stop()
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	defer s.client.CloseIdleConnections()
+	defer s.pool.close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.sendCancels(ctx)
+	}()
+	defer func() { <-ended }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-probe.C:
+			s.probe(ctx)
+		case <-second.C:
+			s.readLoad(ctx)
+			s.keepWarm(ctx)
+		}
+	}
+}
+
+func (s *Server) keepWarm(ctx context.Context) {
+	s.mu.Lock()
+	b, u, lost := s.announced, s.upstream, s.lost
+	s.mu.Unlock()
+	if b != nil && !lost {
+		s.pool.warm(ctx, slots(b, u)+warmSpare)
+	}
+}
+
+// Stats are the figures of the guard and the pool for operators.
+type Stats struct {
+	Open int  `json:"connectionsOpen"`
+	Used int  `json:"connectionsUsed"`
+	Cold bool `json:"cold"`
+	Lost bool `json:"lost"`
+	Load Load `json:"load"`
+}
+
+// Stats returns the current figures.
+func (s *Server) Stats() Stats {
+	open, used := s.pool.counts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{Open: open, Used: used, Cold: s.guard.cold(), Lost: s.lost, Load: s.load}
+}
--- /dev/null
+++ b/node/internal/relay/call.go
@@ -0,0 +1,138 @@
+// Package relay has what caller, peer and backend share about one request on
+// its way: the call, its answer, and the rules for headers, bodies and
+// refusals at each hop.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+)
+
+// KeepBytes is the largest body that is kept in memory, so that a refused
+// request can be sent again and an answer be given again. Unit: bytes.
+const KeepBytes = 64 << 10
+
+// Call is one request after routing.
+type Call struct {
+	// ID identifies this sending of the request. It is barred or entered in
+	// the owner's request table.
+	ID string
+	// Upstream and, if Keyed, Partition and Epoch say who may run it.
+	Upstream  string
+	Keyed     bool
+	Partition uint32
+	Epoch     uint64
+	// KeyHash is 0 if the request has no key.
+	KeyHash    uint64
+	Priority   int
+	Depth      int
+	Idempotent bool
+	// CallerID is true if ID comes from the caller's Idempotency-Key, so that
+	// earlier sendings may exist.
+	CallerID bool
+	// Attempt is 1 if the caller says that it never sent the request before,
+	// 0 if it says nothing.
+	Attempt int
+	// Deadline is by the node's clock.
+	Deadline time.Time
+
+	Method string
+	// URI is path and query as sent.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   *Body
+}
+
+
+// Answer is the response of a backend server on its way back.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length of the body in bytes, -1 if unknown. An answer to HEAD has the
+	// announced length and the body http.NoBody.
+	Length int64
+	// Body returns io.EOF only after the complete body; any other end is an
+	// error. It must be closed.
+	Body io.ReadCloser
+	// Trailer returns the trailer after io.EOF. It may be nil.
+	Trailer func() http.Header
+}
+
+// Target runs calls. A refusal is returned in place of an answer; exactly one
+// of the two is not nil. Implementations are safe for concurrent use.
+type Target interface {
+	Do(ctx context.Context, c *Call) (*Answer, *outcome.Refusal)
+}
+
+// NotRun returns a refusal which says that no backend server ran the request.
+func NotRun(reason outcome.Reason) *outcome.Refusal {
+	return &outcome.Refusal{Outcome: outcome.OutcomeNotRun, Reason: reason}
+}
+
+// Unknown returns a refusal which leaves open whether the request ran.
+func Unknown(reason outcome.Reason) *outcome.Refusal {
+	return &outcome.Refusal{Outcome: outcome.OutcomeUnknown, Reason: reason}
+}
+
+// Keep reads a short answer whole, so that a connection which breaks in the
+// middle shows before the next hop was told of the answer. Answers that are
+// long or of unknown length stay streamed.
+func (a *Answer) Keep() error {
+	if a.Length < 0 || a.Length > KeepBytes || a.Body == http.NoBody {
+		return nil
+	}
+	kept := make([]byte, a.Length)
+	if _, err := io.ReadFull(a.Body, kept); err != nil {
+		_ = a.Body.Close()
+		return err
+	}
+	// Reads the end of the body, which frees the connection behind it.
+	var rest [1]byte
+	n, err := a.Body.Read(rest[:])
+	_ = a.Body.Close()
+	if n > 0 || err != io.EOF {
+		return errBodyLength
+	}
+	a.Body = &keptBody{Reader: *bytes.NewReader(kept), kept: kept}
+	return nil
+}
+
+// Kept returns the body if Keep has read it.
+func (a *Answer) Kept() ([]byte, bool) {
+	b, ok := a.Body.(*keptBody)
+	if !ok {
+		return nil, false
+	}
+	return b.kept, true
+}
+
+// KeptAnswer returns an answer with a body in memory.
+func KeptAnswer(status int, header http.Header, body []byte) *Answer {
+	return &Answer{
+		Status: status, Header: header, Length: int64(len(body)),
+		Body: &keptBody{Reader: *bytes.NewReader(body), kept: body},
+	}
+}
+
+// ReplyTo returns the answer as its request's method wants it: an answer to
+// HEAD has no body.
+func (a *Answer) ReplyTo(method string) *Answer {
+	if method == http.MethodHead {
+		a.Body = http.NoBody
+	}
+	return a
+}
+
+type keptBody struct {
+	bytes.Reader
+	kept []byte
+}
+
+// Close does nothing: the body is in memory.
+func (*keptBody) Close() error { return nil }
--- /dev/null
+++ b/node/internal/view/view.go
@@ -0,0 +1,79 @@
+// Package view has what a node currently knows from control: its own
+// incarnation and lease, and the routing table.
+package view
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/routing"
+)
+
+// Identity is the node's registration.
+type Identity struct {
+	// Incarnation is 0 while the node is not registered.
+	Incarnation uint64
+	Secret      string
+	// Until is the end of the lease by the node's clock.
+	Until time.Time
+}
+
+// View is safe for concurrent use.
+type View struct {
+	table    atomic.Pointer[routing.Table]
+	identity atomic.Pointer[Identity]
+	mu       sync.Mutex
+	changed  chan struct{}
+}
+
+// New returns a view with a table and without a registration.
+func New(t *routing.Table) *View {
+	v := &View{changed: make(chan struct{})}
+	v.table.Store(t)
+	v.identity.Store(&Identity{})
+	return v
+}
+
+// Table returns the current table.
+func (v *View) Table() *routing.Table { return v.table.Load() }
+
+// Identity returns the current registration.
+func (v *View) Identity() Identity { return *v.identity.Load() }
+
+// Leased reports whether the lease is valid at a time.
+func (v *View) Leased(now time.Time) bool {
+	i := v.identity.Load()
+	return i.Incarnation != 0 && now.Before(i.Until)
+}
+
+// Changed returns a channel that is closed at the next change of the table or
+// of the incarnation. Take it before reading what may change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// SetTable puts a table in force.
+func (v *View) SetTable(t *routing.Table) {
+	v.table.Store(t)
+	v.Notify()
+}
+
+// SetIdentity puts a registration or the end of its lease in force. Waiters
+// are woken only when the incarnation or the presence of a lease changes.
+func (v *View) SetIdentity(i Identity) {
+	old := v.identity.Swap(&i)
+	if old.Incarnation != i.Incarnation || old.Until.IsZero() != i.Until.IsZero() {
+		v.Notify()
+	}
+}
+
+// Notify wakes everyone who waits for a change.
+func (v *View) Notify() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
