node/internal/owner: ownership checks, request ids and releases

Checks ownership, epoch and lease before and after admission, keeps non-idempotent requests in the request table, and releases partitions for planned moves. Not wired yet; nothing was measured.

--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -25,15 +25,22 @@
 	Until time.Time
 }
 
-// Before is asked right before the first byte of a call is written. It returns
-// the term, or a refusal that keeps the call from being written.
-type Before func() (Term, *outcome.Refusal)
+// Gate decides whether a call may still run.
+type Gate struct {
+	// Halt is closed when calls in the queue must leave it, with HaltReason.
+	// It may be nil.
+	Halt       <-chan struct{}
+	HaltReason outcome.Reason
+	// Before is asked right before the first byte of a call is written. It
+	// returns the term, or a refusal that keeps the call from being written.
+	Before func() (Term, *outcome.Refusal)
+}
 
-// Do runs one call: it waits for a slot, takes a connection, asks before, and
+// Do runs one call: it waits for a slot, takes a connection, asks the gate, and
 // sends the call. A refusal with outcome notRun means that no byte was written
 // or that the backend server said that it ran nothing.
-func (s *Server) Do(ctx context.Context, call *relay.Call, before Before) (*relay.Answer, *outcome.Refusal) {
-	ticket, refusal := s.guard.enter(ctx, call)
+func (s *Server) Do(ctx context.Context, call *relay.Call, gate Gate) (*relay.Answer, *outcome.Refusal) {
+	ticket, refusal := s.guard.enter(ctx, call, gate.Halt, gate.HaltReason)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -43,7 +50,7 @@
 		return nil, a.notConnected(ctx, err)
 	}
 	a.x.c, a.x.method = c, call.Method
-	if a.term, refusal = before(); refusal != nil {
+	if a.term, refusal = gate.Before(); refusal != nil {
 		a.end(admission.ResultCancelled, true)
 		return nil, refusal
 	}
--- a/node/internal/backend/guard.go
+++ b/node/internal/backend/guard.go
@@ -8,7 +8,9 @@
 	"github.com/jujubeknot/jujubeknot/core/admission"
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/rules"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // guard puts a lock and wake-ups round admission.Guard. It is safe for
@@ -29,33 +31,41 @@
 	return &guard{clock: c, state: admission.New(cfg), waiting: map[uint64]chan admission.Answer{}}
 }
 
-// enter waits until a call may start. The ticket must then be passed to leave.
-func (g *guard) enter(ctx context.Context, c *relay.Call) (ticket uint64, r *outcome.Refusal) {
+// enter waits until a call may start, until the context ends, or until halt is
+// closed, which may be nil. The ticket of a call that may start must be passed
+// to leave.
+func (g *guard) enter(ctx context.Context, c *relay.Call, halt <-chan struct{}, haltReason outcome.Reason) (ticket uint64, r *outcome.Refusal) {
 	g.mu.Lock()
 	g.last++
 	id := g.last
 	answer := g.state.Offer(g.clock.Now(), admission.Request{
 		ID: id, Key: c.KeyHash, Priority: c.Priority, Depth: c.Depth, Deadline: c.Deadline,
 	})
-	if answer.Verdict != admission.VerdictQueue {
-		g.mu.Unlock()
-		return id, refusalOf(answer)
+	var woken chan admission.Answer
+	if answer.Verdict == admission.VerdictQueue {
+		woken = make(chan admission.Answer, 1)
+		g.waiting[id] = woken
 	}
-	woken := make(chan admission.Answer, 1)
-	g.waiting[id] = woken
-	g.schedule()
+	// An offer may have dropped another call from the queue.
+	g.wake(nil)
 	g.mu.Unlock()
+	if woken == nil {
+		return id, refusalOf(answer)
+	}
+	reason := outcome.ReasonCancelled
 	select {
 	case answer = <-woken:
 		return id, refusalOf(answer)
+	case <-halt:
+		reason = haltReason
 	case <-ctx.Done():
 	}
-	return id, g.abandon(id, woken)
+	return id, g.abandon(id, woken, reason)
 }
 
 // abandon takes a call out of the queue. If it was admitted meanwhile its slot
 // is given back.
-func (g *guard) abandon(id uint64, woken chan admission.Answer) *outcome.Refusal {
+func (g *guard) abandon(id uint64, woken chan admission.Answer, reason outcome.Reason) *outcome.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -68,7 +78,7 @@
 		delete(g.waiting, id)
 		g.wake(g.state.Cancel(now, id))
 	}
-	return relay.NotRun(outcome.ReasonCancelled)
+	return relay.NotRun(reason)
 }
 
 // leave reports how an admitted call ended.
@@ -88,7 +98,8 @@
 func (g *guard) configure(cfg admission.Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wake(g.state.Configure(g.clock.Now(), cfg))
+	g.state.Configure(g.clock.Now(), cfg)
+	g.wake(nil)
 }
 
 func (g *guard) backendStarted(bootID string) {
@@ -103,26 +114,51 @@
 	return g.state.Cold()
 }
 
-// wake hands out answers and schedules the next expiry. The lock is held.
+// figures returns the guard's counts and whether the backend server is cold.
+func (g *guard) figures() (limit, inFlight, queued int, cold bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Limit(), g.state.InFlight(), g.state.Queued(), g.state.Cold()
+}
+
+// wake hands out answers, expires what is due and schedules the next expiry.
+// The lock is held.
 func (g *guard) wake(events []admission.Event) {
+	g.deliver(events)
+	next := g.state.Next()
+	if next.IsZero() {
+		return
+	}
+	now := g.clock.Now()
+	if !next.After(now) {
+		g.deliver(g.state.Expire(now))
+		if next = g.state.Next(); next.IsZero() {
+			return
+		}
+	}
+	g.schedule(now, next)
+}
+
+func (g *guard) deliver(events []admission.Event) {
 	for _, e := range events {
 		if woken, ok := g.waiting[e.ID]; ok {
 			delete(g.waiting, e.ID)
 			woken <- e.Answer
 		}
 	}
-	g.schedule()
 }
 
-// schedule makes the timer fire when the next queued call expires. The lock is
-// held.
-func (g *guard) schedule() {
-	next := g.state.Next()
-	if next.IsZero() || next.Equal(g.due) {
+// minExpiryWait keeps an expiry that is due but changes nothing from running
+// again at once.
+const minExpiryWait = time.Millisecond
+
+// schedule makes the timer fire at next. The lock is held.
+func (g *guard) schedule(now, next time.Time) {
+	if next.Equal(g.due) {
 		return
 	}
 	g.due = next
-	wait := next.Sub(g.clock.Now())
+	wait := max(next.Sub(now), minExpiryWait)
 	if g.timer == nil {
 		g.timer = time.AfterFunc(wait, g.expire)
 		return
@@ -138,3 +174,10 @@
 	r.RetryAfter = a.RetryAfter
 	return r
 }
+
+// guardConfig derives the guard's bounds from announcement and rules.
+func guardConfig(b *wirev1.BackendServer, u rules.Upstream) admission.Config {
+	return admission.Config{
+		Slots: slots(b, u), Queue: u.Queue, KeyShare: u.KeyShare, RequestsPerSecond: u.RequestsPerSecond,
+	}
+}
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -172,14 +172,15 @@
 		s.announced, restarted = b, true
 	}
 	s.mu.Unlock()
+	if !found && !restarted {
+		return
+	}
+	s.apply(restarted)
 	if restarted {
 		s.log.Warn().Str("bootId", bootID).Msg("backend server restarted")
-		s.apply(true)
 		s.guard.backendStarted(bootID)
 	}
-	if found || restarted {
-		s.cfg.Changed()
-	}
+	s.cfg.Changed()
 }
 
 // Run probes the backend server until the context ends.
@@ -220,17 +221,24 @@
 
 // Stats are the figures of the guard and the pool for operators.
 type Stats struct {
-	Open int  `json:"connectionsOpen"`
-	Used int  `json:"connectionsUsed"`
-	Cold bool `json:"cold"`
-	Lost bool `json:"lost"`
-	Load Load `json:"load"`
+	Limit           int  `json:"limit"`
+	InFlight        int  `json:"inFlight"`
+	Queued          int  `json:"queued"`
+	ConnectionsOpen int  `json:"connectionsOpen"`
+	ConnectionsUsed int  `json:"connectionsUsed"`
+	Cold            bool `json:"cold"`
+	Lost            bool `json:"lost"`
+	// Reported is the backend server's own report.
+	Reported Load `json:"reported"`
 }
 
 // Stats returns the current figures.
 func (s *Server) Stats() Stats {
-	open, used := s.pool.counts()
+	var t Stats
+	t.ConnectionsOpen, t.ConnectionsUsed = s.pool.counts()
+	t.Limit, t.InFlight, t.Queued, t.Cold = s.guard.figures()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{Open: open, Used: used, Cold: s.guard.cold(), Lost: s.lost, Load: s.load}
+	t.Lost, t.Reported = s.lost, s.load
+	return t
 }
--- /dev/null
+++ b/node/internal/owner/partition.go
@@ -0,0 +1,196 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+)
+
+// PartitionID names a partition of an upstream.
+type PartitionID struct {
+	Upstream  string
+	Partition uint32
+}
+
+type partitionState int
+
+const (
+	stateServing partitionState = iota
+	// stateReleasing partitions admit nothing and wait for calls to end.
+	stateReleasing
+	// stateReleased partitions never admit again at their epoch.
+	stateReleased
+)
+
+// partition is a partition that this node owns by its table.
+type partition struct {
+	id    PartitionID
+	epoch uint64
+	state partitionState
+	// active calls hold the partition: from their first check to the end of
+	// their answer.
+	active int
+	// idle is closed when active reaches 0 while releasing.
+	idle chan struct{}
+	// halt is closed when queued calls must leave.
+	halt chan struct{}
+	// granted is closed once the backend server knows of the grant, or the
+	// node stopped waiting for that.
+	granted chan struct{}
+	// count of calls since the last load report.
+	count uint64
+}
+
+// term is the time of one lease, from registration to its end.
+type term struct {
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+func newTerm() *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &term{context: ctx, cancel: cancel}
+}
+
+// hold checks that this node may run a keyed call and counts it as active. The
+// refusal says why it may not.
+func (s *Server) hold(c *relay.Call) (*partition, *outcome.Refusal) {
+	now := s.cfg.Clock.Now()
+	if !s.cfg.View.Leased(now) {
+		return nil, relay.NotRun(outcome.ReasonNoLease)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partitions[PartitionID{c.Upstream, c.Partition}]
+	switch {
+	case p == nil || p.epoch != c.Epoch:
+		return nil, relay.NotRun(outcome.ReasonNotOwner)
+	case p.state != stateServing:
+		return nil, relay.NotRun(outcome.ReasonMoving)
+	}
+	p.active++
+	p.count++
+	return p, nil
+}
+
+// drop ends the hold of a call.
+func (s *Server) drop(p *partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.active--
+	if p.active == 0 && p.idle != nil {
+		close(p.idle)
+		p.idle = nil
+	}
+}
+
+// confirm checks again, right before the first byte is written, and returns
+// the term of the lease.
+func (s *Server) confirm(p *partition) (backend.Term, *outcome.Refusal) {
+	now := s.cfg.Clock.Now()
+	identity := s.cfg.View.Identity()
+	if identity.Incarnation == 0 || !now.Before(identity.Until) {
+		return backend.Term{}, relay.NotRun(outcome.ReasonNoLease)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.state != stateServing || s.partitions[p.id] != p {
+		return backend.Term{}, relay.NotRun(outcome.ReasonMoving)
+	}
+	t := backend.Term{Context: s.term.context}
+	if b := s.cfg.Backend.Announced(); !b.GetChecksFences() {
+		t.Until = identity.Until
+	}
+	return t, nil
+}
+
+// TableChanged follows a new table: partitions that this incarnation has got
+// are granted at the backend server, others are dropped.
+func (s *Server) TableChanged(ctx context.Context, t *routing.Table) {
+	self := s.cfg.View.Identity().Incarnation
+	now := s.cfg.Clock.Now()
+	var fresh []*partition
+	s.mu.Lock()
+	kept := make(map[PartitionID]*partition, len(s.partitions))
+	t.Owned(self, func(upstream string, number uint32, a routing.Assignment) {
+		id := PartitionID{upstream, number}
+		if p := s.partitions[id]; p != nil && p.epoch == a.Epoch {
+			kept[id] = p
+			return
+		}
+		p := &partition{id: id, epoch: a.Epoch, halt: make(chan struct{}), granted: make(chan struct{})}
+		kept[id] = p
+		fresh = append(fresh, p)
+		s.taken(now, id, a)
+	})
+	for id, p := range s.partitions {
+		if kept[id] != p {
+			p.stop()
+		}
+	}
+	s.partitions = kept
+	s.mu.Unlock()
+	if len(fresh) > 0 {
+		s.grantFresh(ctx, fresh)
+	}
+}
+
+// stop makes queued calls leave.
+func (p *partition) stop() {
+	if p.state == stateServing {
+		close(p.halt)
+	}
+	p.state = stateReleased
+}
+
+// taken starts the window in which earlier request ids of a partition are not
+// known, unless they came with a planned move or there were none.
+func (s *Server) taken(now time.Time, id PartitionID, a routing.Assignment) {
+	key := movedKey{id, a.Epoch}
+	known := a.Epoch == 1 || a.Planned && s.moved[key]
+	delete(s.moved, key)
+	s.requests.taken(now, id, known)
+}
+
+// BeginTerm starts a lease after a registration. Nothing of an earlier term is
+// used again.
+func (s *Server) BeginTerm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clear()
+	s.term = newTerm()
+}
+
+// EndTerm ends the lease: queued keyed calls leave, keyed calls in flight are
+// cancelled, and the grants at the backend server are closed.
+func (s *Server) EndTerm(ctx context.Context) {
+	s.mu.Lock()
+	closing := s.clear()
+	s.mu.Unlock()
+	if len(closing) > 0 {
+		s.cfg.Log.Warn().Int("partitions", len(closing)).Msg("lease ended, keyed work stopped")
+		s.sendGrants(ctx, closing, 0)
+	}
+}
+
+// clear ends the term and returns the partitions whose grants are open. The
+// lock is held.
+func (s *Server) clear() []*partition {
+	if s.term != nil {
+		s.term.cancel()
+	}
+	closing := make([]*partition, 0, len(s.partitions))
+	for _, p := range s.partitions {
+		if p.state != stateReleased {
+			closing = append(closing, p)
+		}
+		p.stop()
+	}
+	clear(s.partitions)
+	clear(s.released)
+	return closing
+}
--- /dev/null
+++ b/node/internal/owner/release.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// Bounds of a release.
+const (
+	defaultReleaseTimeout = 2 * time.Second
+	maxReleaseTimeout     = time.Minute
+	// closeTimeout bounds the closing of a grant at a backend server that does
+	// not answer. The node has stopped sending by then, so the move goes on.
+	closeTimeout = 100 * time.Millisecond
+)
+
+// Release is a finished release order.
+type Release struct {
+	Partition *wirev1.ReleasedPartition
+	// Records are the non-idempotent requests that the partition ran.
+	Records []outcome.Record
+}
+
+type movedKey struct {
+	id    PartitionID
+	epoch uint64
+}
+
+// Release carries out an order to release a partition and calls done with the
+// result, from another goroutine. Orders that are under way or done are
+// ignored: what was released is repeated by Released.
+func (s *Server) Release(ctx context.Context, order *wirev1.Release, done func(Release)) {
+	id := PartitionID{order.GetUpstream(), order.GetPartition()}
+	s.mu.Lock()
+	p := s.partitions[id]
+	if p == nil || p.epoch != order.GetEpoch() || p.state != stateServing {
+		s.mu.Unlock()
+		return
+	}
+	p.state = stateReleasing
+	close(p.halt)
+	idle := make(chan struct{})
+	if p.active == 0 {
+		close(idle)
+	} else {
+		p.idle = idle
+	}
+	s.mu.Unlock()
+	timeout := time.Duration(order.GetTimeoutMs()) * time.Millisecond
+	if timeout == 0 {
+		timeout = defaultReleaseTimeout
+	}
+	s.background.Go(func() { s.finishRelease(ctx, p, idle, min(timeout, maxReleaseTimeout), done) })
+}
+
+func (s *Server) finishRelease(ctx context.Context, p *partition, idle <-chan struct{}, timeout time.Duration, done func(Release)) {
+	started := s.cfg.Clock.Now()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-idle:
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	report := &wirev1.ReleasedPartition{Upstream: p.id.Upstream, Partition: p.id.Partition, Epoch: p.epoch}
+	s.mu.Lock()
+	if s.partitions[p.id] != p || p.state != stateReleasing {
+		s.mu.Unlock()
+		return
+	}
+	if p.active > 0 {
+		report.PutOff = true
+		p.state, p.halt, p.idle = stateServing, make(chan struct{}), nil
+	} else {
+		p.state = stateReleased
+		s.released[p.id] = report
+	}
+	s.mu.Unlock()
+	release := Release{Partition: report}
+	if !report.PutOff {
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		s.sendGrants(ctx, []*partition{p}, 0)
+		cancel()
+		release.Records = s.requests.export(s.cfg.Clock.Now(), p.id)
+	}
+	s.cfg.Log.Info().Str("upstream", p.id.Upstream).Uint32("partition", p.id.Partition).Uint64("epoch", p.epoch).
+		Bool("putOff", report.PutOff).Int("requestIds", len(release.Records)).
+		Dur("took", s.cfg.Clock.Now().Sub(started)).Msg("partition released")
+	done(release)
+}
+
+// Released returns the partitions that were released and whose table entry
+// does not show a higher epoch yet, by upstream and partition.
+func (s *Server) Released(t *routing.Table) []*wirev1.ReleasedPartition {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*wirev1.ReleasedPartition
+	for id, r := range s.released {
+		if t.Assignment(id.Upstream, id.Partition).Epoch > r.GetEpoch() {
+			delete(s.released, id)
+			continue
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *wirev1.ReleasedPartition) int {
+		return cmp.Or(cmp.Compare(a.GetUpstream(), b.GetUpstream()), cmp.Compare(a.GetPartition(), b.GetPartition()))
+	})
+	return list
+}
+
+// Records returns the request ids of released partitions, to repeat a report.
+func (s *Server) Records(r *wirev1.ReleasedPartition) []outcome.Record {
+	return s.requests.export(s.cfg.Clock.Now(), PartitionID{r.GetUpstream(), r.GetPartition()})
+}
+
+// Import takes over the request ids of partitions that were moved here. Call
+// it before TableChanged with the table of the same update.
+func (s *Server) Import(upstream string, number uint32, epoch uint64, records []outcome.Record) {
+	id := PartitionID{upstream, number}
+	s.requests.importRecords(s.cfg.Clock.Now(), records)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.partitions[id]; p == nil || p.epoch < epoch {
+		s.moved[movedKey{id, epoch}] = true
+	}
+}
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -19,9 +19,10 @@
 
 // Call is one request after routing.
 type Call struct {
-	// ID identifies this sending of the request. It is barred or entered in
-	// the owner's request table.
+	// ID is the same for each sending of the request.
 	ID string
+	// Sending identifies this sending and is what is settled or barred.
+	Sending string
 	// Upstream and, if Keyed, Partition and Epoch say who may run it.
 	Upstream  string
 	Keyed     bool
