--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -89,6 +89,11 @@
 		a.end(admission.ResultCancelled, true)
 		return nil, relay.NotRun(outcome.ReasonDeadline)
 	}
+	if !a.call.Idempotent {
+		// The answer of a request that must not run twice is wanted even if the
+		// connection that it came on is lost: it is kept for resends.
+		ctx = context.WithoutCancel(ctx)
+	}
 	x := &a.x
 	_ = x.c.nc.SetDeadline(time.Now().Add(left))
 	x.watch(ctx)
@@ -105,7 +110,7 @@
 		return nil, a.failed(ctx, err)
 	}
 	a.s.heard(x.response.Header.Get(headers.BootID))
-	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.ID {
+	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.Name() {
 		return nil, a.failed(ctx, errCrossed)
 	}
 	if shed(x.response) {
@@ -155,7 +160,7 @@
 	}
 	list := make([]field, 0, 5)
 	list = append(list,
-		field{headers.RequestID, a.call.ID},
+		field{headers.RequestID, a.call.Name()},
 		field{headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
 		field{headers.Depth, strconv.Itoa(a.call.Depth)})
 	if a.call.Keyed {
@@ -183,8 +188,8 @@
 	if a.end(kind, false) && a.x.sendErr != nil {
 		refusal.Reason = outcome.ReasonCancelled
 	}
-	a.s.log.Debug().Err(err).Str("requestId", a.call.ID).Str("reason", string(refusal.Reason)).Msg("request to backend server failed")
-	a.s.cancelLater(a.call.ID)
+	a.s.log.Debug().Err(err).Str("requestId", a.call.Name()).Str("reason", string(refusal.Reason)).Msg("request to backend server failed")
+	a.s.cancelLater(a.call.Name())
 	return refusal
 }
 
@@ -213,7 +218,7 @@
 	if err == io.EOF {
 		a.end(admission.ResultOK, true)
 	} else if err != nil && a.end(admission.ResultFailed, false) {
-		a.s.cancelLater(a.call.ID)
+		a.s.cancelLater(a.call.Name())
 	}
 	return n, err
 }
@@ -222,7 +227,7 @@
 // server is told to cancel the request.
 func (a *attempt) Close() error {
 	if a.end(admission.ResultCancelled, false) {
-		a.s.cancelLater(a.call.ID)
+		a.s.cancelLater(a.call.Name())
 	}
 	return nil
 }
--- /dev/null
+++ b/node/internal/peer/server.go
@@ -0,0 +1,245 @@
+package peer
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+const (
+	settlePath = "/jujubeknot/settle"
+	// settleBytes bounds a settlement: a stored response of relay.KeepBytes in
+	// base64 with its header.
+	settleBytes = 256 << 10
+	// maxTrusted bounds the own incarnations that are remembered.
+	maxTrusted = 64
+	// bodyTimeout bounds the time for a body in memory to arrive. The other
+	// node sends it at once.
+	bodyTimeout = 5 * time.Second
+)
+
+// settleQuestion is the body of POST /jujubeknot/settle.
+type settleQuestion struct {
+	Sending string `json:"sending"`
+	// Incarnation that the sending was addressed to.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// settlement is the answer to it.
+type settlement struct {
+	State  string      `json:"state"`
+	Status int         `json:"status,omitempty"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+}
+
+// Owner runs calls and settles them.
+type Owner interface {
+	relay.Target
+	// Settle says what became of a sending, and bars it if it has not begun.
+	Settle(sending string) outcome.SettleAnswer
+}
+
+// Handler serves other nodes. Log, Clock, View and Owner are required.
+type Handler struct {
+	Log   zerolog.Logger
+	Clock clock.Clock
+	View  *view.View
+	Owner Owner
+
+	mu sync.Mutex
+	// own has the incarnations of this process, the latest last.
+	own []uint64
+}
+
+// Server returns an HTTP server for the handler with the bounds and pings of
+// connections between nodes.
+func (h *Handler) Server() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: h, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: bodyTimeout,
+		IdleTimeout: 2 * idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, SendPingTimeout: PingAfter, PingTimeout: PingTimeout,
+			MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
+		},
+	}
+}
+
+// Registered notes an incarnation of this process. Only sendings to one of
+// them can be settled here.
+func (h *Handler) Registered(incarnation uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.own = append(h.own, incarnation)
+	if len(h.own) > maxTrusted {
+		h.own = slices.Delete(h.own, 0, 1)
+	}
+}
+
+// ServeHTTP runs a call of another node or settles one.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if refusal := h.trust(r); refusal != nil {
+		relay.WriteRefusal(w, refusal)
+		return
+	}
+	if r.URL.Path == settlePath && r.Header.Get(headers.PeerUpstream) == "" {
+		h.settle(w, r)
+		return
+	}
+	c, refusal := h.call(w, r)
+	if refusal != nil {
+		relay.WriteRefusal(w, refusal)
+		return
+	}
+	started := h.Clock.Now()
+	answer, refusal := h.Owner.Do(r.Context(), c)
+	h.logCall(r, c, answer, refusal, h.Clock.Now().Sub(started))
+	if refusal != nil {
+		refusal.RequestID = c.ID
+		relay.WriteRefusal(w, refusal)
+		return
+	}
+	if err := relay.WriteAnswer(w, r.Method, answer, c.Sending); err != nil {
+		// Resets the stream, so that the entry node sees an incomplete answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// trust checks that the sender is a registered incarnation.
+func (h *Handler) trust(r *http.Request) *outcome.Refusal {
+	incarnation, err := strconv.ParseUint(r.Header.Get(headers.PeerIncarnation), 10, 64)
+	secret := r.Header.Get(headers.PeerSecret)
+	if err != nil || incarnation == 0 || secret == "" {
+		h.Log.Warn().Str("remote", r.RemoteAddr).Msg("request without a node's credentials on the peer port")
+		return relay.NotRun(outcome.ReasonBadRequest)
+	}
+	n := h.View.Table().Node(incarnation)
+	if n == nil {
+		// The sender registered a moment ago, or is no longer registered.
+		return relay.NotRun(outcome.ReasonNoLease)
+	}
+	if subtle.ConstantTimeCompare([]byte(n.GetPeerSecret()), []byte(secret)) != 1 {
+		h.Log.Warn().Str("remote", r.RemoteAddr).Uint64("incarnation", incarnation).Msg("request with a wrong secret on the peer port")
+		return relay.NotRun(outcome.ReasonBadRequest)
+	}
+	return nil
+}
+
+// call reads a call from its headers.
+func (h *Handler) call(w http.ResponseWriter, r *http.Request) (*relay.Call, *outcome.Refusal) {
+	get := r.Header.Get
+	c := &relay.Call{
+		ID: get(headers.RequestID), Sending: get(headers.PeerSending), Upstream: get(headers.PeerUpstream),
+		Idempotent: get(headers.PeerIdempotent) == "true", CallerID: get(headers.PeerCallerID) == "true",
+		Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: relay.EndToEnd(r.Header),
+	}
+	n := numbers{header: r.Header}
+	left := n.get(headers.Deadline, 10, 63)
+	c.Depth = int(n.get(headers.Depth, 10, 16))
+	c.Priority = int(n.get(headers.PeerPriority, 10, 16))
+	c.KeyHash = n.get(headers.PeerKey, 16, 64)
+	if get(headers.Fence) != "" {
+		c.Keyed = true
+		c.Epoch = n.get(headers.Fence, 10, 64)
+		c.Partition = uint32(n.get(headers.Partition, 10, 32))
+	}
+	if c.CallerID {
+		c.Attempt = int(n.get(headers.Attempt, 10, 31))
+	}
+	if n.bad || c.ID == "" || c.Sending == "" || c.Upstream == "" || left > uint64(24*time.Hour/time.Millisecond) {
+		return nil, relay.NotRun(outcome.ReasonBadRequest)
+	}
+	c.Deadline = h.Clock.Now().Add(time.Duration(left) * time.Millisecond)
+	return c, h.body(w, r, c)
+}
+
+func (h *Handler) body(w http.ResponseWriter, r *http.Request, c *relay.Call) *outcome.Refusal {
+	if r.Body == http.NoBody {
+		c.Body = &relay.Body{}
+		return nil
+	}
+	control := http.NewResponseController(w)
+	abort := func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
+	if r.Header.Get("Expect") != "" {
+		// The rest of the body is sent only once the call is admitted and
+		// something reads it.
+		c.Body = &relay.Body{Rest: r.Body, Length: r.ContentLength, Abort: abort}
+		return nil
+	}
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	b, err := relay.ReadBody(r.Body, r.ContentLength, abort)
+	if err != nil {
+		return relay.NotRun(outcome.ReasonCancelled)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	c.Body = b
+	return nil
+}
+
+// numbers reads numeric headers and notes whether one was bad.
+type numbers struct {
+	header http.Header
+	bad    bool
+}
+
+func (n *numbers) get(name string, base, bits int) uint64 {
+	v, err := strconv.ParseUint(n.header.Get(name), base, bits)
+	if err != nil {
+		n.bad = true
+	}
+	return v
+}
+
+func (h *Handler) settle(w http.ResponseWriter, r *http.Request) {
+	var q settleQuestion
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<10)).Decode(&q); err != nil || q.Sending == "" {
+		relay.WriteRefusal(w, relay.NotRun(outcome.ReasonBadRequest))
+		return
+	}
+	s := settlement{State: outcome.SettleUnknown.String()}
+	h.mu.Lock()
+	mine := slices.Contains(h.own, q.Incarnation)
+	h.mu.Unlock()
+	if mine {
+		a := h.Owner.Settle(q.Sending)
+		s.State = a.State.String()
+		if a.State == outcome.SettleResponse {
+			s.Status, s.Body = a.Response.Status, a.Response.Body
+			if err := json.Unmarshal(a.Response.Header, &s.Header); err != nil {
+				s = settlement{State: outcome.SettleUnknown.String()}
+			}
+		}
+	}
+	h.Log.Info().Str("sending", q.Sending).Str("state", s.State).Msg("settled")
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the other node asks again.
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+func (h *Handler) logCall(r *http.Request, c *relay.Call, a *relay.Answer, refusal *outcome.Refusal, took time.Duration) {
+	e := h.Log.Info().Str("requestId", c.ID).Str("sending", c.Sending).Str("from", r.Header.Get(headers.PeerIncarnation)).
+		Str("upstream", c.Upstream).Int64("tookMicros", took.Microseconds())
+	if c.Keyed {
+		e = e.Uint32("partition", c.Partition).Uint64("epoch", c.Epoch)
+	}
+	if refusal != nil {
+		e.Str("decision", "refuse").Str("outcome", refusal.Outcome.String()).Str("reason", string(refusal.Reason)).Msg("owner")
+		return
+	}
+	e.Str("decision", "run").Str("reason", "owned").Int("status", a.Status).Msg("owner")
+}
+
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -51,6 +51,16 @@
 }
 
 
+// Name returns the request id that the backend server is told. Sendings of an
+// idempotent request have different ones, because one may be cancelled while
+// another runs.
+func (c *Call) Name() string {
+	if c.Idempotent {
+		return c.Sending
+	}
+	return c.ID
+}
+
 // Answer is the response of a backend server on its way back.
 type Answer struct {
 	Status int
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -41,6 +41,11 @@
 	PeerKey = "Jujubeknot-Peer-Key"
 	// PeerIdempotent is true where the request may run more than once.
 	PeerIdempotent = "Jujubeknot-Peer-Idempotent"
+	// PeerSending identifies this sending of the request, for settling.
+	PeerSending = "Jujubeknot-Peer-Sending"
+	// PeerCallerID is true where the request id comes from the caller's
+	// Idempotency-Key.
+	PeerCallerID = "Jujubeknot-Peer-Caller-Id"
 	// PeerPriority is the priority of the route.
 	PeerPriority = "Jujubeknot-Peer-Priority"
 )
