--- a/core/outcome/requests.go
+++ b/core/outcome/requests.go
@@ -177,6 +177,12 @@
 	}
 }
 
+// Configure changes the configuration. Entries that already wait for the end of
+// their window keep it, and none is dropped for a smaller bound.
+func (r *Requests) Configure(config RequestsConfig) {
+	r.config = config.withDefaults()
+}
+
 // Len returns the number of ids and recorded sendings.
 func (r *Requests) Len() int {
 	return len(r.entries) + len(r.sendings)
