--- a/core/outcome/requests.go
+++ b/core/outcome/requests.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// Configure changes the configuration. Entries that already wait for the end of
-// their window keep it, and none is dropped for a smaller bound.
+// Configure changes the configuration. Entries that have ended keep the time
+// at which they expire.
 func (r *Requests) Configure(config RequestsConfig) {
 	r.config = config.withDefaults()
 }
