--- a/core/outcome/requests.go
+++ b/core/outcome/requests.go
@@ -177,6 +177,12 @@
 	}
 }
 
+// Configure changes the configuration. Entries that have ended keep the time
+// at which they expire.
+func (r *Requests) Configure(config RequestsConfig) {
+	r.config = config.withDefaults()
+}
+
 // Len returns the number of ids and recorded sendings.
 func (r *Requests) Len() int {
 	return len(r.entries) + len(r.sendings)
--- a/core/routing/decide.go
+++ b/core/routing/decide.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/jujubeknot/jujubeknot/core/choice"
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/rules"
@@ -61,11 +62,13 @@
 	Owner      *wirev1.Node
 	Assignment Assignment
 	// Candidates are the nodes to choose from. They must not be changed.
-	Candidates []*wirev1.Node
+	Candidates []choice.Candidate
 }
 
 type route struct {
 	rules.Route
+	// prefix has no slash at its end.
+	prefix string
 	// header is the canonical name of the key's header.
 	header string
 }
@@ -73,24 +76,23 @@
 func sortedRoutes(list []rules.Route) []*route {
 	sorted := make([]*route, 0, len(list))
 	for _, r := range list {
-		sorted = append(sorted, &route{Route: r, header: textproto.CanonicalMIMEHeaderKey(r.Name)})
+		sorted = append(sorted, &route{
+			Route: r, prefix: strings.TrimSuffix(r.Prefix, "/"), header: textproto.CanonicalMIMEHeaderKey(r.Name),
+		})
 	}
-	slices.SortStableFunc(sorted, func(a, b *route) int { return len(b.Prefix) - len(a.Prefix) })
+	slices.SortStableFunc(sorted, func(a, b *route) int { return len(b.prefix) - len(a.prefix) })
 	return sorted
 }
 
-// covers reports whether a prefix matches a path at the end of a segment, so
-// that /app does not match /apple.
-func covers(prefix, path string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+// covers reports whether the prefix matches a path up to the end of a segment,
+// so that /app matches /app and /app/x and does not match /apple.
+func (r *route) covers(path string) bool {
+	return strings.HasPrefix(path, r.prefix) && (len(path) == len(r.prefix) || path[len(r.prefix)] == '/')
 }
 
 func (t *Table) match(path string) *route {
 	for _, r := range t.routes {
-		if covers(r.Prefix, path) {
+		if r.covers(path) {
 			return r
 		}
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -3,9 +3,12 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
+	"github.com/jujubeknot/jujubeknot/core/choice"
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
 	"github.com/jujubeknot/jujubeknot/core/rules"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
@@ -41,15 +44,11 @@
 	return a.chunks[i][partition%chunkSize]
 }
 
-// Parser turns the rules text into a checked set.
-type Parser func(text string) (rules.Set, error)
-
 // Table is the routing state at one index. It is not changed once made: With
 // returns a new Table that shares what did not change, so reading is safe for
 // concurrent use. Index, revision and epochs never fall from one table to the
 // next.
 type Table struct {
-	parse    Parser
 	index    uint64
 	revision uint64
 	rules    rules.Set
@@ -61,16 +60,28 @@
 	routes       []*route
 	zonesOut     map[string]bool
 	serversDrain map[string]bool
-	serving      map[string][]*wirev1.Node
-	options      map[string]string
+	serving      map[string][]choice.Candidate
+	limits       Limits
 }
 
-// New returns the empty table, at index 0. It panics if parse is nil.
-func New(parse Parser) *Table {
-	if parse == nil {
-		panic("routing: no parser")
-	}
-	return &Table{parse: parse}
+// Limits are the values of the rules that hold for all upstreams.
+type Limits struct {
+	// ResendWindow is how long request ids are kept.
+	ResendWindow time.Duration
+	// HoldTimeout bounds how long a request waits for a moving partition.
+	HoldTimeout time.Duration
+	// MaxDepth bounds the depth of nested calls.
+	MaxDepth int
+	// LongestTimeout is the longest timeout of any route, at least
+	// rules.DefaultTimeout.
+	LongestTimeout time.Duration
+}
+
+// New returns the empty table, at index 0 and without rules.
+func New() *Table {
+	t := &Table{}
+	t.deriveRules()
+	return t
 }
 
 // With returns the table after an update. An update older than the table
@@ -161,43 +172,49 @@
 	if r == nil || r.GetRevision() <= t.revision {
 		return false, nil
 	}
-	set, err := t.parse(r.GetText())
-	if err != nil {
+	set, faults := rules.Parse(r.GetText())
+	if err := faults.Err(); err != nil {
 		return false, fmt.Errorf("rules revision %d: %w", r.GetRevision(), err)
 	}
 	t.revision, t.rules = r.GetRevision(), set
+	t.deriveRules()
+	return true, nil
+}
+
+// deriveRules makes what Decide and others look up for each request.
+func (t *Table) deriveRules() {
+	set := &t.rules
 	t.upstreams = make(map[string]*rules.Upstream, len(set.Upstreams))
 	for i := range set.Upstreams {
 		t.upstreams[set.Upstreams[i].Name] = &set.Upstreams[i]
 	}
 	t.routes = sortedRoutes(set.Routes)
-	t.zonesOut, t.serversDrain, t.options = map[string]bool{}, map[string]bool{}, map[string]string{}
+	t.zonesOut, t.serversDrain = map[string]bool{}, map[string]bool{}
 	for _, z := range set.Zones {
 		t.zonesOut[z.Name] = z.Out
 	}
 	for _, s := range set.Servers {
 		t.serversDrain[s.Name] = s.Drain
 	}
-	for _, o := range set.Options {
-		t.options[o.Name] = o.Value
+	t.limits = Limits{
+		ResendWindow: set.ResendWindow(), HoldTimeout: set.HoldTimeout(), MaxDepth: set.MaxDepth(), LongestTimeout: rules.DefaultTimeout,
+	}
+	for _, r := range set.Routes {
+		t.limits.LongestTimeout = max(t.limits.LongestTimeout, r.Timeout)
 	}
-	return true, nil
 }
 
 func (t *Table) deriveServing() {
-	t.serving = map[string][]*wirev1.Node{}
+	t.serving = map[string][]choice.Candidate{}
 	for _, n := range t.nodes {
 		if b := n.GetBackendServer(); b.GetUpstream() != "" && !t.Leaving(n) {
-			t.serving[b.GetUpstream()] = append(t.serving[b.GetUpstream()], n)
+			t.serving[b.GetUpstream()] = append(t.serving[b.GetUpstream()], choice.Candidate{
+				Incarnation: n.GetIncarnation(), AvailabilityZone: n.GetAvailabilityZone(), Cold: n.GetCold(),
+			})
 		}
 	}
 	for _, list := range t.serving {
-		slices.SortFunc(list, func(a, b *wirev1.Node) int {
-			if a.GetIncarnation() < b.GetIncarnation() {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b choice.Candidate) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	}
 }
 
@@ -213,8 +230,8 @@
 // Upstream returns the rules of an upstream, or nil if there are none.
 func (t *Table) Upstream(name string) *rules.Upstream { return t.upstreams[name] }
 
-// Option returns the value of an option, empty if it is not set.
-func (t *Table) Option(name string) string { return t.options[name] }
+// Limits returns the values that hold for all upstreams.
+func (t *Table) Limits() Limits { return t.limits }
 
 // Node returns the node of an incarnation, or nil if it is not registered.
 func (t *Table) Node(incarnation uint64) *wirev1.Node { return t.nodes[incarnation] }
@@ -280,4 +297,4 @@
 
 // Serving returns the nodes of an upstream that may get new work, by
 // incarnation. The result must not be changed.
-func (t *Table) Serving(upstream string) []*wirev1.Node { return t.serving[upstream] }
+func (t *Table) Serving(upstream string) []choice.Candidate { return t.serving[upstream] }
--- /dev/null
+++ b/node/cmd/jujubeknot-node/main.go
@@ -0,0 +1,138 @@
+// Program jujubeknot-node runs beside a backend server: it takes callers'
+// requests, forwards each to the owner of its key, and guards the backend
+// server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/node"
+	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	// exitKilled is used after a second signal, as a shell reports SIGTERM.
+	exitKilled = 143
+)
+
+type options struct {
+	Config  string `long:"config" value-name:"FILE" description:"settings file (INI)"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	var o options
+	parser := flags.NewNamedParser("jujubeknot-node", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		panic(err)
+	}
+	rest, err := parser.ParseArgs(args)
+	var e *flags.Error
+	switch {
+	case errors.As(err, &e) && e.Type == flags.ErrHelp:
+		return printed(fmt.Fprintln(stdout, e.Message))
+	case err != nil:
+		return settingsFault(stderr, err.Error())
+	case len(rest) > 0:
+		return settingsFault(stderr, fmt.Sprintf("unexpected argument %q; expected only options", rest[0]))
+	case o.Version:
+		return printed(fmt.Fprintln(stdout, version()))
+	case o.Config == "":
+		return settingsFault(stderr, "--config is missing; expected the path of the settings file")
+	}
+	cfg, log, err := load(o.Config)
+	if err != nil {
+		return settingsFault(stderr, err.Error())
+	}
+	return serve(cfg, log, stdout, stderr)
+}
+
+func printed(_ int, err error) int {
+	if err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func settingsFault(stderr io.Writer, message string) int {
+	_, _ = fmt.Fprintln(stderr, message)
+	return exitSettings
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return "jujubeknot-node " + info.Main.Version + " " + info.GoVersion
+	}
+	return "jujubeknot-node"
+}
+
+// serve runs the node until SIGTERM or an interrupt. The first one drains, the
+// second one ends at once.
+func serve(cfg node.Config, log logSettings, stdout, stderr io.Writer) int {
+	lines := loglines.New(stdout)
+	cfg.Log = log.logger(lines)
+	flushing, stopFlushing := context.WithCancel(context.Background())
+	var flusher sync.WaitGroup
+	flusher.Go(func() { lines.Run(flushing) })
+	defer flusher.Wait()
+	defer stopFlushing()
+
+	n, err := node.New(cfg)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		_ = lines.Flush()
+		os.Exit(exitKilled)
+	}()
+	a := n.Addresses()
+	cfg.Log.Info().Str("callers", a.Callers.String()).Str("peer", a.Peer.String()).Str("backend", a.Backend.String()).
+		Str("operator", a.Operator.String()).Msg("listening")
+	if err := n.Run(ctx); err != nil {
+		cfg.Log.Error().Err(err).Msg("failed")
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	cfg.Log.Info().Msg("stopped")
+	return exitOK
+}
+
+// logger returns the logger that the settings ask for.
+func (l logSettings) logger(out io.Writer) zerolog.Logger {
+	if l.Format == "console" {
+		out = zerolog.ConsoleWriter{Out: out, NoColor: true, TimeFormat: "15:04:05.000"}
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	level, err := zerolog.ParseLevel(l.Level)
+	if err != nil {
+		panic("settings checked the level: " + err.Error())
+	}
+	return zerolog.New(out).Level(level).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/node/cmd/jujubeknot-node/settings.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/settings"
+	"github.com/jujubeknot/jujubeknot/node"
+)
+
+// fileSettings is the settings file.
+type fileSettings struct {
+	Node struct {
+		Name             string           `ini:"name" check:"required|max=200" help:"name of the node"`
+		Region           string           `ini:"region" default:"default" check:"max=200" help:"region of the VM"`
+		AvailabilityZone string           `ini:"availabilityZone" check:"required|max=200" help:"availability zone of the VM"`
+		ControlMembers   []netip.AddrPort `ini:"controlMembers" check:"required" help:"addresses of the control members"`
+		NodeSecret       string           `ini:"nodeSecret" check:"required|min=16|secret" help:"secret that control asks nodes for"`
+	} `ini:"node"`
+	Listen struct {
+		Callers  netip.AddrPort `ini:"callers" check:"required" help:"address for callers"`
+		Peer     netip.AddrPort `ini:"peer" check:"required" help:"address for other nodes"`
+		Backend  netip.AddrPort `ini:"backend" check:"required" help:"address for the backend server's announcements"`
+		Operator netip.AddrPort `ini:"operator" check:"required" help:"address for operators"`
+	} `ini:"listen"`
+	Backend struct {
+		HealthInterval time.Duration `ini:"healthInterval" default:"250ms" check:"min=10ms|max=10s" help:"time between health questions"`
+		ConnectTimeout time.Duration `ini:"connectTimeout" default:"500ms" check:"min=1ms|max=10s" help:"bound on a new connection to the backend server"`
+	} `ini:"backend"`
+	Stop struct {
+		DrainTimeout time.Duration `ini:"drainTimeout" default:"15s" check:"min=0s|max=1h" help:"bound on planned moves when the node stops, and on the end of requests"`
+	} `ini:"stop"`
+	Log      logSettings `ini:"log"`
+	Operator struct {
+		Access     string `ini:"access" default:"loopback" check:"oneof=loopback,secret" help:"who may use the operator port"`
+		SecretFile string `ini:"secretFile" help:"file with the secret for access=secret"`
+	} `ini:"operator"`
+}
+
+type logSettings struct {
+	Level  string `ini:"level" default:"info" check:"oneof=debug,info,warn,error" help:"least level that is written"`
+	Format string `ini:"format" default:"json" check:"oneof=json,console" help:"form of the lines"`
+}
+
+// load reads the settings file. The error names file, line and what was
+// expected for each fault.
+func load(file string) (node.Config, logSettings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return node.Config{}, logSettings{}, fmt.Errorf("settings file: %w", err)
+	}
+	var s fileSettings
+	if err := settings.Decode(file, data, &s); err != nil {
+		return node.Config{}, logSettings{}, err
+	}
+	cfg := node.Config{
+		Name: s.Node.Name, Region: s.Node.Region, AvailabilityZone: s.Node.AvailabilityZone,
+		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret,
+		Callers: s.Listen.Callers, Peer: s.Listen.Peer, Backend: s.Listen.Backend, Operator: s.Listen.Operator,
+		HealthInterval: s.Backend.HealthInterval, ConnectTimeout: s.Backend.ConnectTimeout, DrainTimeout: s.Stop.DrainTimeout,
+	}
+	if s.Listen.Peer.Addr().IsUnspecified() {
+		return cfg, s.Log, errors.Errorf("%s: listen.peer: found %s, expected an address that other nodes can connect to", file, s.Listen.Peer)
+	}
+	if s.Operator.Access == "secret" {
+		if cfg.OperatorSecret, err = readSecret(file, s.Operator.SecretFile); err != nil {
+			return cfg, s.Log, err
+		}
+	}
+	return cfg, s.Log, nil
+}
+
+func readSecret(file, secretFile string) (string, error) {
+	if secretFile == "" {
+		return "", errors.Errorf("%s: operator.secretFile: found nothing, expected a file name because operator.access is secret", file)
+	}
+	data, err := os.ReadFile(secretFile)
+	if err != nil {
+		return "", fmt.Errorf("%s: operator.secretFile: %w", file, err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if len(secret) < 16 {
+		return "", errors.Errorf("%s: operator.secretFile: found %d bytes in %s, expected a secret of at least 16", file, len(secret), secretFile)
+	}
+	return secret, nil
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// DefaultDrainTimeout bounds how long a stopping node waits until its
+// partitions have been moved away, and then again until its requests have
+// ended.
+const DefaultDrainTimeout = 15 * time.Second
+
+// Config has the settings of a node. Name, AvailabilityZone, ControlMembers
+// and NodeSecret are required; the zero value of the others means the default.
+type Config struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	// ControlMembers are the addresses of control members, at least one.
+	ControlMembers []netip.AddrPort
+	// NodeSecret is what control asks nodes for.
+	NodeSecret string
+
+	// Addresses to listen at, unless the listener of the same name is set.
+	// Port 0 means any free port. The peer address is what other nodes connect
+	// to, so it must not be unspecified.
+	Callers, Peer, Backend, Operator netip.AddrPort
+	// Listeners that the node takes over and closes.
+	CallersListener, PeerListener, BackendListener, OperatorListener net.Listener
+
+	// HealthInterval is the time between two health questions to the backend
+	// server. Default 250 ms.
+	HealthInterval time.Duration
+	// ConnectTimeout bounds a new connection to the backend server. Default
+	// 500 ms.
+	ConnectTimeout time.Duration
+	// DrainTimeout is described at DefaultDrainTimeout.
+	DrainTimeout time.Duration
+	// OperatorSecret is asked for on the operator port. Empty means that only
+	// loopback addresses have access.
+	OperatorSecret string
+	// Log gets one line for each routing decision. The zero value drops them.
+	Log zerolog.Logger
+}
+
+func (c Config) check() error {
+	switch {
+	case c.Name == "":
+		return errors.New("name is missing")
+	case c.AvailabilityZone == "":
+		return errors.New("availability zone is missing")
+	case len(c.ControlMembers) == 0:
+		return errors.New("control members are missing")
+	case c.NodeSecret == "":
+		return errors.New("node secret is missing")
+	case c.PeerListener == nil && (!c.Peer.IsValid() || c.Peer.Addr().IsUnspecified()):
+		return errors.New("peer address must be one that other nodes can connect to")
+	}
+	return nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = DefaultDrainTimeout
+	}
+	return c
+}
--- a/node/internal/backend/announce.go
+++ b/node/internal/backend/announce.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -14,7 +15,8 @@
 
 // Bounds of an announcement.
 const (
-	announceBytes  = 16 << 10
+	announceBytes   = 16 << 10
+	announceTimeout = 5 * time.Second
 	maxNameBytes   = 200
 	maxSlots       = 1 << 16
 	maxConnections = 1 << 16
@@ -167,3 +169,18 @@
 	state.Done = state.Partitions == 0 && state.InFlight == 0
 	return state, nil
 }
+
+// HTTPServer returns an HTTP server for Handler.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: announceTimeout, ReadTimeout: announceTimeout, MaxHeaderBytes: announceBytes}
+}
+
+// IsAddress reports whether an address is that of the backend server.
+func (s *Server) IsAddress(a netip.Addr) bool {
+	b := s.Announced()
+	if b == nil {
+		return false
+	}
+	own, err := netip.ParseAddrPort(b.GetAddress())
+	return err == nil && own.Addr().Unmap() == a
+}
--- /dev/null
+++ b/node/internal/caller/handler.go
@@ -0,0 +1,292 @@
+// Package caller serves callers: it routes each request to the node that may
+// run it, tries again where that is safe, and answers with the complete
+// response or a truthful refusal.
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// Bounds on what callers send.
+const (
+	maxHeaderBytes = 64 << 10
+	// headerTimeout and bodyTimeout bound how long a slow sender may take for
+	// the header, and between two parts of the body.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	// writeTimeout bounds how long a caller may take for a part of the answer.
+	writeTimeout = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxStreams   = 1000
+	streamWindow = 256 << 10
+	// maxIDBytes bounds the caller's Idempotency-Key.
+	maxIDBytes = 256
+)
+
+// Remote runs calls at other nodes.
+type Remote interface {
+	Do(ctx context.Context, to *wirev1.Node, c *relay.Call) (*relay.Answer, *outcome.Refusal)
+}
+
+// Config has the parts of a Handler. All are required but Nested.
+type Config struct {
+	Log     zerolog.Logger
+	Clock   clock.Clock
+	View    *view.View
+	Owner   relay.Target
+	Remote  Remote
+	Metrics *metrics.Set
+	// AvailabilityZone is this node's own.
+	AvailabilityZone string
+	// Nested reports whether an address is the backend server's, whose calls
+	// may state their depth. Loopback addresses always may.
+	Nested func(netip.Addr) bool
+}
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	cfg Config
+	ids idSource
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+}
+
+// New returns a handler. It panics if a part is missing.
+func New(cfg Config) *Handler {
+	if cfg.Clock == nil || cfg.View == nil || cfg.Owner == nil || cfg.Remote == nil || cfg.Metrics == nil {
+		panic("caller: clock, view, owner, remote and metrics are required")
+	}
+	if cfg.Nested == nil {
+		cfg.Nested = func(netip.Addr) bool { return false }
+	}
+	return &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstream{}}
+}
+
+// Server returns an HTTP server for the handler with the bounds for callers.
+func (h *Handler) Server() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: h, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow,
+			MaxReceiveBufferPerConnection: 4 * streamWindow,
+		},
+	}
+}
+
+// request is a caller's request on its way through the entry node.
+type request struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	control  *http.ResponseController
+	call     relay.Call
+	query    routing.Request
+	route    *rules.Route
+	upstream *rules.Upstream
+	started  time.Time
+	attempt  int
+	// tried has the nodes that this request was sent to without a key.
+	tried []uint64
+}
+
+// ServeHTTP answers one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.cfg.Metrics.InFlight.Add(1)
+	defer h.cfg.Metrics.InFlight.Add(-1)
+	q := &request{h: h, w: w, r: r, control: http.NewResponseController(w), started: h.cfg.Clock.Now()}
+	q.call.ID = h.ids.next()
+	answer, refusal := q.serve()
+	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if refusal != nil {
+		refusal.RequestID = q.call.ID
+		relay.WriteRefusal(w, refusal)
+		h.cfg.Metrics.Answered(refusal, h.cfg.Clock.Now().Sub(q.started))
+		return
+	}
+	err := relay.WriteAnswer(w, r.Method, answer, q.call.ID)
+	if err != nil {
+		refusal = relay.Unknown(outcome.ReasonAnswerIncomplete)
+	}
+	h.cfg.Metrics.Answered(refusal, h.cfg.Clock.Now().Sub(q.started))
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("requestId", q.call.ID).Msg("answer cut short")
+		// Cuts the connection or resets the stream, so that the caller never
+		// takes a part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (q *request) serve() (*relay.Answer, *outcome.Refusal) {
+	if refusal := q.read(); refusal != nil {
+		q.h.cfg.Log.Info().Str("requestId", q.call.ID).Str("decision", "refuse").Str("outcome", refusal.Outcome.String()).
+			Str("reason", string(refusal.Reason)).Msg("entry")
+		return nil, refusal
+	}
+	return q.run()
+}
+
+// read checks the request and fills in the call, up to the body.
+func (q *request) read() *outcome.Refusal {
+	r := q.r
+	uri := r.URL.RequestURI()
+	if !plainRequest(r, uri) {
+		return relay.NotRun(outcome.ReasonBadRequest)
+	}
+	q.query = routing.Request{Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Header: r.Header}
+	t := q.h.cfg.View.Table()
+	d := t.Decide(q.query)
+	q.route, q.upstream = d.Route, d.Upstream
+	switch d.Reason {
+	case outcome.ReasonNoRoute, outcome.ReasonNoKey, outcome.ReasonBadRequest:
+		return relay.NotRun(d.Reason)
+	}
+	if q.route.Priority < q.upstream.MinPriority {
+		return relay.NotRun(outcome.ReasonRateLimit)
+	}
+	c := &q.call
+	c.Upstream, c.Keyed, c.KeyHash = q.upstream.Name, q.upstream.Keyed, d.KeyHash
+	c.Priority = q.route.Priority
+	c.Method, c.URI, c.Host, c.Header = r.Method, uri, r.Host, relay.EndToEnd(r.Header)
+	c.Idempotent = relay.Idempotent(r.Method, q.route.Idempotent)
+	if refusal := q.readOwn(t); refusal != nil {
+		return refusal
+	}
+	return q.readBody()
+}
+
+// plainRequest refuses what could be read differently by a backend server:
+// HTTP/1.0, whose answers cannot be told from cut ones, and a target or host
+// with spaces or control characters.
+func plainRequest(r *http.Request, uri string) bool {
+	if !r.ProtoAtLeast(1, 1) || r.Method == http.MethodConnect || r.URL.Path == "" || !strings.HasPrefix(uri, "/") {
+		return false
+	}
+	odd := func(c rune) bool { return c <= ' ' || c == 0x7f }
+	return strings.IndexFunc(uri, odd) < 0 && strings.IndexFunc(r.Host, odd) < 0 && strings.IndexFunc(r.Method, odd) < 0 &&
+		!strings.ContainsAny(uri, "#\\")
+}
+
+// readOwn reads the headers that callers may set: deadline, depth, attempt and
+// idempotency key.
+func (q *request) readOwn(t *routing.Table) *outcome.Refusal {
+	c, get := &q.call, q.r.Header.Get
+	timeout := q.route.Timeout
+	if v := get(headers.Deadline); v != "" {
+		ms, err := strconv.ParseUint(v, 10, 32)
+		if err != nil {
+			return relay.NotRun(outcome.ReasonBadRequest)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	c.Deadline = q.started.Add(timeout)
+	if v := get(headers.Attempt); v != "" {
+		n, err := strconv.ParseUint(v, 10, 16)
+		if err != nil || n == 0 {
+			return relay.NotRun(outcome.ReasonBadRequest)
+		}
+		c.Attempt = int(n)
+	}
+	if v := get(headers.Depth); v != "" && q.nested() {
+		n, err := strconv.ParseUint(v, 10, 16)
+		if err != nil {
+			return relay.NotRun(outcome.ReasonBadRequest)
+		}
+		// A call that states a depth is a nested one, so 0 is the depth of the
+		// request above it, passed on unchanged.
+		c.Depth = max(int(n), 1)
+		if c.Depth > t.Limits().MaxDepth {
+			return relay.NotRun(outcome.ReasonDepth)
+		}
+	}
+	if keys := q.r.Header[headers.IdempotencyKey]; len(keys) > 0 && !c.Idempotent {
+		if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxIDBytes {
+			return relay.NotRun(outcome.ReasonBadRequest)
+		}
+		c.ID, c.CallerID = callerID(c, keys[0]), true
+	}
+	return nil
+}
+
+// nested reports whether the request may come from the backend server.
+func (q *request) nested() bool {
+	host, _, err := net.SplitHostPort(q.r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	a, err := netip.ParseAddr(host)
+	return err == nil && (a.IsLoopback() || q.h.cfg.Nested(a.Unmap()))
+}
+
+// readBody takes in a short body, so that the request can be sent again, and
+// prepares a long one for streaming.
+func (q *request) readBody() *outcome.Refusal {
+	r := q.r
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		q.call.Body = &relay.Body{}
+		return nil
+	}
+	limit := q.upstream.MaxBody
+	if limit == 0 {
+		limit = rules.DefaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return relay.NotRun(outcome.ReasonBodyTooLarge)
+	}
+	source := &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control}
+	abort := func() { _ = q.control.SetReadDeadline(time.Unix(1, 0)) }
+	b, err := relay.ReadBody(source, r.ContentLength, abort)
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return relay.NotRun(outcome.ReasonBodyTooLarge)
+		}
+		return relay.NotRun(outcome.ReasonBadRequest)
+	}
+	if b.Streamed() {
+		// The answer may come before the body has been read to its end. Only
+		// HTTP/1.1 needs this.
+		_ = q.control.EnableFullDuplex()
+	} else {
+		_ = q.control.SetReadDeadline(time.Time{})
+	}
+	q.call.Body = b
+	return nil
+}
+
+// slowBody bounds the time that each read of a body may take.
+type slowBody struct {
+	r       io.Reader
+	control *http.ResponseController
+}
+
+// Read reads a part of the body.
+func (b *slowBody) Read(p []byte) (int, error) {
+	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	return b.r.Read(p)
+}
--- /dev/null
+++ b/node/internal/caller/run.go
@@ -0,0 +1,183 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// Times between two tries of a request that is held. A change of the table
+// ends the wait; the times are for what the table does not show, such as a
+// node that is behind this one.
+const (
+	firstPause = 5 * time.Millisecond
+	maxPause   = 100 * time.Millisecond
+)
+
+// next says what to do after a refusal.
+type next int
+
+const (
+	nextStop next = iota
+	// nextHold waits for a change of the table.
+	nextHold
+	// nextRetry sends again at once, under the retry budget.
+	nextRetry
+)
+
+// run sends the request until it is answered or must be refused.
+func (q *request) run() (*relay.Answer, *outcome.Refusal) {
+	u := q.h.upstream(q.upstream)
+	u.request()
+	var heldSince time.Time
+	pause := firstPause
+	for {
+		// Taken before the table is read, so that no change is missed.
+		changed := q.h.cfg.View.Changed()
+		t := q.h.cfg.View.Table()
+		answer, refusal := q.once(t, u)
+		if refusal == nil {
+			return answer, nil
+		}
+		now := q.h.cfg.Clock.Now()
+		if heldSince.IsZero() {
+			heldSince = now
+		}
+		switch q.after(refusal) {
+		case nextStop:
+			return nil, refusal
+		case nextRetry:
+			if q.attempt >= attempts(q.upstream) || !u.retry() {
+				return nil, refusal
+			}
+			q.h.cfg.Metrics.Attempts.Add("retry", 1)
+		case nextHold:
+			left := min(t.Limits().HoldTimeout-now.Sub(heldSince), q.call.Deadline.Sub(now))
+			if left <= 0 {
+				refusal.RetryAfter = max(refusal.RetryAfter, maxPause)
+				return nil, refusal
+			}
+			q.h.cfg.Metrics.Attempts.Add("hold", 1)
+			if !q.wait(changed, min(pause, left)) {
+				return nil, relay.NotRun(outcome.ReasonCancelled)
+			}
+			pause = min(2*pause, maxPause)
+		}
+	}
+}
+
+// wait returns false if the caller has gone.
+func (q *request) wait(changed <-chan struct{}, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-q.r.Context().Done():
+		return false
+	}
+	return true
+}
+
+// after says whether a refused request may be sent again. What may have run is
+// sent again only if it is idempotent.
+func (q *request) after(r *outcome.Refusal) next {
+	if !q.call.Body.Resendable() || q.r.Context().Err() != nil || !q.h.cfg.Clock.Now().Before(q.call.Deadline) {
+		return nextStop
+	}
+	if r.Outcome != outcome.OutcomeNotRun {
+		if q.call.Idempotent && r.Reason != outcome.ReasonDeadline {
+			return nextRetry
+		}
+		return nextStop
+	}
+	switch r.Reason {
+	case outcome.ReasonMoving, outcome.ReasonNotOwner, outcome.ReasonNoLease, outcome.ReasonNoOwner, outcome.ReasonNoServer,
+		outcome.ReasonStopping:
+		return nextHold
+	case outcome.ReasonUnreachable:
+		if q.call.Keyed {
+			return nextHold
+		}
+		return nextRetry
+	case outcome.ReasonBarred:
+		return nextRetry
+	case outcome.ReasonShed, outcome.ReasonCold, outcome.ReasonQueueFull, outcome.ReasonQueueTimeout:
+		if !q.call.Keyed {
+			return nextRetry
+		}
+	}
+	return nextStop
+}
+
+// once decides by a table and makes one sending.
+func (q *request) once(t *routing.Table, u *upstream) (*relay.Answer, *outcome.Refusal) {
+	identity := q.h.cfg.View.Identity()
+	if identity.Incarnation == 0 || !q.h.cfg.Clock.Now().Before(identity.Until) {
+		// Without a lease the rules that this node knows may be out of force.
+		return q.refuse(outcome.ReasonNoLease)
+	}
+	d := routing.Decision{Route: q.route, Upstream: t.Upstream(q.upstream.Name), KeyHash: q.call.KeyHash}
+	if d.Upstream == nil || d.Upstream.Keyed != q.call.Keyed {
+		return q.refuse(outcome.ReasonNoRoute)
+	}
+	q.attempt++
+	if !q.call.Keyed {
+		return q.choose(t, u, identity.Incarnation)
+	}
+	if d = t.Locate(d); d.Kind != routing.KindOwner {
+		return q.refuse(d.Reason)
+	}
+	c := q.sending()
+	c.Partition, c.Epoch = d.Partition, d.Assignment.Epoch
+	started := q.h.cfg.Clock.Now()
+	answer, refusal := q.send(q.r.Context(), c, d.Owner, identity.Incarnation)
+	q.log(c, d.Owner, "owner", answer, refusal, started)
+	return answer, refusal
+}
+
+func (q *request) refuse(reason outcome.Reason) (*relay.Answer, *outcome.Refusal) {
+	refusal := relay.NotRun(reason)
+	q.log(&q.call, nil, "", nil, refusal, q.started)
+	return nil, refusal
+}
+
+// sending returns a copy of the call with an id of its own.
+func (q *request) sending() *relay.Call {
+	c := q.call
+	c.Sending = q.h.ids.next()
+	return &c
+}
+
+// send runs a call at the node of its owner, which may be this one.
+func (q *request) send(ctx context.Context, c *relay.Call, to *wirev1.Node, self uint64) (*relay.Answer, *outcome.Refusal) {
+	if to.GetIncarnation() == self {
+		q.h.cfg.Metrics.Attempts.Add("local", 1)
+		return q.h.cfg.Owner.Do(ctx, c)
+	}
+	q.h.cfg.Metrics.Attempts.Add("peer", 1)
+	return q.h.cfg.Remote.Do(ctx, to, c)
+}
+
+// log writes the one line for a routing decision at the entry node.
+func (q *request) log(c *relay.Call, to *wirev1.Node, why string, a *relay.Answer, refusal *outcome.Refusal, started time.Time) {
+	e := q.h.cfg.Log.Info().Str("requestId", c.ID).Str("upstream", c.Upstream).Str("route", q.route.Prefix).
+		Str("method", c.Method).Int("attempt", q.attempt).Int64("tookMicros", q.h.cfg.Clock.Now().Sub(started).Microseconds())
+	if c.Keyed && to != nil {
+		e = e.Uint32("partition", c.Partition).Uint64("epoch", c.Epoch)
+	}
+	if to != nil {
+		e = e.Str("decision", "send").Str("node", to.GetName()).Str("why", why).Str("sending", c.Sending)
+	} else {
+		e = e.Str("decision", "refuse")
+	}
+	if refusal != nil {
+		e.Str("outcome", refusal.Outcome.String()).Str("reason", string(refusal.Reason)).Msg("entry")
+		return
+	}
+	e.Str("outcome", "answered").Int("status", a.Status).Msg("entry")
+}
--- /dev/null
+++ b/node/internal/caller/upstream.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/choice"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/rules"
+)
+
+// upstream has what an entry node remembers about one upstream. It is safe for
+// concurrent use.
+type upstream struct {
+	mu      sync.Mutex
+	name    string
+	policy  choice.Policy
+	retries *outcome.Budget
+	hedges  *outcome.Budget
+	// rules that the budgets were configured by.
+	rules *rules.Upstream
+}
+
+// upstream returns the memory of an upstream, configured by its rules.
+func (h *Handler) upstream(r *rules.Upstream) *upstream {
+	h.mu.Lock()
+	u := h.upstreams[r.Name]
+	if u == nil {
+		u = &upstream{retries: outcome.NewBudget(outcome.BudgetConfig{}), hedges: outcome.NewBudget(outcome.BudgetConfig{})}
+		h.upstreams[r.Name] = u
+	}
+	h.mu.Unlock()
+	u.configure(r, h.cfg.AvailabilityZone)
+	return u
+}
+
+func (u *upstream) configure(r *rules.Upstream, zone string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rules == r {
+		return
+	}
+	u.retries.Configure(budget(r.RetryBudget))
+	u.hedges.Configure(budget(r.HedgeBudget))
+	if u.policy == nil || u.name != r.Policy {
+		u.policy, u.name = newPolicy(r.Policy, zone), r.Policy
+	}
+	u.rules = r
+}
+
+// budget makes 0 mean none, as in the rules.
+func budget(share float64) outcome.BudgetConfig {
+	if share <= 0 {
+		share = -1
+	}
+	return outcome.BudgetConfig{Share: share}
+}
+
+// newPolicy returns a selection policy by its name in the rules.
+func newPolicy(name, zone string) choice.Policy {
+	seed := uint64(time.Now().UnixNano())
+	switch name {
+	case "random":
+		return choice.NewRandom(seed)
+	case "roundRobin":
+		return &choice.RoundRobin{}
+	case "leastInFlight":
+		return choice.NewLeastInFlight(seed)
+	default:
+		return choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: seed, AvailabilityZone: zone})
+	}
+}
+
+func (u *upstream) request() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.retries.Request()
+	u.hedges.Request()
+}
+
+func (u *upstream) retry() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.retries.Take()
+}
+
+func (u *upstream) hedge() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.hedges.Take()
+}
+
+// pick chooses a node and counts the request as sent to it.
+func (u *upstream) pick(now time.Time, candidates []choice.Candidate) (choice.Candidate, choice.Reason, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c, reason, ok := u.policy.Pick(now, candidates)
+	if ok {
+		u.policy.Sent(now, c.Incarnation)
+	}
+	return c, reason, ok
+}
+
+// sent counts a request as sent to a node that was not picked by the policy.
+func (u *upstream) sent(now time.Time, incarnation uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.policy.Sent(now, incarnation)
+}
+
+func (u *upstream) done(now time.Time, incarnation uint64, latency time.Duration, r *outcome.Refusal) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.policy.Done(now, incarnation, latency, kindOf(r))
+}
+
+// kindOf says what a refusal means for the choice of a node.
+func kindOf(r *outcome.Refusal) choice.Kind {
+	if r == nil {
+		return choice.KindOK
+	}
+	switch r.Reason {
+	case outcome.ReasonCancelled:
+		return choice.KindCancelled
+	case outcome.ReasonDeadline:
+		return choice.KindTimeout
+	case outcome.ReasonUnreachable, outcome.ReasonStopping, outcome.ReasonNotOwner, outcome.ReasonNoLease:
+		return choice.KindRefused
+	case outcome.ReasonConnectionLost, outcome.ReasonAnswerIncomplete:
+		return choice.KindFailed
+	default:
+		return choice.KindShed
+	}
+}
+
+// attempts returns the bound on the sendings of one request.
+func attempts(u *rules.Upstream) int {
+	if u.RetryAttempts == 0 {
+		return rules.DefaultRetryAttempts
+	}
+	return u.RetryAttempts
+}
--- /dev/null
+++ b/node/internal/controlclient/group.go
@@ -0,0 +1,159 @@
+// Package controlclient keeps a node registered with the control group: it
+// renews the lease, follows the replicated state, and reports releases.
+package controlclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
+)
+
+// LeaderHeader is the metadata of an error in which a member that does not
+// lead names the leader's address.
+const LeaderHeader = "Jujubeknot-Leader"
+
+// Timeouts of connections to control members.
+const (
+	dialTimeout = 300 * time.Millisecond
+	// pingAfter and pingTimeout find half-open connections before the lease of
+	// 1.5 s is over.
+	pingAfter   = 250 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
+)
+
+// maxMembers bounds the addresses that hints of members can add.
+const maxMembers = 16
+
+// group has the control members and which of them leads, as far as known. It
+// is safe for concurrent use.
+type group struct {
+	secret    string
+	transport *http.Transport
+
+	mu      sync.Mutex
+	members []string
+	clients map[string]wirev1connect.ControlClient
+	current int
+	// failed is the member that last did not answer. Its address is not taken
+	// from hints of others, who may not know yet that it is gone.
+	failed  string
+	changed chan struct{}
+}
+
+func newGroup(members []netip.AddrPort, secret string) *group {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	g := &group{
+		secret: secret, clients: map[string]wirev1connect.ControlClient{}, changed: make(chan struct{}),
+		transport: &http.Transport{
+			Protocols: protocols, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+			IdleConnTimeout: time.Minute,
+		},
+	}
+	for _, m := range members {
+		g.members = append(g.members, m.String())
+	}
+	return g
+}
+
+// leader returns a client for the member that is taken to lead, its address,
+// and a channel that is closed when another one is taken to lead.
+func (g *group) leader() (wirev1connect.ControlClient, string, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	address := g.members[g.current]
+	c := g.clients[address]
+	if c == nil {
+		c = wirev1connect.NewControlClient(&http.Client{Transport: g.transport}, "http://"+address, connect.WithInterceptors(&bearer{g.secret}))
+		g.clients[address] = c
+	}
+	return c, address, g.changed
+}
+
+// failure follows the hint of a member that does not lead, or goes on to the
+// next member. It does nothing if another member was chosen meanwhile.
+func (g *group) failure(address string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.members[g.current] != address {
+		return
+	}
+	next := (g.current + 1) % len(g.members)
+	var e *connect.Error
+	if hint := ""; errors.As(err, &e) && e.Meta().Get(LeaderHeader) != "" {
+		hint = e.Meta().Get(LeaderHeader)
+		if i := g.find(hint); i >= 0 && hint != g.failed && hint != address {
+			next = i
+		}
+	} else {
+		g.failed = address
+	}
+	if next == g.current {
+		return
+	}
+	g.current = next
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// succeeded notes that a member answered as leader.
+func (g *group) succeeded(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.failed == address {
+		g.failed = ""
+	}
+}
+
+// find returns the place of an address, which is added if there is room: a
+// member that was added later is known only from hints. It returns -1 if the
+// address cannot be used.
+func (g *group) find(address string) int {
+	if i := slices.Index(g.members, address); i >= 0 {
+		return i
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil || len(g.members) >= maxMembers {
+		return -1
+	}
+	g.members = append(g.members, address)
+	return len(g.members) - 1
+}
+
+func (g *group) close() { g.transport.CloseIdleConnections() }
+
+// bearer presents the node secret.
+type bearer struct {
+	secret string
+}
+
+// WrapUnary adds the secret to unary calls.
+func (b *bearer) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		r.Header().Set("Authorization", "Bearer "+b.secret)
+		return next(ctx, r)
+	}
+}
+
+// WrapStreamingClient adds the secret to streams.
+func (b *bearer) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, s connect.Spec) connect.StreamingClientConn {
+		c := next(ctx, s)
+		c.RequestHeader().Set("Authorization", "Bearer "+b.secret)
+		return c
+	}
+}
+
+// WrapStreamingHandler changes nothing: this is a client.
+func (*bearer) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
--- /dev/null
+++ b/node/internal/controlclient/renew.go
@@ -0,0 +1,129 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
+)
+
+// minRenewPause bounds how often events can cause a renewal.
+const minRenewPause = 20 * time.Millisecond
+
+// renewLoop renews the lease at the interval, and at once after an event that
+// control should know.
+func (i *incarnation) renewLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !i.renew(ctx) {
+			if !sleep(ctx, retryPause) {
+				return
+			}
+			continue
+		}
+		if !sleep(ctx, minRenewPause) {
+			return
+		}
+		timer := time.NewTimer(i.interval - minRenewPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-i.s.kick:
+		}
+		timer.Stop()
+	}
+}
+
+// renew makes one renewal and reports whether control answered.
+func (i *incarnation) renew(ctx context.Context) bool {
+	s := i.s
+	request := i.request()
+	i.mu.Lock()
+	i.sequence++
+	request.Sequence = i.sequence
+	// The lease counts from here, before the first byte is sent.
+	i.holder.Sent(s.cfg.Clock.Now(), request.Sequence)
+	i.mu.Unlock()
+	response, err := call(ctx, s, renewTimeout, request, wirev1connect.ControlClient.Renew)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.cfg.Log.Warn().Err(err).Msg("renewal failed")
+		}
+		return false
+	}
+	if response.GetLost() {
+		s.cfg.Log.Warn().Uint64("incarnation", i.number).Msg("control does not know the lease any more")
+		i.lost()
+		return true
+	}
+	if response.GetBehind() {
+		s.cfg.Log.Warn().Uint64("rulesRevision", request.GetRulesRevision()).Msg("lease not extended: behind a rules revision")
+		return true
+	}
+	i.granted(response)
+	return true
+}
+
+func (i *incarnation) granted(r *wirev1.RenewResponse) {
+	s := i.s
+	i.mu.Lock()
+	valid := i.holder.Granted(s.cfg.Clock.Now(), r.GetSequence(), time.Duration(r.GetLeaseMs())*time.Millisecond)
+	until := i.holder.Expiry()
+	if valid {
+		// Under the lock, so that it cannot follow the end of the incarnation.
+		s.cfg.View.SetIdentity(view.Identity{Incarnation: i.number, Secret: i.secret, Until: until})
+	}
+	i.mu.Unlock()
+	if valid {
+		wake(i.extended)
+	}
+}
+
+func (i *incarnation) request() *wirev1.RenewRequest {
+	s := i.s
+	t := s.cfg.View.Table()
+	now := s.cfg.Clock.Now()
+	load := s.cfg.Owner.Load(now.Sub(i.loadSince))
+	i.loadSince = now
+	stats := s.cfg.Backend.Stats()
+	return &wirev1.RenewRequest{
+		Incarnation: i.number, Index: t.Index(), RulesRevision: t.Revision(),
+		RequestsPerSecond: load.RequestsPerSecond, InFlight: uint32(stats.InFlight), Heaviest: load.Heaviest,
+		Draining: s.draining(), Cold: stats.Cold, BackendServer: s.cfg.Backend.Announced(),
+		Released: s.cfg.Owner.Released(t),
+	}
+}
+
+// expiryLoop ends the incarnation when the lease ends.
+func (i *incarnation) expiryLoop(ctx context.Context) {
+	for {
+		now := i.s.cfg.Clock.Now()
+		i.mu.Lock()
+		expiry, valid := i.holder.Expiry(), i.holder.Valid(now)
+		i.mu.Unlock()
+		if !expiry.IsZero() && !valid {
+			i.lost()
+			return
+		}
+		wait := minRenewPause
+		if valid {
+			wait = max(expiry.Sub(now), time.Millisecond)
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// extendLoop tells the backend server of each extension of the lease.
+func (i *incarnation) extendLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.extended:
+			i.s.cfg.Owner.ExtendGrants(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/node/internal/controlclient/session.go
@@ -0,0 +1,311 @@
+package controlclient
+
+import (
+	"context"
+	"crypto/rand"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+	"github.com/jujubeknot/jujubeknot/node/internal/owner"
+	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
+)
+
+// Timeouts of calls to control, and pauses between them.
+const (
+	registerTimeout   = time.Second
+	renewTimeout      = 300 * time.Millisecond
+	deregisterTimeout = 500 * time.Millisecond
+	// retryPause is the pause after a failed call. During an election of 300
+	// to 600 ms it leads to about ten tries.
+	retryPause = 50 * time.Millisecond
+	// refusedPause is the pause after a registration that was refused, such as
+	// with a name that another node holds.
+	refusedPause = 500 * time.Millisecond
+)
+
+// Config has the parts and settings of a Session. All are required.
+type Config struct {
+	Clock clock.Clock
+	Log   zerolog.Logger
+	// Members are the addresses of the control members.
+	Members []netip.AddrPort
+	// Secret is the node secret that control asks for.
+	Secret string
+	// Node has name, availability zone, region and peer address.
+	Node    *wirev1.Node
+	View    *view.View
+	Owner   *owner.Server
+	Backend *backend.Server
+	// Registered is called with each new incarnation before it is used.
+	Registered func(incarnation uint64)
+}
+
+// Session keeps one node registered. It is safe for concurrent use.
+type Session struct {
+	cfg   Config
+	group *group
+	// backendChanged and kick wake the loops.
+	backendChanged chan struct{}
+	kick           chan struct{}
+	stopping       atomic.Bool
+}
+
+// New returns a session that is not registered. It panics without members.
+func New(cfg Config) *Session {
+	if len(cfg.Members) == 0 {
+		panic("controlclient: no control members")
+	}
+	return &Session{
+		cfg: cfg, group: newGroup(cfg.Members, cfg.Secret),
+		backendChanged: make(chan struct{}, 1), kick: make(chan struct{}, 1),
+	}
+}
+
+// BackendChanged tells the session that the announcement changed. It does not
+// block.
+func (s *Session) BackendChanged() {
+	wake(s.backendChanged)
+	wake(s.kick)
+}
+
+// Drain makes the following renewals say that the node drains.
+func (s *Session) Drain() {
+	s.stopping.Store(true)
+	wake(s.kick)
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the node registered until the context ends, then returns the
+// lease.
+func (s *Session) Run(ctx context.Context) {
+	defer s.group.close()
+	var previous uint64
+	for ctx.Err() == nil {
+		i := s.register(ctx, previous)
+		if i == nil {
+			return
+		}
+		i.run(ctx)
+		previous = i.number
+	}
+}
+
+// register registers until it succeeds or the context ends.
+func (s *Session) register(ctx context.Context, previous uint64) *incarnation {
+	node := proto.CloneOf(s.cfg.Node)
+	node.PeerSecret = rand.Text()
+	node.BackendServer = s.cfg.Backend.Announced()
+	node.Draining, node.Cold = s.draining(), s.cfg.Backend.Cold()
+	// The request id stays the same for all tries, so that a lost answer does
+	// not make two incarnations.
+	request := &wirev1.RegisterRequest{Node: node, Previous: previous, RequestId: rand.Text()}
+	for ctx.Err() == nil {
+		client, address, _ := s.group.leader()
+		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		response, err := client.Register(callCtx, connect.NewRequest(request))
+		cancel()
+		if err == nil {
+			s.group.succeeded(address)
+			s.cfg.Log.Info().Uint64("incarnation", response.Msg.GetIncarnation()).Uint64("previous", previous).
+				Str("backendServer", node.GetBackendServer().GetName()).Msg("registered")
+			return s.begin(node, response.Msg)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		s.cfg.Log.Warn().Err(err).Str("member", address).Msg("registration failed")
+		pause := retryPause
+		if refused(err) {
+			pause = refusedPause
+		} else {
+			s.group.failure(address, err)
+		}
+		if !sleep(ctx, pause) {
+			return nil
+		}
+		if !proto.Equal(node.GetBackendServer(), s.cfg.Backend.Announced()) {
+			// Another backend server is another registration.
+			return s.register(ctx, previous)
+		}
+	}
+	return nil
+}
+
+// refused reports whether the leader itself refused a call, so that another
+// member would not answer differently.
+func refused(err error) bool {
+	var e *connect.Error
+	if !errors.As(err, &e) || e.Meta().Get(LeaderHeader) != "" || !connect.IsWireError(err) {
+		return false
+	}
+	switch e.Code() {
+	case connect.CodeAlreadyExists, connect.CodeUnauthenticated, connect.CodePermissionDenied, connect.CodeInvalidArgument:
+		return true
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// draining reports whether control shall move partitions away.
+func (s *Session) draining() bool { return s.stopping.Load() || s.cfg.Backend.Leaving() }
+
+func (s *Session) begin(node *wirev1.Node, r *wirev1.RegisterResponse) *incarnation {
+	i := &incarnation{
+		s: s, number: r.GetIncarnation(), secret: node.GetPeerSecret(), server: node.GetBackendServer(),
+		interval: time.Duration(r.GetRenewIntervalMs()) * time.Millisecond, ended: make(chan struct{}),
+		loadSince: s.cfg.Clock.Now(), reports: make(chan owner.Release, 1024),
+		extended: make(chan struct{}, 1),
+	}
+	if i.interval <= 0 {
+		i.interval = lease.DefaultRenewInterval
+	}
+	s.cfg.Registered(i.number)
+	s.cfg.Owner.BeginTerm()
+	s.cfg.View.SetIdentity(view.Identity{Incarnation: i.number, Secret: i.secret})
+	return i
+}
+
+// incarnation is one registration, from begin to the end of its lease.
+type incarnation struct {
+	s        *Session
+	number   uint64
+	secret   string
+	server   *wirev1.BackendServer
+	interval time.Duration
+	// loadSince is the time of the last load report.
+	loadSince time.Time
+	reports   chan owner.Release
+
+	mu       sync.Mutex
+	holder   lease.Holder
+	sequence uint64
+	endOnce  sync.Once
+	// extended wakes extendLoop.
+	extended chan struct{}
+	// ended is closed when the lease is over or given up.
+	ended chan struct{}
+}
+
+// run holds the lease until it is lost, the backend server becomes another
+// one, or the context ends. In the end nothing of the incarnation is in use.
+func (i *incarnation) run(ctx context.Context) {
+	loops, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { i.renewLoop(loops) })
+	group.Go(func() { i.watchLoop(loops) })
+	group.Go(func() { i.reportLoop(loops) })
+	group.Go(func() { i.expiryLoop(loops) })
+	group.Go(func() { i.extendLoop(loops) })
+	reason := i.wait(ctx)
+	held := i.giveUp()
+	cancel()
+	// Keyed work ends before anyone else can get the partitions: the lease is
+	// returned only afterwards.
+	s := i.s
+	s.cfg.View.SetIdentity(view.Identity{})
+	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	defer done()
+	s.cfg.Owner.EndTerm(closing)
+	group.Wait()
+	s.cfg.Log.Warn().Uint64("incarnation", i.number).Str("reason", reason).Bool("returned", held).Msg("lease ended")
+	if held {
+		i.deregister(context.WithoutCancel(ctx))
+	}
+}
+
+// wait returns why the incarnation ends.
+func (i *incarnation) wait(ctx context.Context) string {
+	for {
+		select {
+		case <-ctx.Done():
+			return "stopping"
+		case <-i.ended:
+			return "leaseLost"
+		case <-i.s.backendChanged:
+			now := i.s.cfg.Backend.Announced()
+			if now.GetName() != i.server.GetName() || now.GetUpstream() != i.server.GetUpstream() {
+				if now == nil {
+					return "backendServerLost"
+				}
+				return "backendServerChanged"
+			}
+			i.configure()
+		}
+	}
+}
+
+// giveUp ends the lease for good and reports whether it was still held.
+func (i *incarnation) giveUp() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	held := i.holder.Valid(i.s.cfg.Clock.Now())
+	i.holder.Lost()
+	return held
+}
+
+func (i *incarnation) lost() { i.endOnce.Do(func() { close(i.ended) }) }
+
+// deregister returns the lease, so that others get the partitions at once. If
+// it fails the lease runs out at control.
+func (i *incarnation) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		client, address, _ := i.s.group.leader()
+		_, err := client.Deregister(ctx, connect.NewRequest(&wirev1.DeregisterRequest{Incarnation: i.number}))
+		if err == nil {
+			return
+		}
+		i.s.cfg.Log.Warn().Err(err).Str("member", address).Msg("returning the lease failed")
+		i.s.group.failure(address, err)
+		if !sleep(ctx, retryPause) {
+			return
+		}
+	}
+}
+
+// call makes one call to the leader and follows hints when it fails.
+func call[Q, R any](ctx context.Context, s *Session, timeout time.Duration, q *Q,
+	f func(wirev1connect.ControlClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error),
+) (*R, error) {
+	client, address, _ := s.group.leader()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := f(client, ctx, connect.NewRequest(q))
+	if err != nil {
+		if !refused(err) {
+			s.group.failure(address, err)
+		}
+		return nil, err
+	}
+	s.group.succeeded(address)
+	return response.Msg, nil
+}
--- /dev/null
+++ b/node/internal/operator/operator.go
@@ -0,0 +1,71 @@
+// Package operator serves a node's figures to operators.
+package operator
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Handler serves GET /debug/vars in the form of package expvar, with the
+// figures of one node, and GET /healthz.
+type Handler struct {
+	// Secret that operators present as bearer token. Empty means that only
+	// loopback addresses have access.
+	Secret string
+	// Vars returns the figures.
+	Vars func() any
+	// Ready reports whether the node has a lease and a table.
+	Ready func() bool
+}
+
+// Server returns an HTTP server for the handler.
+func (h *Handler) Server() *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 16 << 10}
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.allowed(r) {
+		http.Error(w, "operators' port: access is refused", http.StatusForbidden)
+		return
+	}
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		w.Header().Set("Allow", "GET, HEAD")
+		http.Error(w, "only GET and HEAD", http.StatusMethodNotAllowed)
+	case r.URL.Path == "/debug/vars":
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		// A failed write means that the operator has gone.
+		_ = e.Encode(h.Vars())
+	case r.URL.Path == "/healthz":
+		if !h.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (h *Handler) allowed(r *http.Request) bool {
+	if h.Secret != "" {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		return ok && subtle.ConstantTimeCompare([]byte(token), []byte(h.Secret)) == 1
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	a, err := netip.ParseAddr(host)
+	return err == nil && a.Unmap().IsLoopback()
+}
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
@@ -75,6 +76,16 @@
 	return n
 }
 
+// Configure sets how long request ids are kept. A barred id is kept for at
+// least twice the longest route timeout, so that a copy of the request that is
+// still on its way cannot arrive after the bar is gone.
+func (s *Server) Configure(l routing.Limits) {
+	cfg := s.cfg.Requests
+	cfg.Window = l.ResendWindow
+	cfg.BarWindow = max(l.ResendWindow, 2*l.LongestTimeout)
+	s.requests.configure(cfg)
+}
+
 // RequestIDs returns the number of ids in the request table and the bytes of
 // the responses stored there.
 func (s *Server) RequestIDs() (entries int, bytes int64) { return s.requests.size() }
--- a/node/internal/owner/requests.go
+++ b/node/internal/owner/requests.go
@@ -82,6 +82,12 @@
 	}
 }
 
+func (r *requests) configure(cfg outcome.RequestsConfig) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Configure(cfg)
+}
+
 func (r *requests) settle(now time.Time, sending string) outcome.SettleAnswer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -147,3 +147,24 @@
 
 // Close does nothing: the body is in memory.
 func (*keptBody) Close() error { return nil }
+
+// OnClose calls f when the body is closed, or now if it is in memory.
+func (a *Answer) OnClose(f func()) {
+	if _, ok := a.Kept(); ok || a.Body == http.NoBody {
+		f()
+		return
+	}
+	a.Body = &closeBody{a.Body, f}
+}
+
+type closeBody struct {
+	io.ReadCloser
+	f func()
+}
+
+// Close closes the body and calls the function.
+func (b *closeBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.f()
+	return err
+}
--- a/node/node.go
+++ b/node/node.go
@@ -2,3 +2,226 @@
 // requests, finds the owner of the key, forwards to the owner's node, and
 // guards the backend server on its own VM.
 package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
+	"github.com/jujubeknot/jujubeknot/node/internal/caller"
+	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
+	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+	"github.com/jujubeknot/jujubeknot/node/internal/operator"
+	"github.com/jujubeknot/jujubeknot/node/internal/owner"
+	"github.com/jujubeknot/jujubeknot/node/internal/peer"
+	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// drainPoll is the time between two looks at what keeps a node from stopping.
+const drainPoll = 20 * time.Millisecond
+
+// Addresses are where a node listens.
+type Addresses struct {
+	Callers, Peer, Backend, Operator net.Addr
+}
+
+// Node is one node. Use New. Several can run in one process.
+type Node struct {
+	cfg     Config
+	view    *view.View
+	backend *backend.Server
+	owner   *owner.Server
+	peers   *peer.Client
+	peer    *peer.Handler
+	session *controlclient.Session
+	metrics *metrics.Set
+	started time.Time
+
+	listeners [4]net.Listener
+	servers   [4]*http.Server
+}
+
+// Places of listeners and servers.
+const (
+	placeCallers = iota
+	placePeer
+	placeBackend
+	placeOperator
+)
+
+// New checks the settings and opens the listeners, so that the addresses are
+// known before Run. Without Run the listeners stay open until Close.
+func New(cfg Config) (*Node, error) {
+	if err := cfg.check(); err != nil {
+		return nil, fmt.Errorf("settings of the node: %w", err)
+	}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New())}
+	if err := n.listen(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	n.build()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	given := [...]struct {
+		what     string
+		address  netip.AddrPort
+		listener net.Listener
+	}{
+		placeCallers:  {"callers", n.cfg.Callers, n.cfg.CallersListener},
+		placePeer:     {"peer", n.cfg.Peer, n.cfg.PeerListener},
+		placeBackend:  {"backend", n.cfg.Backend, n.cfg.BackendListener},
+		placeOperator: {"operator", n.cfg.Operator, n.cfg.OperatorListener},
+	}
+	for i, g := range given {
+		if n.listeners[i] = g.listener; g.listener != nil {
+			continue
+		}
+		if !g.address.IsValid() {
+			return errors.Errorf("settings of the node: the %s address is missing", g.what)
+		}
+		l, err := net.Listen("tcp", g.address.String())
+		if err != nil {
+			return fmt.Errorf("listening for %s: %w", g.what, err)
+		}
+		n.listeners[i] = l
+	}
+	return nil
+}
+
+func (n *Node) build() {
+	clock, log := boottime.Clock{}, n.cfg.Log
+	n.started = clock.Now()
+	n.backend = backend.New(backend.Config{
+		Clock: clock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout,
+		Changed: func() { n.session.BackendChanged() },
+	})
+	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend})
+	n.backend.OnLeave(n.owner.Partitions)
+	n.peers = peer.NewClient(clock, n.view)
+	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner}
+	n.session = controlclient.New(controlclient.Config{
+		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
+		Node: &wirev1.Node{
+			Name: n.cfg.Name, Region: n.cfg.Region, AvailabilityZone: n.cfg.AvailabilityZone,
+			PeerAddress: n.listeners[placePeer].Addr().String(),
+		},
+		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
+	})
+	callers := caller.New(caller.Config{
+		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
+		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
+	})
+	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
+	n.servers = [4]*http.Server{
+		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
+		placeOperator: figures.Server(),
+	}
+}
+
+// Addresses returns where the node listens.
+func (n *Node) Addresses() Addresses {
+	return Addresses{
+		Callers: n.listeners[placeCallers].Addr(), Peer: n.listeners[placePeer].Addr(),
+		Backend: n.listeners[placeBackend].Addr(), Operator: n.listeners[placeOperator].Addr(),
+	}
+}
+
+// Ready reports whether the node is registered, has a lease and a table.
+func (n *Node) Ready() bool {
+	return n.view.Leased(boottime.Clock{}.Now()) && n.view.Table().Revision() > 0
+}
+
+// Close closes the listeners and ends open requests at once. It is for nodes
+// that do not run, and for a second signal to stop.
+func (n *Node) Close() {
+	for i := range n.listeners {
+		if n.servers[i] != nil {
+			_ = n.servers[i].Close()
+		}
+		if n.listeners[i] != nil {
+			_ = n.listeners[i].Close()
+		}
+	}
+}
+
+// Run serves until the context ends, then drains: control moves the partitions
+// away, requests end, and the lease is returned. It returns nil after a
+// graceful stop and an error if a listener failed. It must be called once.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { n.backend.Run(work) })
+	group.Go(func() { n.session.Run(work) })
+	failed := make(chan error, len(n.servers))
+	for i, s := range n.servers {
+		group.Go(func() {
+			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serving at %s: %w", n.listeners[i].Addr(), err)
+			}
+		})
+	}
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		n.drain()
+	}
+	stop()
+	n.Close()
+	group.Wait()
+	n.owner.Wait()
+	n.peers.Close()
+	return err
+}
+
+// drain ends the node's work in the order in which nobody notices: no new
+// partitions and requests from other nodes, then no new callers, then the end
+// of what is in flight.
+func (n *Node) drain() {
+	n.session.Drain()
+	n.cfg.Log.Info().Int("partitions", n.owner.Partitions()).Msg("draining")
+	n.waitMoved()
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
+	defer cancel()
+	for _, place := range []int{placeCallers, placePeer, placeBackend} {
+		if err := n.servers[place].Shutdown(ctx); err != nil {
+			n.cfg.Log.Warn().Err(err).Str("listener", n.listeners[place].Addr().String()).Msg("requests were cut off at the end of the drain timeout")
+		}
+	}
+}
+
+// waitMoved waits until control has moved all partitions away and shows this
+// node as leaving, so that other nodes choose others.
+func (n *Node) waitMoved() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		t := n.view.Table()
+		self := t.Node(n.view.Identity().Incarnation)
+		if self == nil || n.owner.Partitions() == 0 && t.Leaving(self) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			n.cfg.Log.Warn().Int("partitions", n.owner.Partitions()).Msg("partitions were not moved away in time")
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/node/vars.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"encoding/json"
+	"runtime"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
+	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+)
+
+// vars are the figures on the operator port.
+type vars struct {
+	Node             string          `json:"node"`
+	UptimeMs         int64           `json:"uptimeMs"`
+	Requests         json.RawMessage `json:"requests"`
+	Attempts         json.RawMessage `json:"attempts"`
+	InFlight         int64           `json:"inFlight"`
+	LatencyMicros    metrics.Latency `json:"latencyMicros"`
+	Backend          backend.Stats   `json:"backend"`
+	PeerConnections  int             `json:"peerConnections"`
+	Lease            leaseVars       `json:"lease"`
+	TableIndex       uint64          `json:"tableIndex"`
+	RulesRevision    uint64          `json:"rulesRevision"`
+	Nodes            int             `json:"nodes"`
+	Partitions       int             `json:"partitions"`
+	RequestIDs       int             `json:"requestIds"`
+	RequestIDBytes   int64           `json:"requestIdBytes"`
+	Goroutines       int             `json:"goroutines"`
+	HeapBytes        uint64          `json:"heapBytes"`
+	AvailabilityZone string          `json:"availabilityZone"`
+}
+
+type leaseVars struct {
+	Incarnation uint64 `json:"incarnation"`
+	Valid       bool   `json:"valid"`
+	LeftMs      int64  `json:"leftMs"`
+}
+
+func (n *Node) vars() any {
+	now, i, t := boottime.Clock{}.Now(), n.view.Identity(), n.view.Table()
+	v := vars{
+		Node: n.cfg.Name, AvailabilityZone: n.cfg.AvailabilityZone, UptimeMs: now.Sub(n.started).Milliseconds(),
+		Requests: json.RawMessage(n.metrics.Requests.String()), Attempts: json.RawMessage(n.metrics.Attempts.String()),
+		InFlight: n.metrics.InFlight.Load(), LatencyMicros: n.metrics.Latency(), Backend: n.backend.Stats(),
+		PeerConnections: n.peers.Connections(), TableIndex: t.Index(), RulesRevision: t.Revision(), Nodes: t.Nodes(),
+		Partitions: n.owner.Partitions(), Goroutines: runtime.NumGoroutine(),
+		Lease: leaseVars{Incarnation: i.Incarnation, Valid: n.view.Leased(now), LeftMs: max(i.Until.Sub(now).Milliseconds(), 0)},
+	}
+	v.RequestIDs, v.RequestIDBytes = n.owner.RequestIDs()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	v.HeapBytes = m.HeapAlloc
+	return v
+}
