--- /dev/null
+++ b/bench/backend/server_test.go
@@ -0,0 +1,221 @@
+package backend_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// long is a service time that ends only by cancellation.
+const long = time.Hour
+
+func start(t *testing.T, c backend.Config) *backend.Server {
+	t.Helper()
+	if c.Name == "" {
+		c.Name, c.Upstream = "b1", "desk"
+	}
+	c.ConnectionCost = -1
+	s := backend.New(c)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// do sends a request with headers given as name and value in turn.
+func do(t *testing.T, s *backend.Server, method, path, body string, fields ...string) (int, http.Header, string) {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+s.Address()+path, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return 0, nil, err.Error()
+	}
+	for i := 0; i < len(fields); i += 2 {
+		q.Header.Set(fields[i], fields[i+1])
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return r.StatusCode, r.Header, string(content)
+}
+
+// until polls for a state that a background goroutine reaches.
+func until(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for range 5000 {
+		if reached() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("never reached: %s", what)
+}
+
+// occupy starts a number of requests that do not end and waits for them.
+func occupy(t *testing.T, s *backend.Server, n int) {
+	t.Helper()
+	before := s.Stats().InFlight
+	for i := range n {
+		go do(t, s, http.MethodPost, "/x", "", headers.RequestID, fmt.Sprint("r", before+i), backend.HeaderOperation, "held")
+	}
+	until(t, "requests in flight", func() bool { return s.Stats().InFlight == before+n })
+}
+
+func kinds(r *backend.Recorder) map[backend.EntryKind]int {
+	entries, _ := r.Entries()
+	counts := make(map[backend.EntryKind]int)
+	for _, e := range entries {
+		counts[e.Kind]++
+	}
+	return counts
+}
+
+// TestSlotsAndCancel guards against a server that runs more than its slots,
+// sheds without saying notRun, or goes on with a cancelled request.
+func TestSlotsAndCancel(t *testing.T) {
+	records := backend.NewRecorder(0)
+	s := start(t, backend.Config{Slots: 3, Records: records, Service: backend.Service{Mean: long, Shape: backend.ShapeConstant}})
+	occupy(t, s, 3)
+	status, header, body := do(t, s, http.MethodPost, "/x", "")
+	if status != http.StatusServiceUnavailable || header.Get(headers.Outcome) != "notRun" {
+		t.Errorf("request above the slots: %d %q %s", status, header.Get(headers.Outcome), body)
+	}
+	for i := range 3 {
+		if status, _, body := do(t, s, http.MethodPost, "/v1/cancel", fmt.Sprintf(`{"requestId":"r%d"}`, i)); status != http.StatusOK {
+			t.Errorf("cancel: %d %s", status, body)
+		}
+	}
+	until(t, "cancelled requests ended", func() bool { return s.Stats().InFlight == 0 })
+	got := kinds(records)
+	if got[backend.EntryStart] != 3 || got[backend.EntryStopped] != 3 || got[backend.EntryShed] != 1 || got[backend.EntryEnd] != 0 {
+		t.Errorf("records %v, want 3 starts, 3 stopped, 1 shed", got)
+	}
+}
+
+// TestFences guards against a fence-checking server that runs a request of an
+// earlier owner or one without a grant.
+func TestFences(t *testing.T) {
+	s := start(t, backend.Config{ChecksFences: true, Service: backend.Service{Mean: 1}})
+	send := func(fence string) int {
+		status, _, _ := do(t, s, http.MethodPost, "/x", "", headers.Partition, "7", headers.Fence, fence)
+		return status
+	}
+	grant := func(epoch, expiry int) {
+		body := fmt.Sprintf(`{"upstream":"desk","expiryMs":%d,"partitions":[{"partition":7,"epoch":%d}]}`, expiry, epoch)
+		if status, _, answer := do(t, s, http.MethodPost, "/v1/grant", body); status != http.StatusOK {
+			t.Fatalf("grant: %d %s", status, answer)
+		}
+	}
+	expect := func(what string, got, want int) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: status %d, want %d", what, got, want)
+		}
+	}
+	expect("without a grant", send("5"), http.StatusConflict)
+	grant(5, 3_600_000)
+	expect("with the fence of the grant", send("5"), http.StatusOK)
+	expect("with an older fence", send("4"), http.StatusConflict)
+	grant(6, 3_600_000)
+	expect("with the fence before the newer grant", send("5"), http.StatusConflict)
+	grant(5, 3_600_000)
+	expect("after a late older grant", send("6"), http.StatusOK)
+	grant(6, 0)
+	expect("after the grant was closed", send("6"), http.StatusConflict)
+}
+
+// TestColdServerFailsOver guards against a cold server that takes any load, and
+// against one that stays away or keeps its boot id.
+func TestColdServerFailsOver(t *testing.T) {
+	s := start(t, backend.Config{
+		Slots: 4, Cold: backend.Cold{Capacity: 1, FailAt: 3, Restart: time.Millisecond},
+		Service: backend.Service{Mean: long, Shape: backend.ShapeConstant},
+	})
+	first := s.BootID()
+	occupy(t, s, 1)
+	for range 2 {
+		if status, _, _ := do(t, s, http.MethodPost, "/x", ""); status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d above the cold capacity, want 503", status)
+		}
+	}
+	do(t, s, http.MethodPost, "/x", "")
+	until(t, "started again with a new boot id", func() bool { id := s.BootID(); return id != "" && id != first })
+}
+
+// TestWarmsUp guards against a cold server that never sustains more.
+func TestWarmsUp(t *testing.T) {
+	s := start(t, backend.Config{Slots: 3, Cold: backend.Cold{Capacity: 1, Work: 2}, Service: backend.Service{Mean: 1}})
+	for i, want := range []int{1, 1, 2, 2, 3} {
+		if got := s.Stats(); got.Capacity != want || got.Cold != (want < 3) {
+			t.Errorf("after %d requests: capacity %d cold %v, want %d", i, got.Capacity, got.Cold, want)
+		}
+		do(t, s, http.MethodGet, "/x", "")
+	}
+}
+
+// TestFaults guards against misbehaviours that do not happen.
+func TestFaults(t *testing.T) {
+	s := start(t, backend.Config{Service: backend.Service{Mean: 1}})
+	send := func(operation string) (int, string) {
+		status, _, body := do(t, s, http.MethodGet, "/x", "", backend.HeaderOperation, operation, backend.HeaderKey, "k")
+		return status, body
+	}
+	if _, body := send("a"); !strings.HasPrefix(body, backend.ResponsePrefix("a", "k")) {
+		t.Errorf("response %q", body)
+	}
+	s.SetFaults(backend.Faults{Crossed: 1})
+	if _, body := send("b"); !strings.HasPrefix(body, backend.ResponsePrefix("a", "k")) {
+		t.Errorf("crossed response %q, want that of the request before", body)
+	}
+	s.SetFaults(backend.Faults{Short: 1})
+	if status, body := send("c"); status != 0 || !strings.Contains(body, "EOF") {
+		t.Errorf("short response: %d %q, want an unexpected end", status, body)
+	}
+	s.SetFaults(backend.Faults{Shed: 1})
+	if status, _ := send("d"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", status)
+	}
+}
+
+// TestConnections guards against more connections than the server has.
+func TestConnections(t *testing.T) {
+	records := backend.NewRecorder(0)
+	s := start(t, backend.Config{
+		Slots: 10, Connections: 2, Records: records, Service: backend.Service{Mean: long, Shape: backend.ShapeConstant},
+	})
+	occupy(t, s, 2)
+	if status, _, body := do(t, s, http.MethodGet, "/x", ""); status != 0 {
+		t.Errorf("third connection: %d %s, want an error", status, body)
+	}
+	if got := kinds(records)[backend.EntryConnection]; got == 0 {
+		t.Error("the connection above the bound is not recorded")
+	}
+}
+
+// TestFreezeKeepsWork guards against a frozen server that loses what it runs.
+func TestFreezeKeepsWork(t *testing.T) {
+	s := start(t, backend.Config{Service: backend.Service{Mean: 1}})
+	s.Freeze()
+	statuses := make(chan int, 1)
+	go func() {
+		status, _, _ := do(t, s, http.MethodGet, "/x", "")
+		statuses <- status
+	}()
+	s.Resume()
+	if status := <-statuses; status != http.StatusOK {
+		t.Errorf("status %d after the freeze, want 200", status)
+	}
+}
--- /dev/null
+++ b/bench/check/check.go
@@ -0,0 +1,240 @@
+// Package check finds broken promises in the records of stand-in backend
+// servers and in what callers were told.
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+// Kind is the promise that was broken.
+type Kind string
+
+// Kinds of violations.
+const (
+	// KindRunTwice is a non-idempotent operation that ran more than once.
+	KindRunTwice Kind = "runTwice"
+	// KindRanAfterNotRun is a sending that ran although the caller was told
+	// notRun.
+	KindRanAfterNotRun Kind = "ranAfterNotRun"
+	// KindOldFence is a run that began after one with a higher fencing token.
+	KindOldFence Kind = "oldFence"
+	// KindTwoOwners is a fencing token that two servers used.
+	KindTwoOwners Kind = "twoOwners"
+	// KindOverlap is a run that began while one of another server for the same
+	// partition had not ended.
+	KindOverlap Kind = "overlap"
+	// KindOut is a run that began where no new work was allowed.
+	KindOut Kind = "out"
+	// KindCold is a request above what a cold server sustains.
+	KindCold Kind = "coldCapacity"
+	// KindSlots is a request above the slots of a warm server.
+	KindSlots Kind = "slots"
+	// KindConnections is a connection above the bound of a server.
+	KindConnections Kind = "connections"
+	// KindWrongResponse is a complete response to something else.
+	KindWrongResponse Kind = "wrongResponse"
+	// KindSuccessWithoutRun is a success of an operation that never ran.
+	KindSuccessWithoutRun Kind = "successWithoutRun"
+	// KindIncomplete means that the records do not hold everything, so that the
+	// check proves nothing.
+	KindIncomplete Kind = "incompleteRecords"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Kind   Kind
+	At     time.Time
+	Detail string
+}
+
+// Out is a span of time in which servers must get no new work.
+type Out struct {
+	// Zone or Server names them; the other is empty.
+	Zone   string
+	Server string
+	// From is the time at which the change was accepted, To its end, zero for
+	// none. Work until From plus Grace is allowed.
+	From  time.Time
+	To    time.Time
+	Grace time.Duration
+}
+
+func (o Out) covers(e backend.Entry) bool {
+	if (o.Zone != "" && o.Zone != e.Zone) || (o.Server != "" && o.Server != e.Server) {
+		return false
+	}
+	return e.At.After(o.From.Add(o.Grace)) && (o.To.IsZero() || e.At.Before(o.To))
+}
+
+// Input is what a check looks at.
+type Input struct {
+	Entries []backend.Entry
+	// Dropped is the number of entries that the records have lost.
+	Dropped    int
+	Operations []load.Operation
+	Outs       []Out
+}
+
+// Check returns the violations ordered by time.
+func Check(in Input) []Violation {
+	entries := slices.Clone(in.Entries)
+	slices.SortStableFunc(entries, func(a, b backend.Entry) int { return a.At.Compare(b.At) })
+	var all []Violation
+	if in.Dropped > 0 {
+		all = append(all, Violation{Kind: KindIncomplete, Detail: fmt.Sprintf("%d entries were not recorded", in.Dropped)})
+	}
+	all = append(all, checkOperations(entries, in.Operations)...)
+	all = append(all, checkOwners(entries)...)
+	all = append(all, checkBounds(entries)...)
+	for _, e := range entries {
+		if e.Kind != backend.EntryStart {
+			continue
+		}
+		for _, o := range in.Outs {
+			if o.covers(e) {
+				all = append(all, violation(KindOut, e, "%v after the change", e.At.Sub(o.From)))
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Violation) int { return a.At.Compare(b.At) })
+	return all
+}
+
+func violation(kind Kind, e backend.Entry, format string, args ...any) Violation {
+	where := fmt.Sprintf("server %s boot %s operation %s attempt %s request %s partition %d fence %d: ",
+		e.Server, e.BootID, e.Operation, e.Attempt, e.RequestID, e.Partition, e.Fence)
+	return Violation{Kind: kind, At: e.At, Detail: where + fmt.Sprintf(format, args...)}
+}
+
+type sending struct {
+	operation string
+	attempt   string
+}
+
+// checkOperations compares what ran with what callers were told.
+func checkOperations(entries []backend.Entry, operations []load.Operation) []Violation {
+	var all []Violation
+	runs := make(map[string]int)
+	sendings := make(map[sending]backend.Entry)
+	for _, e := range entries {
+		if e.Kind != backend.EntryStart || e.Operation == "" {
+			continue
+		}
+		runs[e.Operation]++
+		sendings[sending{e.Operation, e.Attempt}] = e
+		if runs[e.Operation] > 1 && !e.Idempotent {
+			all = append(all, violation(KindRunTwice, e, "run number %d", runs[e.Operation]))
+		}
+	}
+	for _, o := range operations {
+		for i, a := range o.Attempts {
+			e, ran := sendings[sending{o.ID, fmt.Sprint(i + 1)}]
+			switch {
+			case a.Outcome == load.OutcomeNotRun && ran:
+				all = append(all, violation(KindRanAfterNotRun, e, "caller was told notRun, reason %s", a.Reason))
+			case a.Outcome == load.OutcomeWrong:
+				all = append(all, Violation{
+					Kind: KindWrongResponse, At: a.At.Add(a.Latency),
+					Detail: fmt.Sprintf("operation %s attempt %d: %s", o.ID, i+1, a.Reason),
+				})
+			case a.Outcome == load.OutcomeOK && runs[o.ID] == 0:
+				all = append(all, Violation{
+					Kind: KindSuccessWithoutRun, At: a.At.Add(a.Latency),
+					Detail: fmt.Sprintf("operation %s attempt %d", o.ID, i+1),
+				})
+			}
+		}
+	}
+	return all
+}
+
+type partition struct {
+	upstream string
+	number   uint32
+}
+
+type ownership struct {
+	fence  uint64
+	server string
+	// open has the runs that have not ended, by run.
+	open map[uint64]backend.Entry
+}
+
+// checkOwners looks for two servers that serve one partition.
+func checkOwners(entries []backend.Entry) []Violation {
+	var all []Violation
+	owners := make(map[partition]*ownership)
+	for _, e := range entries {
+		if !e.Keyed {
+			continue
+		}
+		id := partition{e.Upstream, e.Partition}
+		o := owners[id]
+		if o == nil {
+			o = &ownership{open: make(map[uint64]backend.Entry)}
+			owners[id] = o
+		}
+		switch e.Kind {
+		case backend.EntryEnd, backend.EntryStopped:
+			delete(o.open, e.Run)
+		case backend.EntryStart:
+			all = append(all, o.start(e)...)
+		}
+	}
+	return all
+}
+
+func (o *ownership) start(e backend.Entry) []Violation {
+	var all []Violation
+	switch {
+	case e.Fence < o.fence:
+		all = append(all, violation(KindOldFence, e, "server %s has run fence %d", o.server, o.fence))
+	case e.Fence == o.fence && o.server != "" && o.server != e.Server:
+		all = append(all, violation(KindTwoOwners, e, "server %s uses the same fence", o.server))
+	default:
+		o.fence, o.server = e.Fence, e.Server
+	}
+	others := make([]string, 0, len(o.open))
+	for _, r := range o.open {
+		if r.Server != e.Server {
+			others = append(others, fmt.Sprintf("%s (fence %d)", r.Server, r.Fence))
+		}
+	}
+	if len(others) > 0 {
+		slices.Sort(others)
+		all = append(all, violation(KindOverlap, e, "runs at %s have not ended", strings.Join(others, ", ")))
+	}
+	o.open[e.Run] = e
+	return all
+}
+
+// checkBounds looks for more work than a server sustains.
+func checkBounds(entries []backend.Entry) []Violation {
+	var all []Violation
+	for _, e := range entries {
+		switch {
+		case e.Kind == backend.EntryConnection:
+			all = append(all, Violation{Kind: KindConnections, At: e.At, Detail: "server " + e.Server})
+		case e.Kind == backend.EntryShed && e.InFlight > e.Capacity && e.Cold:
+			all = append(all, violation(KindCold, e, "%d with capacity %d", e.InFlight, e.Capacity))
+		case e.Kind == backend.EntryShed && e.InFlight > e.Capacity:
+			all = append(all, violation(KindSlots, e, "%d with %d slots", e.InFlight, e.Capacity))
+		}
+	}
+	return all
+}
+
+// Count returns the number of violations of each kind.
+func Count(violations []Violation) map[Kind]int {
+	counts := make(map[Kind]int)
+	for _, v := range violations {
+		counts[v.Kind]++
+	}
+	return counts
+}
--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,179 @@
+package load_test
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/check"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+func plan(t *testing.T, c load.Config) []load.Planned {
+	t.Helper()
+	c.Targets = []string{"a:1", "b:1"}
+	if c.Classes == nil {
+		c.Classes = []load.Class{{Name: "read", Weight: 3}, {Name: "write", Weight: 1, Method: http.MethodPost, IdempotencyKey: 0.5}}
+	}
+	operations, err := load.Plan(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return operations
+}
+
+// TestPlan guards against a load that differs between runs of a seed, that is
+// not Poisson, or that does not keep the mix.
+func TestPlan(t *testing.T) {
+	c := load.Config{Seed: 5, Rate: 1000, Duration: 20 * time.Second}
+	a := plan(t, c)
+	if !reflect.DeepEqual(a, plan(t, c)) {
+		t.Error("two plans of one seed differ")
+	}
+	if n := float64(len(a)); math.Abs(n-20_000) > 600 {
+		t.Errorf("%v operations in 20 s at 1000 per second", n)
+	}
+	var gaps, squares float64
+	writes, own := 0, 0
+	for i, o := range a {
+		if i > 0 {
+			gap := (o.At - a[i-1].At).Seconds()
+			gaps, squares = gaps+gap, squares+gap*gap
+		}
+		if o.Class == 1 {
+			writes++
+			if o.OwnID {
+				own++
+			}
+		} else if o.OwnID {
+			t.Fatal("a read has the caller's own id")
+		}
+	}
+	// The deviation of exponential gaps is their mean.
+	mean := gaps / float64(len(a)-1)
+	if deviation := math.Sqrt(squares/float64(len(a)-1) - mean*mean); math.Abs(deviation/mean-1) > 0.05 {
+		t.Errorf("gaps have mean %v and deviation %v", mean, deviation)
+	}
+	if share := float64(writes) / float64(len(a)); math.Abs(share-0.25) > 0.02 {
+		t.Errorf("share of writes %v, want 0.25", share)
+	}
+	if share := float64(own) / float64(writes); math.Abs(share-0.5) > 0.05 {
+		t.Errorf("share of own ids %v, want 0.5", share)
+	}
+}
+
+// TestHotSetMoves guards against a hot set that stays where it is.
+func TestHotSetMoves(t *testing.T) {
+	operations := plan(t, load.Config{
+		Seed: 5, Rate: 1000, Duration: 20 * time.Second, Keys: 1000, Zipf: 1.01,
+		Hot: load.HotSet{Keys: 2, Share: 0.8, MoveEvery: 10 * time.Second},
+	})
+	counts := map[bool]map[string]int{false: {}, true: {}}
+	for _, o := range operations {
+		counts[o.At >= 10*time.Second][o.Key]++
+	}
+	for late, keys := range map[bool][]string{false: {"key0", "key1"}, true: {"key2", "key3"}} {
+		for _, k := range keys {
+			if n := counts[late][k]; n < 3600 {
+				t.Errorf("second half %v: %s has %d of 10000 requests, want 4000 or more", late, k, n)
+			}
+		}
+	}
+}
+
+// TestMaxRequests guards against a run without a bound.
+func TestMaxRequests(t *testing.T) {
+	if n := len(plan(t, load.Config{Rate: 1e6, Duration: time.Minute, MaxRequests: 100})); n != 100 {
+		t.Errorf("%d operations, want 100", n)
+	}
+}
+
+// TestConfigErrors guards against a run with a configuration that makes no
+// sense.
+func TestConfigErrors(t *testing.T) {
+	good := load.Config{Targets: []string{"a:1"}, Rate: 1, Duration: time.Second, Classes: []load.Class{{}}}
+	for name, change := range map[string]func(*load.Config){
+		"targets":  func(c *load.Config) { c.Targets = nil },
+		"rate":     func(c *load.Config) { c.Rate = 0 },
+		"duration": func(c *load.Config) { c.Duration = 2 * load.MaxDuration },
+		"zipf":     func(c *load.Config) { c.Zipf = 1 },
+		"hot":      func(c *load.Config) { c.Hot.Keys = load.DefaultKeys + 1 },
+		"classes":  func(c *load.Config) { c.Classes = nil },
+		"weight":   func(c *load.Config) { c.Classes = []load.Class{{Weight: -1}} },
+	} {
+		c := good
+		change(&c)
+		if _, err := load.Run(context.Background(), c); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// runAgainst sends a short load to a stand-in without a router in between.
+func runAgainst(t *testing.T, faults backend.Faults, resends int) (*load.Result, []check.Violation) {
+	t.Helper()
+	records := backend.NewRecorder(0)
+	s := backend.New(backend.Config{
+		Name: "b1", Upstream: "desk", Slots: 500, Connections: 500, Records: records, Service: backend.Service{Mean: 1},
+	})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	s.SetFaults(faults)
+	r, err := load.Run(context.Background(), load.Config{
+		Seed: 9, Targets: []string{s.Address()}, Rate: 2000, Duration: time.Minute, MaxRequests: 200,
+		Classes: []load.Class{
+			{Name: "read", Weight: 1, Path: "/k/{key}", Resends: resends, Timeout: time.Minute},
+			{Name: "submit", Weight: 1, Method: http.MethodPost, Path: "/k/{key}", IdempotencyKey: 0.5, Resends: resends, Timeout: time.Minute},
+			{Name: "upload", Weight: 1, Method: http.MethodPost, Path: "/k/{key}", Bytes: 100_000, Resends: resends, Timeout: time.Minute},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries, dropped := records.Entries()
+	return r, check.Check(check.Input{Entries: entries, Dropped: dropped, Operations: r.Operations})
+}
+
+// TestRunAndCheck guards against a generator or a checker that reports faults
+// where there are none, and against latencies that leave out the wait before
+// the sending.
+func TestRunAndCheck(t *testing.T) {
+	r, violations := runAgainst(t, backend.Faults{}, 0)
+	if r.Counts[load.OutcomeOK] != 200 || len(violations) > 0 {
+		t.Errorf("outcomes %v, violations %v, want 200 successes and none", r.Counts, violations)
+	}
+	if n := r.Latency(load.OutcomeOK).TotalCount(); n != 200 {
+		t.Errorf("%d latencies, want 200", n)
+	}
+	for _, o := range r.Operations {
+		a := o.Attempts[0]
+		if o.Latency < a.At.Sub(o.Intended)+a.Latency {
+			t.Errorf("latency %v of %s leaves out the %v before the sending", o.Latency, o.ID, a.At.Sub(o.Intended))
+		}
+	}
+}
+
+// TestRunFindsFaults guards against a caller who takes a crossed or short
+// response for its own, and against a checker that does not see a resend of a
+// non-idempotent request run twice.
+func TestRunFindsFaults(t *testing.T) {
+	r, violations := runAgainst(t, backend.Faults{Crossed: 0.3}, 0)
+	if n := check.Count(violations)[check.KindWrongResponse]; n == 0 || n != r.Counts[load.OutcomeWrong] {
+		t.Errorf("%d wrong responses found, outcomes %v", n, r.Counts)
+	}
+	// Without a router the caller's own id protects nobody.
+	r, violations = runAgainst(t, backend.Faults{Short: 0.5}, 3)
+	if n := check.Count(violations)[check.KindRunTwice]; n == 0 {
+		t.Errorf("no request ran twice, outcomes %v", r.Counts)
+	}
+	r, violations = runAgainst(t, backend.Faults{Shed: 0.5}, 3)
+	if len(violations) > 0 || r.Counts[load.OutcomeOK] < 150 {
+		t.Errorf("shed requests: violations %v, outcomes %v", violations, r.Counts)
+	}
+}
--- /dev/null
+++ b/bench/load/plan.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Planned is one operation before it is sent.
+type Planned struct {
+	Number int
+	// At is the intended time of the first sending, from the start.
+	At    time.Duration
+	Class int
+	Key   string
+	// Target is the place in Config.Targets of the first sending.
+	Target int
+	// OwnID says whether the caller gives its own id.
+	OwnID bool
+}
+
+// planner draws operations one after the other.
+type planner struct {
+	config Config
+	random *rand.Rand
+	zipf   *rand.Zipf
+	total  float64
+	next   time.Duration
+	number int
+}
+
+// newPlanner returns a planner for a configuration with defaults.
+func newPlanner(c Config) *planner {
+	random := rand.New(rand.NewPCG(c.Seed, 3))
+	p := &planner{config: c, random: random, zipf: rand.NewZipf(random, c.Zipf, 1, uint64(c.Keys-1))}
+	for _, class := range c.Classes {
+		p.total += class.Weight
+	}
+	return p
+}
+
+// plan returns the next operation, false at the end of the run.
+func (p *planner) plan() (Planned, bool) {
+	p.next += time.Duration(p.random.ExpFloat64() / p.config.Rate * float64(time.Second))
+	if p.next >= p.config.Duration || p.number >= p.config.MaxRequests {
+		return Planned{}, false
+	}
+	o := Planned{Number: p.number, At: p.next, Target: p.number % len(p.config.Targets), Class: p.class()}
+	o.Key = fmt.Sprintf("key%d", p.key())
+	o.OwnID = p.random.Float64() < p.config.Classes[o.Class].IdempotencyKey
+	p.number++
+	return o, true
+}
+
+func (p *planner) class() int {
+	x := p.random.Float64() * p.total
+	for i, c := range p.config.Classes {
+		x -= c.Weight
+		if x < 0 {
+			return i
+		}
+	}
+	return len(p.config.Classes) - 1
+}
+
+// key draws a key: a hot one with the share of the hot set, else by popularity.
+// The hot set moves to the next keys with each interval.
+func (p *planner) key() int {
+	hot := p.config.Hot
+	if hot.Keys > 0 && p.random.Float64() < hot.Share {
+		first := 0
+		if hot.MoveEvery > 0 {
+			first = int(p.next/hot.MoveEvery) * hot.Keys
+		}
+		return (first + p.random.IntN(hot.Keys)) % p.config.Keys
+	}
+	return int(p.zipf.Uint64())
+}
+
+// Plan returns all operations of a run, for tests and for estimates.
+func Plan(c Config) ([]Planned, error) {
+	c, err := c.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	p := newPlanner(c)
+	var all []Planned
+	for {
+		o, ok := p.plan()
+		if !ok {
+			return all, nil
+		}
+		all = append(all, o)
+	}
+}
