--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -60,6 +60,9 @@
 	case s.global.Version:
 		s.Out("jujubeknotctl %s", Version)
 		return ExitDone
+	case parser.Active == nil && len(rest) > 0:
+		s.Err("jujubeknotctl: unknown command %q; run jujubeknotctl --help for the list", rest[0])
+		return ExitUsage
 	case parser.Active == nil:
 		s.Err("jujubeknotctl: no command; run jujubeknotctl --help for the list")
 		return ExitUsage
--- a/ctl/drain.go
+++ b/ctl/drain.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/ctl/internal/operator"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -31,8 +34,12 @@
 		}
 	}
 	response, err := s.client.Drain(ctx, c.Args.Server, c.Undo)
+	var unknown *operator.UnknownError
+	if errors.As(err, &unknown) {
+		return fmt.Errorf("%w\nthe change may have been accepted; to drain, or to undo, twice does no harm: run the same command again", err)
+	}
 	if err != nil {
-		return fmt.Errorf("%w\nto drain, or to undo, twice does no harm: run the same command again", err)
+		return err
 	}
 	if c.Undo {
 		s.Out("%s is back in service; partitions return over the next minutes", c.Args.Server)
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -51,7 +51,7 @@
 	Timeout        time.Duration
 	AttemptTimeout time.Duration
 	// Pause is the time before the members are asked anew after all of them
-	// failed.
+	// failed. It doubles with each round, up to 8 times.
 	Pause time.Duration
 	// Dial opens connections. Default a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -161,7 +161,7 @@
 	defer cancel()
 	var last error
 	sent := false
-	for {
+	for pause := c.config.Pause; ; pause = min(2*pause, 8*c.config.Pause) {
 		queue := slices.Clone(c.config.Addresses)
 		if leader := c.leader.Load(); leader != nil {
 			queue = first(*leader, queue)
@@ -199,7 +199,7 @@
 				return nil, &UnknownError{cause: last}
 			}
 			return nil, &UnreachableError{cause: last}
-		case <-time.After(c.config.Pause):
+		case <-time.After(pause):
 		}
 	}
 }
