control/internal/replica, control/internal/member: members over HTTP/2 with group commit

Runs core/raft with disk and transport behind the interface Log. Proposals and messages that wait share one sync, Confirm calls share one quorum round per 10 ms, and an empty data folder must be accepted by every initial member before it takes part.

--- /dev/null
+++ b/control/internal/replica/config.go
@@ -0,0 +1,109 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// Defaults of the configuration.
+const (
+	// DefaultSnapshotEntries bounds the entries that are read at a restart.
+	DefaultSnapshotEntries = 10_000
+	// DefaultSnapshotBytes bounds the log between two snapshots.
+	DefaultSnapshotBytes = 32 << 20
+	// DefaultKeepEntries lets a member that was away for a short time catch up
+	// without a snapshot.
+	DefaultKeepEntries = 1_000
+	// DefaultConfirmInterval is the shortest time between two quorum rounds.
+	DefaultConfirmInterval = 10 * time.Millisecond
+	// DefaultStopTimeout bounds the handing over of leadership at the end.
+	DefaultStopTimeout = time.Second
+	// maxCommandBytes bounds one command, well below the limits of a record
+	// and of a request.
+	maxCommandBytes = 16 << 20
+)
+
+// Config of a Replica. Zero values mean the defaults where there is one.
+type Config struct {
+	// GroupID, MemberID, Address, Secret, Files and Clock are required.
+	GroupID  string
+	MemberID uint64
+	// Address at which other members reach this one.
+	Address string
+	Secret  string
+	Files   disk.FS
+	Clock   clock.Clock
+	// Initial lists the members with which the group is first formed, with ids
+	// and addresses. A member that is not listed waits until it is added.
+	Initial []*wirev1.Member
+	Logger  zerolog.Logger
+
+	// Seed of the election time-outs. 0 means a random one.
+	Seed            uint64
+	ElectionMin     time.Duration
+	ElectionMax     time.Duration
+	Heartbeat       time.Duration
+	SnapshotEntries uint64
+	SnapshotBytes   int
+	KeepEntries     uint64
+	ConfirmInterval time.Duration
+	StopTimeout     time.Duration
+	SegmentBytes    int64
+	// Transport replaces the one over HTTP.
+	Transport Transport
+}
+
+func (c Config) withDefaults() Config {
+	if c.SnapshotEntries == 0 {
+		c.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if c.KeepEntries == 0 {
+		c.KeepEntries = DefaultKeepEntries
+	}
+	if c.ConfirmInterval == 0 {
+		c.ConfirmInterval = DefaultConfirmInterval
+	}
+	if c.StopTimeout == 0 {
+		c.StopTimeout = DefaultStopTimeout
+	}
+	return c
+}
+
+func (c Config) check() error {
+	switch {
+	case c.GroupID == "":
+		return errors.New("group id is empty")
+	case c.MemberID == 0:
+		return errors.New("member id is 0")
+	case c.Address == "":
+		return errors.New("address of the member is empty")
+	case c.Files == nil:
+		return errors.New("data folder is not set")
+	case c.Clock == nil:
+		return errors.New("clock is not set")
+	}
+	for _, m := range c.Initial {
+		if m.Id == c.MemberID && m.Address != c.Address {
+			return errors.Errorf("initial members list member %d at %s, but its address is %s", m.Id, m.Address, c.Address)
+		}
+	}
+	return nil
+}
+
+func (c Config) isInitial() bool {
+	for _, m := range c.Initial {
+		if m.Id == c.MemberID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/internal/replica/loop.go
@@ -0,0 +1,275 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// loop is the goroutine of Run: it turns requests, messages and time into
+// events and carries out the effects.
+type loop struct {
+	*Replica
+	member *raft.Member
+	timer  *time.Timer
+
+	nextID uint64
+	// proposals wait for Proposed, by request id; appended ones for Apply, by
+	// index.
+	proposals map[uint64]*request
+	appended  map[uint64]waiting
+	// joins wait until a member is a voter.
+	joins map[uint64][]*request
+	// confirms wait for the next quorum round, rounds for the answer to one.
+	confirms  []*request
+	rounds    map[uint64][]*request
+	lastRound time.Time
+
+	applied        uint64
+	sinceSnapshot  uint64
+	bytesSince     int
+	snapshotting   bool
+	snapshots      chan snapshotResult
+	halted         *raft.Halted
+	requestsClosed bool
+}
+
+// waiting is a request whose entry is in the log.
+type waiting struct {
+	request *request
+	term    uint64
+}
+
+type snapshotResult struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
+func newLoop(r *Replica, m *raft.Member) *loop {
+	return &loop{
+		Replica: r, member: m, timer: time.NewTimer(time.Hour),
+		proposals: map[uint64]*request{}, appended: map[uint64]waiting{}, joins: map[uint64][]*request{},
+		rounds: map[uint64][]*request{}, snapshots: make(chan snapshotResult, 1),
+	}
+}
+
+func (l *loop) run(ctx context.Context) error {
+	defer l.timer.Stop()
+	if err := l.step(raft.Tick{}); err != nil {
+		return err
+	}
+	done := ctx.Done()
+	var stopAt time.Time
+	for {
+		batch, ended, err := l.collect(done, stopAt)
+		if err != nil {
+			return err
+		}
+		if ended {
+			// Leadership is handed over before the end, so that the group does not
+			// have to wait for an election timeout.
+			done, l.requestsClosed = nil, true
+			stopAt = l.config.Clock.Now().Add(l.config.StopTimeout)
+			batch = append(batch, raft.Transfer{})
+		}
+		if err := l.step(batch); err != nil {
+			return err
+		}
+		if l.halted != nil {
+			return &HaltedError{Reason: l.halted.Reason}
+		}
+		if done == nil && (!l.Leadership().Leading || !l.config.Clock.Now().Before(stopAt) || len(l.member.Membership().Members) < 2) {
+			return nil
+		}
+	}
+}
+
+// collect waits for something to do and takes along what else is there.
+func (l *loop) collect(done <-chan struct{}, stopAt time.Time) (raft.Batch, bool, error) {
+	var batch raft.Batch
+	select {
+	case <-done:
+		return batch, true, nil
+	case q := <-l.requests:
+		batch = l.request(batch, q)
+	case messages := <-l.inbox:
+		batch = l.messages(batch, messages)
+	case s := <-l.snapshots:
+		var err error
+		if batch, err = l.snapshotDone(batch, s); err != nil {
+			return nil, false, err
+		}
+	case <-l.untilTimer(l.deadline(stopAt)):
+	}
+	for len(batch) < maxBatch {
+		select {
+		case q := <-l.requests:
+			batch = l.request(batch, q)
+			continue
+		case messages := <-l.inbox:
+			batch = l.messages(batch, messages)
+			continue
+		default:
+		}
+		break
+	}
+	return append(l.startRound(batch), raft.Tick{}), false, nil
+}
+
+// deadline returns when the loop has to act without being asked.
+func (l *loop) deadline(stopAt time.Time) time.Time {
+	at := l.member.NextDeadline()
+	if len(l.confirms) > 0 {
+		at = earlier(at, l.lastRound.Add(l.config.ConfirmInterval))
+	}
+	return earlier(at, stopAt)
+}
+
+// earlier returns the earlier of two times, of which zero means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// startRound starts a quorum round for all calls of Confirm that wait, unless
+// the last one started a moment ago.
+func (l *loop) startRound(batch raft.Batch) raft.Batch {
+	now := l.config.Clock.Now()
+	if len(l.confirms) == 0 || now.Sub(l.lastRound) < l.config.ConfirmInterval {
+		return batch
+	}
+	l.lastRound = now
+	l.nextID++
+	l.rounds[l.nextID], l.confirms = l.confirms, nil
+	return append(batch, raft.ReadIndex{ID: l.nextID})
+}
+
+func (l *loop) messages(batch raft.Batch, messages []*wirev1.RaftMessage) raft.Batch {
+	for _, m := range messages {
+		if m.Snapshot != nil {
+			// A snapshot that cannot be restored must not replace the log.
+			if _, err := decodeState(m.Snapshot); err != nil {
+				l.logger.Error().Uint64("from", m.From).Err(err).Msg("refused a snapshot")
+				continue
+			}
+		}
+		batch = append(batch, raft.Receive{Message: m})
+	}
+	return batch
+}
+
+func (l *loop) request(batch raft.Batch, q *request) raft.Batch {
+	switch {
+	case q.status:
+		q.answered <- answer{status: l.memberStatus()}
+		return batch
+	case l.requestsClosed:
+		q.answered <- answer{err: ErrStopped}
+		return batch
+	case q.confirm:
+		l.confirms = append(l.confirms, q)
+		return batch
+	case q.change != nil:
+		return l.changeRequest(batch, q)
+	}
+	l.nextID++
+	l.proposals[l.nextID] = q
+	return append(batch, raft.Propose{ID: l.nextID, Data: q.data})
+}
+
+// changeRequest proposes a change of the membership unless it was made or is
+// under way.
+func (l *loop) changeRequest(batch raft.Batch, q *request) raft.Batch {
+	current := l.member.Membership()
+	if l.Leadership().Leading {
+		if q.change.remove != 0 && slices.Contains(l.membership.Load().GetRemovedIds(), q.change.remove) {
+			q.answered <- answer{members: l.membership.Load().Members}
+			return batch
+		}
+		for _, m := range current.Members {
+			if q.change.add == nil || m.Id != q.change.add.Id || m.Address != q.change.add.Address {
+				continue
+			}
+			if m.Learner || findMember(l.membership.Load(), m.Id).GetLearner() {
+				l.joins[m.Id] = append(l.joins[m.Id], q)
+			} else {
+				q.answered <- answer{members: current.Members}
+			}
+			return batch
+		}
+	}
+	l.nextID++
+	l.proposals[l.nextID] = q
+	return append(batch, raft.ProposeMembership{ID: l.nextID, Add: q.change.add, Remove: q.change.remove})
+}
+
+func findMember(membership *wirev1.Membership, id uint64) *wirev1.Member {
+	for _, m := range membership.GetMembers() {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (l *loop) memberStatus() []*wirev1.MemberStatus {
+	status, now := l.member.Status(), l.config.Clock.Now()
+	var list []*wirev1.MemberStatus
+	for _, m := range l.member.Membership().Members {
+		s := &wirev1.MemberStatus{Member: m, Leader: m.Id == status.Leader}
+		if m.Id == l.config.MemberID {
+			s.MatchIndex = status.Last
+		}
+		for _, p := range status.Progress {
+			if p.ID == m.Id {
+				s.MatchIndex, s.AnswerAgeMs = p.Match, uint64(max(0, now.Sub(p.Heard)).Milliseconds())
+			}
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// takeSnapshot encodes the state in the background. The state at an index is
+// immutable.
+func (l *loop) takeSnapshot() {
+	if l.snapshotting || l.sinceSnapshot < l.config.SnapshotEntries && l.bytesSince < l.config.SnapshotBytes {
+		return
+	}
+	l.snapshotting, l.sinceSnapshot, l.bytesSince = true, 0, 0
+	index, state, results := l.applied, l.State(), l.snapshots
+	go func() {
+		data, err := proto.Marshal(state.Snapshot())
+		results <- snapshotResult{index: index, data: data, err: err}
+	}()
+}
+
+func (l *loop) snapshotDone(batch raft.Batch, s snapshotResult) (raft.Batch, error) {
+	l.snapshotting = false
+	if s.err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", s.err)
+	}
+	l.logger.Info().Uint64("index", s.index).Int("bytes", len(s.data)).Msg("compacting the log with a snapshot")
+	return append(batch, raft.Compact{Index: s.index, Data: s.data, Keep: l.config.KeepEntries}), nil
+}
+
+// rejected returns the error for a request that the log did not take.
+func (l *loop) rejected(reason raft.Reason, leader uint64) error {
+	switch reason {
+	case raft.ReasonNotLeader, raft.ReasonTransferring:
+		return &NotLeaderError{Address: findMember(l.member.Membership(), leader).GetAddress()}
+	case raft.ReasonBusy:
+		return ErrBusy
+	}
+	return errors.New(reason.String())
+}
--- /dev/null
+++ b/control/internal/replica/run.go
@@ -0,0 +1,216 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/control/internal/member"
+	"github.com/jujubeknot/jujubeknot/core/cluster"
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+const (
+	// requestQueue bounds the calls that wait for the loop; further callers
+	// wait until there is room.
+	requestQueue = 1024
+	// inboxQueue bounds the batches of messages that wait for the loop.
+	inboxQueue = 256
+	// maxBatch bounds the events that share one sync.
+	maxBatch = 1024
+)
+
+// Transport passes messages to other members. Implementations are safe for
+// concurrent use.
+type Transport interface {
+	Send(message *wirev1.RaftMessage)
+	SetMembers(members []*wirev1.Member)
+	Form(ctx context.Context, address string, request *wirev1.FormRequest) (*wirev1.FormResponse, error)
+	Close()
+}
+
+// Replica is this process's member. It implements Log.
+type Replica struct {
+	config    Config
+	logger    zerolog.Logger
+	disk      *disk.Disk
+	stored    raft.Stored
+	transport Transport
+	handler   func() (string, http.Handler)
+	requests  chan *request
+	inbox     chan []*wirev1.RaftMessage
+	stopped   chan struct{}
+
+	identity   atomic.Pointer[disk.Identity]
+	membership atomic.Pointer[wirev1.Membership]
+	state      atomic.Pointer[cluster.State]
+	leadership atomic.Pointer[Leadership]
+
+	subscribersMutex sync.Mutex
+	subscribers      []chan struct{}
+}
+
+// HaltedError says that this member must take no further part in the group.
+type HaltedError struct {
+	Reason raft.HaltReason
+}
+
+// Error explains the reason and what to do.
+func (e *HaltedError) Error() string {
+	return e.Reason.String()
+}
+
+// New opens the data folder. The error is a *disk.DamageError where the folder
+// is damaged. Run must be called to close the folder again.
+func New(config Config) (*Replica, error) {
+	config = config.withDefaults()
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	folder, err := newFolderID()
+	if err != nil {
+		return nil, err
+	}
+	if config.Seed == 0 {
+		config.Seed = folder
+	}
+	r := &Replica{
+		config: config, logger: config.Logger.With().Uint64("self", config.MemberID).Logger(),
+		requests: make(chan *request, requestQueue), inbox: make(chan []*wirev1.RaftMessage, inboxQueue),
+		stopped: make(chan struct{}),
+	}
+	r.state.Store(&cluster.State{})
+	r.leadership.Store(&Leadership{})
+	if err := r.openTransport(); err != nil {
+		return nil, err
+	}
+	if err := r.openDisk(folder); err != nil {
+		r.transport.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Replica) openTransport() error {
+	if r.config.Transport != nil {
+		r.transport = r.config.Transport
+		r.handler = func() (string, http.Handler) { return "/", http.NotFoundHandler() }
+		return nil
+	}
+	transport, err := member.New(member.Config{
+		GroupID: r.config.GroupID, Secret: r.config.Secret, Address: r.config.Address,
+		Logger: r.logger, Receive: r.Receive, Form: r.AnswerForm,
+	})
+	if err != nil {
+		return err
+	}
+	r.transport, r.handler = transport, transport.Handler
+	return nil
+}
+
+func (r *Replica) openDisk(folder uint64) error {
+	opened, contents, err := disk.Open(r.config.Files, disk.Options{SegmentBytes: r.config.SegmentBytes})
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	r.disk, r.stored = opened, contents.Stored
+	if err := checkIdentity(r.config, contents.Identity); err != nil {
+		_ = opened.Close()
+		return err
+	}
+	if contents.Identity == nil {
+		identity := disk.Identity{GroupID: r.config.GroupID, MemberID: r.config.MemberID, Folder: folder}
+		if err := opened.Claim(identity); err != nil {
+			_ = opened.Close()
+			return fmt.Errorf("claim data folder: %w", err)
+		}
+	}
+	if contents.TornBytes > 0 {
+		r.logger.Warn().Str("file", contents.TornFile).Int64("bytes", contents.TornBytes).
+			Msg("cut off the end of the log that was not synced when the process ended")
+	}
+	r.identity.Store(opened.Identity())
+	return nil
+}
+
+// Handler returns the path and the handler of MemberService. It must be served
+// before Run is called and until Run has returned.
+func (r *Replica) Handler() (string, http.Handler) {
+	return r.handler()
+}
+
+// Receive takes messages of other members. They are dropped where the loop is
+// far behind; the log sends them again.
+func (r *Replica) Receive(messages []*wirev1.RaftMessage) {
+	select {
+	case r.inbox <- messages:
+	default:
+	}
+}
+
+// Run takes part in the group until the context ends, then hands over
+// leadership and closes the data folder. The error is nil after an orderly
+// end. After a failed write or sync the process must end.
+func (r *Replica) Run(ctx context.Context) (err error) {
+	defer func() {
+		close(r.stopped)
+		r.leadership.Store(&Leadership{Term: r.Leadership().Term})
+		r.notify()
+		r.transport.Close()
+		if closeErr := r.disk.Close(); err == nil && closeErr != nil {
+			err = fmt.Errorf("close data folder: %w", closeErr)
+		}
+	}()
+	if !r.disk.Identity().Formed {
+		stored, err := r.form(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		r.stored = stored
+		r.identity.Store(r.disk.Identity())
+	}
+	m, err := raft.New(raft.Config{
+		ID: r.config.MemberID, Folder: r.disk.Identity().Folder, Seed: r.config.Seed,
+		ElectionMin: r.config.ElectionMin, ElectionMax: r.config.ElectionMax, Heartbeat: r.config.Heartbeat,
+	}, r.config.Clock.Now(), r.stored)
+	if err != nil {
+		return fmt.Errorf("load the log: %w", err)
+	}
+	r.stored = raft.Stored{}
+	l := newLoop(r, m)
+	return l.run(ctx)
+}
+
+// decodeState returns the state that a snapshot holds.
+func decodeState(snapshot *wirev1.Snapshot) (*cluster.State, error) {
+	message := &wirev1.ClusterState{}
+	if err := proto.Unmarshal(snapshot.GetData(), message); err != nil {
+		return nil, fmt.Errorf("decode snapshot at %d: %w", snapshot.GetIndex(), err)
+	}
+	state, err := cluster.FromSnapshot(message)
+	if err != nil {
+		return nil, fmt.Errorf("restore snapshot at %d: %w", snapshot.GetIndex(), err)
+	}
+	return state, nil
+}
+
+// untilTimer sets a timer to a time of the configured clock.
+func (l *loop) untilTimer(at time.Time) <-chan time.Time {
+	if at.IsZero() {
+		l.timer.Stop()
+		return nil
+	}
+	l.timer.Reset(max(0, at.Sub(l.config.Clock.Now())))
+	return l.timer.C
+}
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -45,5 +45,8 @@
 	PeerPriority = "Jujubeknot-Peer-Priority"
 )
 
+// MemberSecret is the secret that control members share.
+const MemberSecret = "Jujubeknot-Member-Secret"
+
 // Prefix starts each header of the project's own.
 const Prefix = "Jujubeknot-"
