--- a/control/internal/disk/fs.go
+++ b/control/internal/disk/fs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -116,21 +117,39 @@
 	if err != nil {
 		return nil, fmt.Errorf("open lock file: %w", err)
 	}
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = file.Close()
-		if errors.Is(err, syscall.EWOULDBLOCK) {
-			return nil, errors.Errorf("data folder %s is in use by another process", string(f))
-		}
-		return nil, fmt.Errorf("lock data folder %s: %w", string(f), err)
+	return flock(file, string(f), syscall.LOCK_EX)
+}
+
+// LockExisting takes a shared lock on a data folder without writing to it. A
+// folder without lock file, such as a copy, is not in use.
+func LockExisting(dir string) (io.Closer, error) {
+	file, err := os.Open(filepath.Join(dir, lockFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return io.NopCloser(nil), nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("open lock file: %w", err)
+	}
+	return flock(file, dir, syscall.LOCK_SH)
+}
+
+func flock(file *os.File, dir string, how int) (io.Closer, error) {
+	err := syscall.Flock(int(file.Fd()), how|syscall.LOCK_NB)
+	if err == nil {
+		return file, nil
+	}
+	_ = file.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, errors.Errorf("data folder %s is in use by another process", dir)
 	}
-	return file, nil
+	return nil, fmt.Errorf("lock data folder %s: %w", dir, err)
 }
 
 // writeFile replaces a file atomically: after a crash it has either the old or
 // the new content.
-func writeFile(fs FS, name string, data []byte) error {
+func writeFile(files FS, name string, data []byte) error {
 	temporary := name + temporarySuffix
-	file, err := fs.Create(temporary)
+	file, err := files.Create(temporary)
 	if err != nil {
 		return fmt.Errorf("create %s: %w", temporary, err)
 	}
@@ -145,10 +164,10 @@
 	if err := file.Close(); err != nil {
 		return fmt.Errorf("close %s: %w", temporary, err)
 	}
-	if err := fs.Rename(temporary, name); err != nil {
+	if err := files.Rename(temporary, name); err != nil {
 		return fmt.Errorf("rename %s: %w", temporary, err)
 	}
-	if err := fs.SyncDir(); err != nil {
+	if err := files.SyncDir(); err != nil {
 		return fmt.Errorf("sync data folder: %w", err)
 	}
 	return nil
--- a/control/internal/disk/load.go
+++ b/control/internal/disk/load.go
@@ -54,10 +54,7 @@
 		return err
 	}
 	if snapshot == nil && r.base.Index > 0 || snapshot != nil && snapshot.Index < r.base.Index {
-		return &DamageError{
-			File:   segmentName(found.segments[0]),
-			Reason: fmt.Sprintf("log starts after entry %d but the snapshot ends at %d", r.base.Index, snapshot.GetIndex()),
-		}
+		return gap(segmentName(found.segments[0]), r.base.Index, snapshot.GetIndex())
 	}
 	if err := d.reopen(found, size, torn); err != nil {
 		return err
--- a/control/internal/replica/config.go
+++ b/control/internal/replica/config.go
@@ -45,16 +45,16 @@
 	Logger  zerolog.Logger
 
 	// Seed of the election time-outs. 0 means a random one.
-	Seed            uint64
-	ElectionMin     time.Duration
-	ElectionMax     time.Duration
-	Heartbeat       time.Duration
-	SnapshotEntries uint64
-	SnapshotBytes   int
-	KeepEntries     uint64
-	ConfirmInterval time.Duration
-	StopTimeout     time.Duration
-	SegmentBytes    int64
+	Seed             uint64
+	ShortestElection time.Duration
+	LongestElection  time.Duration
+	Heartbeat        time.Duration
+	SnapshotEntries  uint64
+	SnapshotBytes    int
+	KeepEntries      uint64
+	ConfirmInterval  time.Duration
+	StopTimeout      time.Duration
+	SegmentBytes     int64
 	// Transport replaces the one over HTTP.
 	Transport Transport
 }
--- a/control/internal/replica/run.go
+++ b/control/internal/replica/run.go
@@ -182,7 +182,7 @@
 	}
 	m, err := raft.New(raft.Config{
 		ID: r.config.MemberID, Folder: r.disk.Identity().Folder, Seed: r.config.Seed,
-		ElectionMin: r.config.ElectionMin, ElectionMax: r.config.ElectionMax, Heartbeat: r.config.Heartbeat,
+		ShortestElection: r.config.ShortestElection, LongestElection: r.config.LongestElection, Heartbeat: r.config.Heartbeat,
 	}, r.config.Clock.Now(), r.stored)
 	if err != nil {
 		return fmt.Errorf("load the log: %w", err)
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -12,9 +12,9 @@
 
 // Defaults of the configuration.
 const (
-	DefaultElectionMin = 300 * time.Millisecond
-	DefaultElectionMax = 600 * time.Millisecond
-	DefaultHeartbeat   = 75 * time.Millisecond
+	DefaultShortestElection = 300 * time.Millisecond
+	DefaultLongestElection  = 600 * time.Millisecond
+	DefaultHeartbeat        = 75 * time.Millisecond
 	// DefaultSnapshotRetry is the time after which an unanswered snapshot is
 	// sent again.
 	DefaultSnapshotRetry = 3 * time.Second
@@ -37,8 +37,8 @@
 	Folder uint64
 	// Seed of the random election time-outs. Members need different ones.
 	Seed                uint64
-	ElectionMin         time.Duration
-	ElectionMax         time.Duration
+	ShortestElection    time.Duration
+	LongestElection     time.Duration
 	Heartbeat           time.Duration
 	SnapshotRetry       time.Duration
 	MaxMessageBytes     int
@@ -74,14 +74,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.ElectionMin == 0 {
-		c.ElectionMin = DefaultElectionMin
+	if c.ShortestElection == 0 {
+		c.ShortestElection = DefaultShortestElection
 	}
-	if c.ElectionMax == 0 {
-		c.ElectionMax = 2 * c.ElectionMin
+	if c.LongestElection == 0 {
+		c.LongestElection = 2 * c.ShortestElection
 	}
 	if c.Heartbeat == 0 {
-		c.Heartbeat = c.ElectionMin / 4
+		c.Heartbeat = c.ShortestElection / 4
 	}
 	if c.SnapshotRetry == 0 {
 		c.SnapshotRetry = DefaultSnapshotRetry
@@ -104,10 +104,10 @@
 		return errors.New("member id is 0")
 	case c.Folder == 0:
 		return errors.New("folder id is 0")
-	case c.ElectionMax <= c.ElectionMin:
-		return errors.Errorf("longest election timeout %v is not above the shortest %v", c.ElectionMax, c.ElectionMin)
-	case c.Heartbeat <= 0 || c.Heartbeat >= c.ElectionMin:
-		return errors.Errorf("heartbeat interval %v is not between 0 and the election timeout %v", c.Heartbeat, c.ElectionMin)
+	case c.LongestElection <= c.ShortestElection:
+		return errors.Errorf("longest election timeout %v is not above the shortest %v", c.LongestElection, c.ShortestElection)
+	case c.Heartbeat <= 0 || c.Heartbeat >= c.ShortestElection:
+		return errors.Errorf("heartbeat interval %v is not between 0 and the election timeout %v", c.Heartbeat, c.ShortestElection)
 	case c.MaxMessageBytes < 0 || c.MaxInFlight < 0 || c.MaxUncommittedBytes < 0 || c.SnapshotRetry < 0:
 		return errors.New("a limit is negative")
 	}
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -10,7 +10,7 @@
 	if m.role == RoleLeader {
 		return true
 	}
-	return !m.leaderContact.IsZero() && m.now.Sub(m.leaderContact) < m.config.ElectionMin
+	return !m.leaderContact.IsZero() && m.now.Sub(m.leaderContact) < m.config.ShortestElection
 }
 
 // campaign starts a pre-vote, or an election at once if the leader ordered it.
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -174,7 +174,7 @@
 
 func (m *Member) tickLeader() {
 	heard := func(id uint64) bool {
-		return id == m.config.ID || m.now.Sub(m.leading.followers[id].heard) < m.config.ElectionMax
+		return id == m.config.ID || m.now.Sub(m.leading.followers[id].heard) < m.config.LongestElection
 	}
 	if !m.quorum(heard) {
 		m.becomeFollower(m.term, 0)
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -247,8 +247,8 @@
 }
 
 func (m *Member) resetElectionDeadline() {
-	spread := int64(m.config.ElectionMax - m.config.ElectionMin)
-	m.electionDeadline = m.now.Add(m.config.ElectionMin + time.Duration(m.random.Int64N(spread)))
+	spread := int64(m.config.LongestElection - m.config.ShortestElection)
+	m.electionDeadline = m.now.Add(m.config.ShortestElection + time.Duration(m.random.Int64N(spread)))
 }
 
 func (m *Member) halt(reason HaltReason) {
--- a/core/raft/transfer.go
+++ b/core/raft/transfer.go
@@ -24,7 +24,7 @@
 		return
 	}
 	m.leading.transferTo = target.id
-	m.leading.transferDeadline = m.now.Add(m.config.ElectionMax)
+	m.leading.transferDeadline = m.now.Add(m.config.LongestElection)
 	if target.match == m.log.last() {
 		m.sendTimeoutNow()
 	}
