--- a/ctl/internal/screen/screen.go
+++ b/ctl/internal/screen/screen.go
@@ -43,6 +43,12 @@
 	fmt.Fprintf(s.out, format+"\n", values...)
 }
 
+// Results returns the writer of results, for a report of another package.
+func (s *Screen) Results() io.Writer {
+	s.clear()
+	return s.out
+}
+
 // Err writes a line of messages.
 func (s *Screen) Err(format string, values ...any) {
 	s.clear()
--- a/ctl/options.go
+++ b/ctl/options.go
@@ -71,6 +71,8 @@
 	add(root, "explain", "Show who owns a key and why", "Shows the owner of a key, its epoch, the reason and the last moves.", &explainCommand{})
 	add(root, "drain", "Drain a backend server", "Moves all work off a backend server; --undo returns it to service.", &drainCommand{})
 	add(root, "history", "Show the changes of the rules", "Shows revisions with author, time, and who asked for each change and why.", &historyCommand{})
+	add(root, "inspect", "Read a data folder offline", "Shows the log, the snapshots and any damage in the data folder of a control "+
+		"member that is stopped. Changes nothing.", &inspectCommand{})
 	members := must(root.AddCommand("members", "Show and change the control members", "Shows, adds and removes control members.", &struct{}{}))
 	add(members, "list", "Show the control members", "Shows the control members.", &membersListCommand{})
 	add(members, "add", "Add a control member", "Adds a control member. It votes once it has stored the whole log.", &membersAddCommand{})
