--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -173,13 +173,12 @@
 
 // settings reads the rest of the rule and returns how many settings it has.
 func (c *cursor) settings(allowed ...setting) int {
-	var names []string
-	for _, a := range allowed {
-		names = append(names, a.name+"=")
-	}
-	expected := strings.Join(names, ", ")
-	if expected == "" {
-		expected = "the comment"
+	expected := func() string {
+		var names []string
+		for _, a := range allowed {
+			names = append(names, a.name+"=")
+		}
+		return cmp.Or(strings.Join(names, ", "), "the comment")
 	}
 	var seen []string
 	for ; c.next < len(c.words); c.next++ {
@@ -188,7 +187,7 @@
 		i := slices.IndexFunc(allowed, func(s setting) bool { return s.name == name })
 		switch {
 		case !found || i < 0:
-			c.fail(w.column, "found %q; expected %s", w.text, expected)
+			c.fail(w.column, "found %q; expected %s", w.text, expected())
 		case slices.Contains(seen, name):
 			c.fail(w.column, "%s a second time; expected it once in a rule", name)
 		case value.text == "":
--- a/core/rules/scan.go
+++ b/core/rules/scan.go
@@ -16,6 +16,9 @@
 	// MaxErrors bounds the faults that are reported, so that a file of another
 	// kind gives a message of bounded size.
 	MaxErrors = 1000
+	// usualWords is the number of words that most rules do not exceed. Room
+	// for them at once avoids growing the slice up to 4 times per rule.
+	usualWords = 8
 	// maxWho bounds the characters of the name before the colon.
 	maxWho = 100
 )
@@ -82,6 +85,9 @@
 			p.fail(number, column, "a double quote is not closed; expected another one in the same line")
 			return s, false
 		}
+		if s.words == nil {
+			s.words = make([]word, 0, usualWords)
+		}
 		s.words = append(s.words, word{rest[:length], column})
 		column += utf8.RuneCountInString(rest[:length])
 		s.end = column
