ctl: do not take the refusal of a listener that is not for operators as final

Control members name the leader's listener for members and nodes in the hint. Before, a hint outside the configured addresses was asked first and its refusal ended the command; now it comes last and its refusal means nothing. One more case in the golden file of TestReach. Conflicts also show the words of control.

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -96,7 +96,7 @@
 		s.Out("accepted earlier: revision %d has this content", revision)
 		return revision, nil
 	case wirev1.ApplyRulesResponse_OUTCOME_CONFLICT:
-		return 0, s.conflict(ctx, p, revision)
+		return 0, s.conflict(ctx, p, response)
 	case wirev1.ApplyRulesResponse_OUTCOME_INVALID:
 		var faults rules.Errors
 		for _, e := range response.GetErrors() {
@@ -112,11 +112,15 @@
 }
 
 // conflict says who changed the rules in between.
-func (s *session) conflict(ctx context.Context, p proposal, revision uint64) error {
+func (s *session) conflict(ctx context.Context, p proposal, response *wirev1.ApplyRulesResponse) error {
+	revision := response.GetRevision()
 	text := fmt.Sprintf("conflict, nothing was changed: the change builds on revision %d, but the rules are at revision %d", p.base, revision)
 	if winner, err := s.client.GetRules(ctx, revision); err == nil && winner.GetRevision() == revision {
 		text += fmt.Sprintf(", accepted %s from %s", wallTime(winner.GetAcceptedUnixMs()), screen.Clean(winner.GetAuthor()))
 	}
+	for _, e := range response.GetErrors() {
+		text += "\ncontrol says: " + screen.Clean(e.GetMessage())
+	}
 	return coded(ExitConflict, text+fmt.Sprintf("\nlook at the difference with diff %s, then apply with --expect %d", p.file.Args.File, revision))
 }
 
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -251,6 +251,11 @@
 		t.leader = netip.MustParseAddrPort("10.0.0.3:7102")
 		t.run("apply @a.rules" + all)
 		t.note("asked %v", t.asked)
+		t.note("members name the leader's other listener")
+		t.asked, t.hint = nil, "10.0.0.3:7101"
+		t.run("members list" + all)
+		t.note("asked %v", t.asked)
+		t.hint = ""
 		t.silent["10.0.0.1:7102"], t.absent["10.0.0.2:7102"] = true, true
 		started := time.Now()
 		t.run("members list" + all)
--- a/ctl/fake_test.go
+++ b/ctl/fake_test.go
@@ -1,11 +1,13 @@
 package ctl_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +41,8 @@
 	loseAnswers int
 	secret      string
 	leader      netip.AddrPort
+	// hint is what members name as the leader's address, empty for leader.
+	hint string
 	// electedAt is when the leader begins to answer; before, members know no
 	// leader.
 	electedAt time.Time
@@ -60,20 +64,25 @@
 		servers: map[string]*http.Server{}, listeners: map[string]*pipeListener{},
 	}
 	for i := range 3 {
-		address := fmt.Sprintf("10.0.0.%d:7102", i+1)
 		f.members = append(f.members, &wirev1.Member{Id: uint64(i + 1), Address: fmt.Sprintf("10.0.0.%d:7101", i+1)})
-		listener := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
-		protocols := new(http.Protocols)
-		protocols.SetUnencryptedHTTP2(true)
-		mux := http.NewServeMux()
-		mux.Handle(wirev1connect.NewOperatorHandler(f, connect.WithInterceptors(f.guard(address))))
-		server := &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: time.Minute}
-		f.servers[address], f.listeners[address] = server, listener
-		go func() { _ = server.Serve(listener) }()
+		f.serve(fmt.Sprintf("10.0.0.%d:7101", i+1))
+		f.serve(fmt.Sprintf("10.0.0.%d:7102", i+1))
 	}
 	return f
 }
 
+// serve begins a listener: for operators at port 7102, for members at 7101.
+func (f *fakeControl) serve(address string) {
+	listener := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	mux := http.NewServeMux()
+	mux.Handle(wirev1connect.NewOperatorHandler(f, connect.WithInterceptors(f.guard(address))))
+	server := &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: time.Minute}
+	f.servers[address], f.listeners[address] = server, listener
+	go func() { _ = server.Serve(listener) }()
+}
+
 func (f *fakeControl) close() {
 	for _, s := range f.servers {
 		_ = s.Close()
@@ -111,16 +120,19 @@
 			leads := address == f.leader.String() && !time.Now().Before(f.electedAt)
 			known := !time.Now().Before(f.electedAt)
 			f.mu.Unlock()
+			if strings.HasSuffix(address, ":7101") {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("not a member"))
+			}
 			if f.secret != "" && r.Header().Get("Authorization") != "Bearer "+f.secret {
 				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the secret is missing or wrong"))
 			}
 			if !leads {
 				err := connect.NewError(connect.CodeUnavailable, errors.New("not the leader"))
+				hint := ""
 				if known {
-					err.Meta().Set("Jujubeknot-Leader", f.leader.String())
-				} else {
-					err.Meta().Set("Jujubeknot-Leader", "")
+					hint = cmp.Or(f.hint, f.leader.String())
 				}
+				err.Meta().Set("Jujubeknot-Leader", hint)
 				return nil, err
 			}
 			return next(ctx, r)
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -166,10 +166,11 @@
 		if leader := c.leader.Load(); leader != nil {
 			queue = first(*leader, queue)
 		}
-		followed := map[netip.AddrPort]bool{}
+		tried := map[netip.AddrPort]bool{}
 		for len(queue) > 0 && ctx.Err() == nil {
 			address := queue[0]
 			queue = queue[1:]
+			tried[address] = true
 			response, connected, err := attempt(ctx, c, address, request, m)
 			if err == nil {
 				c.leader.Store(&address)
@@ -177,18 +178,17 @@
 			}
 			f := classify(err, connected)
 			last = fmt.Errorf("%s: %w", address, err)
+			configured := slices.Contains(c.config.Addresses, address)
 			switch {
-			case f.kind == failureRefused:
+			case f.kind == failureRefused && configured:
 				return nil, &RefusedError{Address: address, cause: err}
 			case f.kind == failureLost:
 				sent = true
 				if !again {
 					return nil, &UnknownError{cause: last}
 				}
-			case f.leader.IsValid() && !followed[f.leader]:
-				followed[f.leader] = true
-				queue = first(f.leader, queue)
 			}
+			queue = follow(f.leader, queue, tried, c.config.Addresses)
 		}
 		select {
 		case <-ctx.Done():
@@ -204,6 +204,21 @@
 	}
 }
 
+// follow returns the queue with the address that a member named as the
+// leader's. One that is not configured comes last: it can be a listener that
+// is not for operators, whose refusal then means nothing.
+func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool, configured []netip.AddrPort) []netip.AddrPort {
+	switch {
+	case !hint.IsValid() || tried[hint]:
+		return queue
+	case slices.Contains(configured, hint):
+		return first(hint, queue)
+	case !slices.Contains(queue, hint):
+		return append(queue, hint)
+	}
+	return queue
+}
+
 // first returns the queue with an address at its head.
 func first(address netip.AddrPort, queue []netip.AddrPort) []netip.AddrPort {
 	others := slices.DeleteFunc(queue, func(a netip.AddrPort) bool { return a == address })
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -89,13 +89,14 @@
 		}
 		return failure{leader: leader}
 	}
+	if c.Code() == connect.CodeUnimplemented {
+		// The address is not an operator listener.
+		return failure{}
+	}
 	if !connect.IsWireError(err) {
 		return failure{kind: failureLost}
 	}
 	switch c.Code() {
-	case connect.CodeUnimplemented:
-		// The address is not an operator listener.
-		return failure{}
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeUnknown,
 		connect.CodeAborted, connect.CodeInternal:
 		return failure{kind: failureLost}
