--- a/control/control.go
+++ b/control/control.go
@@ -1,3 +1,210 @@
 // Package control is a member of the control group, which keeps the durable
 // state and grants leases to nodes.
 package control
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/boottime"
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/control/internal/leader"
+	"github.com/jujubeknot/jujubeknot/control/internal/nodes"
+	"github.com/jujubeknot/jujubeknot/control/internal/operator"
+	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	"github.com/jujubeknot/jujubeknot/control/internal/rpc"
+	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	"github.com/jujubeknot/jujubeknot/core/placement"
+	"github.com/jujubeknot/jujubeknot/core/settings"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// stopTimeout bounds each step of a graceful stop.
+const stopTimeout = 2 * time.Second
+
+// Config configures a member. Zero values of Lease, Placement, Policy,
+// MoveTimeout and Clock mean the defaults.
+type Config struct {
+	Name             string
+	MemberID         uint64
+	GroupID          string
+	DataFolder       string
+	Region           string
+	AvailabilityZone string
+	// Members of the group at its first start.
+	Members      []settings.Member
+	MemberSecret string
+	NodeSecret   string
+	// Peer is the address for members and nodes, Operator that for operators.
+	Peer     netip.AddrPort
+	Operator netip.AddrPort
+	Lease    lease.Config
+	// OperatorSecret admits its holders to the operator port. Empty admits
+	// only requests from loopback.
+	OperatorSecret string
+	Logger         zerolog.Logger
+	Placement      placement.Config
+	Policy         string
+	MoveTimeout    time.Duration
+	// Clock must count through suspension. Default is the machine's.
+	Clock clock.Clock
+}
+
+// Member is one member of the control group.
+type Member struct {
+	config   Config
+	log      *replica.Replica
+	leader   *leader.Leader
+	peer     net.Listener
+	operator net.Listener
+}
+
+// New opens the data folder and the listeners. A damaged or foreign data
+// folder is an error.
+func New(config Config) (*Member, error) {
+	if config.Clock == nil {
+		config.Clock = boottime.Clock{}
+	}
+	if config.NodeSecret == "" || config.MemberSecret == "" {
+		return nil, errors.New("control: no node secret or no member secret")
+	}
+	m := &Member{config: config}
+	var err error
+	if m.peer, err = net.Listen("tcp", config.Peer.String()); err != nil {
+		return nil, fmt.Errorf("listen for members and nodes: %w", err)
+	}
+	if m.operator, err = net.Listen("tcp", config.Operator.String()); err != nil {
+		_ = m.peer.Close()
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	if m.log, err = openLog(config); err != nil {
+		_ = m.peer.Close()
+		_ = m.operator.Close()
+		return nil, err
+	}
+	m.leader = leader.New(leader.Config{
+		Log: m.log, Clock: config.Clock, Logger: config.Logger, Lease: config.Lease,
+		Placement: config.Placement, Policy: config.Policy, MoveTimeout: config.MoveTimeout,
+	})
+	return m, nil
+}
+
+func openLog(config Config) (*replica.Replica, error) {
+	files, err := disk.Folder(config.DataFolder)
+	if err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	initial := make([]*wirev1.Member, 0, len(config.Members))
+	for _, m := range config.Members {
+		initial = append(initial, &wirev1.Member{Id: m.ID, Address: m.Address.String()})
+	}
+	log, err := replica.New(replica.Config{
+		GroupID: config.GroupID, MemberID: config.MemberID, Address: config.Peer.String(), Secret: config.MemberSecret,
+		Files: files, Clock: config.Clock, Initial: initial, Logger: config.Logger,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("replicated log: %w", err)
+	}
+	return log, nil
+}
+
+// Run serves until the context ends, then hands leadership over and stops. It
+// returns nil after such a stop and the error of the part that failed first
+// otherwise. It must be called once.
+func (m *Member) Run(ctx context.Context) error {
+	logContext, stopLog := context.WithCancel(context.Background())
+	defer stopLog()
+	leaderContext, stopLeader := context.WithCancel(context.Background())
+	defer stopLeader()
+	peer := m.server(m.peerHandler())
+	operators := m.server(m.operatorHandler())
+	failed := make(chan error, 2)
+	logEnded := make(chan error, 1)
+	var group sync.WaitGroup
+	group.Go(func() { failed <- wrap("members and nodes", peer.Serve(m.peer)) })
+	group.Go(func() { failed <- wrap("operators", operators.Serve(m.operator)) })
+	group.Go(func() { logEnded <- wrap("replicated log", m.log.Run(logContext)) })
+	group.Go(func() { m.leader.Run(leaderContext) })
+	m.config.Logger.Info().Stringer("peer", m.peer.Addr()).Stringer("operator", m.operator.Addr()).
+		Uint64("memberId", m.config.MemberID).Str("groupId", m.config.GroupID).Msg("member started")
+	var err error
+	select {
+	case err = <-failed:
+		stopLog()
+		err = cmp.Or(err, <-logEnded)
+	case err = <-logEnded:
+	case <-ctx.Done():
+		// The log hands leadership over before it ends, so that nodes need
+		// not wait for an election. Watch streams end with it.
+		stopLog()
+		err = <-logEnded
+	}
+	stopLeader()
+	shutDown(peer)
+	shutDown(operators)
+	group.Wait()
+	m.config.Logger.Info().Err(err).Msg("member stopped")
+	return err
+}
+
+func wrap(part string, err error) error {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", part, err)
+}
+
+// server returns a server for HTTP/1.1 and for HTTP/2 without TLS. Half-open
+// connections are found by pings: without them each would keep its watch
+// stream and its memory for ever.
+func (m *Member) server(handler http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: 5 * time.Second,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: 1000,
+			SendPingTimeout:      time.Second,
+			PingTimeout:          500 * time.Millisecond,
+		},
+	}
+}
+
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		// Connections that are still in use are closed.
+		_ = server.Close()
+	}
+}
+
+func (m *Member) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(nodes.Handler(m.leader, m.log, m.config.NodeSecret))
+	mux.Handle(m.log.Handler())
+	return mux
+}
+
+func (m *Member) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(operator.Handler(m.leader, m.log, m.config.Logger))
+	mux.Handle("GET /debug/vars", m.variables())
+	if m.config.OperatorSecret != "" {
+		return rpc.RequireSecret(m.config.OperatorSecret, mux)
+	}
+	return rpc.RequireLoopback(mux)
+}
