--- /dev/null
+++ b/node/control_test.go
@@ -0,0 +1,264 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
+)
+
+const nodeSecret = "a secret of sixteen bytes"
+
+// fakeControl is a control group of one member without a log: it registers
+// nodes, spreads partitions evenly over those that serve the upstream, and
+// carries out planned moves.
+type fakeControl struct {
+	wirev1connect.UnimplementedControlHandler
+	address netip.AddrPort
+
+	mu          sync.Mutex
+	index       uint64
+	rules       *wirev1.RulesRevision
+	nodes       map[uint64]*wirev1.Node
+	assignments map[string][]*wirev1.Assignment
+	watchers    map[uint64]chan *wirev1.Update
+	released    map[uint64]int
+	// refuseRenewals has incarnations whose renewals fail.
+	refuseRenewals map[uint64]bool
+	keyed          map[string]uint32
+	leaseMs        uint32
+	// expected servers must be registered before partitions are assigned.
+	expected int
+	reports  []*wirev1.ReleasedPartition
+}
+
+func newControl(t testing.TB, text string) *fakeControl {
+	set, faults := rules.Parse(text)
+	if err := faults.Err(); err != nil {
+		t.Fatal(err)
+	}
+	c := &fakeControl{
+		index: 1, rules: &wirev1.RulesRevision{Revision: 1, Text: text}, nodes: map[uint64]*wirev1.Node{},
+		assignments: map[string][]*wirev1.Assignment{}, watchers: map[uint64]chan *wirev1.Update{},
+		released: map[uint64]int{}, refuseRenewals: map[uint64]bool{}, keyed: map[string]uint32{}, leaseMs: 1500,
+	}
+	for _, u := range set.Upstreams {
+		if u.Keyed {
+			c.keyed[u.Name] = u.Partitions
+		}
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wirev1connect.NewControlHandler(c))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: mux, Protocols: protocols}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c.address = netip.MustParseAddrPort(l.Addr().String())
+	return c
+}
+
+func authorized(h http.Header) error {
+	if h.Get("Authorization") != "Bearer "+nodeSecret {
+		return connect.NewError(connect.CodeUnauthenticated, nil)
+	}
+	return nil
+}
+
+// publish sends an update to all watchers. The lock is held.
+func (c *fakeControl) publish(u *wirev1.Update) {
+	c.index++
+	u.Index = c.index
+	for _, w := range c.watchers {
+		w <- u
+	}
+}
+
+// spread gives partitions without a living owner to the nodes that serve the
+// upstream. The lock is held.
+func (c *fakeControl) spread() {
+	servers := 0
+	for _, n := range c.nodes {
+		if n.GetBackendServer() != nil {
+			servers++
+		}
+	}
+	if servers < c.expected {
+		return
+	}
+	c.expected = 0
+	u := &wirev1.Update{}
+	for name, count := range c.keyed {
+		var serving []uint64
+		for i := uint64(1); i <= c.index; i++ {
+			if n := c.nodes[i]; n.GetBackendServer().GetUpstream() == name && !n.GetDraining() {
+				serving = append(serving, i)
+			}
+		}
+		for len(c.assignments[name]) < int(count) {
+			c.assignments[name] = append(c.assignments[name], &wirev1.Assignment{Upstream: name, Partition: uint32(len(c.assignments[name]))})
+		}
+		for i, a := range c.assignments[name] {
+			if len(serving) == 0 || c.nodes[a.GetOwner()] != nil {
+				continue
+			}
+			a = &wirev1.Assignment{Upstream: name, Partition: uint32(i), Owner: serving[i%len(serving)], Epoch: a.GetEpoch() + 1}
+			c.assignments[name][i] = a
+			u.Assignments = append(u.Assignments, a)
+		}
+	}
+	if len(u.GetAssignments()) > 0 {
+		c.publish(u)
+	}
+}
+
+func (c *fakeControl) Register(_ context.Context, r *connect.Request[wirev1.RegisterRequest]) (*connect.Response[wirev1.RegisterResponse], error) {
+	if err := authorized(r.Header()); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := &wirev1.Update{}
+	if c.nodes[r.Msg.GetPrevious()] != nil {
+		delete(c.nodes, r.Msg.GetPrevious())
+		u.RemovedNodes = []uint64{r.Msg.GetPrevious()}
+	}
+	n := proto.CloneOf(r.Msg.GetNode())
+	n.Incarnation = c.index + 1
+	c.nodes[n.GetIncarnation()] = n
+	u.Nodes = []*wirev1.Node{n}
+	c.publish(u)
+	c.spread()
+	return connect.NewResponse(&wirev1.RegisterResponse{Incarnation: n.GetIncarnation(), LeaseMs: c.leaseMs, RenewIntervalMs: 100}), nil
+}
+
+func (c *fakeControl) Renew(_ context.Context, r *connect.Request[wirev1.RenewRequest]) (*connect.Response[wirev1.RenewResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[r.Msg.GetIncarnation()]
+	if c.refuseRenewals[r.Msg.GetIncarnation()] {
+		return nil, connect.NewError(connect.CodeUnavailable, nil)
+	}
+	if n == nil {
+		return connect.NewResponse(&wirev1.RenewResponse{Sequence: r.Msg.GetSequence(), Lost: true}), nil
+	}
+	if n.GetDraining() != r.Msg.GetDraining() {
+		n = proto.CloneOf(n)
+		n.Draining = r.Msg.GetDraining()
+		c.nodes[n.GetIncarnation()] = n
+		c.publish(&wirev1.Update{Nodes: []*wirev1.Node{n}})
+		if n.GetDraining() {
+			c.releaseAll(n.GetIncarnation())
+		}
+	}
+	return connect.NewResponse(&wirev1.RenewResponse{Sequence: r.Msg.GetSequence(), LeaseMs: c.leaseMs}), nil
+}
+
+// releaseAll orders an owner to release all of its partitions, if another node
+// can take them. The lock is held.
+func (c *fakeControl) releaseAll(owner uint64) {
+	u := &wirev1.Update{Index: c.index}
+	for name, list := range c.assignments {
+		if c.other(name, owner) == 0 {
+			continue
+		}
+		for _, a := range list {
+			if a.GetOwner() == owner {
+				u.Releases = append(u.Releases, &wirev1.Release{Upstream: name, Partition: a.GetPartition(), Epoch: a.GetEpoch(), TimeoutMs: 2000})
+			}
+		}
+	}
+	if w := c.watchers[owner]; w != nil && len(u.GetReleases()) > 0 {
+		w <- u
+	}
+}
+
+func (c *fakeControl) other(upstream string, owner uint64) uint64 {
+	for i, n := range c.nodes {
+		if i != owner && n.GetBackendServer().GetUpstream() == upstream && !n.GetDraining() {
+			return i
+		}
+	}
+	return 0
+}
+
+func (c *fakeControl) Released(_ context.Context, r *connect.Request[wirev1.ReleasedRequest]) (*connect.Response[wirev1.ReleasedResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := &wirev1.Update{MovedRequests: r.Msg.GetMovedRequests()}
+	for _, p := range r.Msg.GetPartitions() {
+		c.reports = append(c.reports, p)
+		a := c.assignments[p.GetUpstream()][p.GetPartition()]
+		if p.GetPutOff() || a.GetEpoch() != p.GetEpoch() {
+			continue
+		}
+		a = &wirev1.Assignment{
+			Upstream: p.GetUpstream(), Partition: p.GetPartition(), Owner: c.other(p.GetUpstream(), r.Msg.GetIncarnation()),
+			Epoch: a.GetEpoch() + 1, Planned: true,
+		}
+		c.assignments[p.GetUpstream()][p.GetPartition()] = a
+		u.Assignments = append(u.Assignments, a)
+	}
+	if len(u.GetAssignments()) > 0 {
+		c.publish(u)
+	}
+	return connect.NewResponse(&wirev1.ReleasedResponse{}), nil
+}
+
+func (c *fakeControl) Deregister(_ context.Context, r *connect.Request[wirev1.DeregisterRequest]) (*connect.Response[wirev1.DeregisterResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nodes[r.Msg.GetIncarnation()] != nil {
+		delete(c.nodes, r.Msg.GetIncarnation())
+		c.publish(&wirev1.Update{RemovedNodes: []uint64{r.Msg.GetIncarnation()}})
+		c.spread()
+	}
+	return connect.NewResponse(&wirev1.DeregisterResponse{}), nil
+}
+
+func (c *fakeControl) Watch(ctx context.Context, r *connect.Request[wirev1.WatchRequest], s *connect.ServerStream[wirev1.Update]) error {
+	c.mu.Lock()
+	full := &wirev1.Update{Index: c.index, Snapshot: true, Rules: c.rules}
+	for _, n := range c.nodes {
+		full.Nodes = append(full.Nodes, n)
+	}
+	for _, list := range c.assignments {
+		full.Assignments = append(full.Assignments, list...)
+	}
+	updates := make(chan *wirev1.Update, 4096)
+	c.watchers[r.Msg.GetIncarnation()] = updates
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.watchers[r.Msg.GetIncarnation()] == updates {
+			delete(c.watchers, r.Msg.GetIncarnation())
+		}
+	}()
+	if err := s.Send(full); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-updates:
+			if err := s.Send(u); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/harness_test.go
@@ -0,0 +1,279 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/node"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+const testRules = `upstream applications keyed partitions=16 slots=6 connections=20 # test: keyed
+upstream documents unkeyed slots=6 connections=20 # test: unkeyed
+route /applications to applications key=segment:2 timeout=10s # test: key in the path
+route /by-header to applications key=header:X-Key timeout=10s # test: key in a header
+route /documents to documents timeout=10s # test: no key
+`
+
+// backendServer is a stand-in for a backend server.
+type backendServer struct {
+	name, upstream, bootID string
+	address                string
+	server                 *http.Server
+
+	mu   sync.Mutex
+	runs map[string]int
+	// grants has the last expiry of each partition.
+	grants map[uint32]int64
+	// drains has the bodies of POST /v1/drain.
+	cancels []string
+	fences  map[string]uint64
+	// handle answers requests that are not the node's own calls.
+	handle http.HandlerFunc
+}
+
+// id is how a request names itself to the stand-in, whatever ids the nodes give.
+const idHeader = "X-Test-Id"
+
+func newBackend(t testing.TB, name, upstream string) *backendServer {
+	b := &backendServer{name: name, upstream: upstream, bootID: "boot-1", runs: map[string]int{}, grants: map[uint32]int64{}, fences: map[string]uint64{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = l.Addr().String()
+	b.handle = func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %s %s", b.name, r.Method, r.URL.RequestURI(), body)
+	}
+	b.server = &http.Server{Handler: b}
+	go func() { _ = b.server.Serve(l) }()
+	t.Cleanup(func() { _ = b.server.Close() })
+	return b
+}
+
+// ServeHTTP counts runs and takes the node's own calls.
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headers.BootID, b.bootID)
+	switch r.URL.Path {
+	case "/v1/health":
+		_, _ = fmt.Fprintf(w, `{"status":"ok","bootId":%q}`, b.bootID)
+		return
+	case "/v1/load":
+		_, _ = io.WriteString(w, `{"inFlight":0,"queued":0}`)
+		return
+	case "/v1/drain":
+		return
+	case "/v1/cancel":
+		var c struct {
+			RequestID string `json:"requestId"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&c)
+		b.mu.Lock()
+		b.cancels = append(b.cancels, c.RequestID)
+		b.mu.Unlock()
+		return
+	case "/v1/grant":
+		var g struct {
+			ExpiryMs   int64
+			Partitions []struct{ Partition uint32 }
+		}
+		_ = json.NewDecoder(r.Body).Decode(&g)
+		b.mu.Lock()
+		for _, p := range g.Partitions {
+			b.grants[p.Partition] = g.ExpiryMs
+		}
+		b.mu.Unlock()
+		return
+	}
+	b.mu.Lock()
+	b.runs[r.Header.Get(idHeader)]++
+	handle := b.handle
+	b.mu.Unlock()
+	handle(w, r)
+}
+
+func (b *backendServer) setHandle(h http.HandlerFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handle = h
+}
+
+func (b *backendServer) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// announce announces the backend server at a node until the context ends.
+func (b *backendServer) announce(ctx context.Context, t testing.TB, to net.Addr, address string) {
+	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":6,"connections":20,"checksFences":true}`,
+		b.name, b.upstream, address, b.bootID)
+	post := func() {
+		r, err := http.Post("http://"+to.String()+"/v1/announce", "application/json", bytes.NewReader([]byte(body)))
+		if err != nil {
+			return
+		}
+		defer func() { _ = r.Body.Close() }()
+		if r.StatusCode != http.StatusOK {
+			answer, _ := io.ReadAll(r.Body)
+			t.Errorf("announcement: status %d: %s", r.StatusCode, answer)
+		}
+	}
+	post()
+	go func() {
+		ticker := time.NewTicker(200 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				post()
+			}
+		}
+	}()
+}
+
+// runningNode is a node of a test.
+type runningNode struct {
+	*node.Node
+	url  string
+	stop context.CancelFunc
+	done chan error
+	log  *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// startNode starts a node beside a backend server, which may be nil.
+func startNode(t testing.TB, c *fakeControl, name string, b *backendServer, change func(*node.Config)) *runningNode {
+	log := &syncBuffer{}
+	cfg := node.Config{
+		Name: name, AvailabilityZone: "zone1", ControlMembers: []netip.AddrPort{c.address}, NodeSecret: nodeSecret,
+		Callers: loopback, Peer: loopback, Backend: loopback, Operator: loopback,
+		Log: zerolog.New(log).With().Timestamp().Logger(),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	n, err := node.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningNode{Node: n, url: "http://" + n.Addresses().Callers.String(), stop: cancel, done: make(chan error, 1), log: log}
+	go func() { r.done <- n.Run(ctx) }()
+	if b != nil {
+		b.announce(ctx, t, n.Addresses().Backend, b.address)
+	}
+	t.Cleanup(func() {
+		cancel()
+		n.Close()
+		if t.Failed() && testing.Verbose() {
+			lines := log.String()
+			t.Logf("end of the log of %s:\n%s", name, lines[max(0, len(lines)-4000):])
+		}
+	})
+	return r
+}
+
+// eventually waits until a condition holds. The bound only ends a test that
+// would never pass.
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	refusal struct {
+		Outcome      string
+		Reason       string
+		RetryAfterMs int64
+		RequestID    string `json:"requestId"`
+	}
+}
+
+// send makes one request of a caller on a connection of its own.
+func send(method, url string, header map[string]string, body io.Reader) answer {
+	q, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, v := range header {
+		q.Header.Set(name, v)
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	r, err := c.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = r.Body.Close() }()
+	content, err := io.ReadAll(r.Body)
+	a := answer{status: r.StatusCode, header: r.Header, body: string(content), err: err}
+	if r.Header.Get(headers.Outcome) != "" {
+		a.err = json.Unmarshal(content, &a.refusal)
+	}
+	return a
+}
+
+// cluster is two nodes with backend servers of the keyed upstream and two of
+// the other.
+type cluster struct {
+	control *fakeControl
+	nodes   []*runningNode
+	servers []*backendServer
+}
+
+func startCluster(t testing.TB, upstreams ...string) *cluster {
+	c := &cluster{control: newControl(t, testRules)}
+	c.control.expected = len(upstreams)
+	for i, u := range upstreams {
+		b := newBackend(t, fmt.Sprintf("server%d", i+1), u)
+		c.servers = append(c.servers, b)
+		c.nodes = append(c.nodes, startNode(t, c.control, fmt.Sprintf("node%d", i+1), b, nil))
+	}
+	for _, n := range c.nodes {
+		eventually(t, "node serves", func() bool {
+			return n.Ready() && send("GET", n.url+"/applications/k", nil, nil).status == 200 || len(upstreams) == 0
+		})
+	}
+	return c
+}
--- a/node/internal/backend/announce.go
+++ b/node/internal/backend/announce.go
@@ -17,9 +17,9 @@
 const (
 	announceBytes   = 16 << 10
 	announceTimeout = 5 * time.Second
-	maxNameBytes   = 200
-	maxSlots       = 1 << 16
-	maxConnections = 1 << 16
+	maxNameBytes    = 200
+	maxSlots        = 1 << 16
+	maxConnections  = 1 << 16
 )
 
 // announcement is the body of POST /v1/announce.
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -24,8 +24,8 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
-	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // Bounds on what callers send.
--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -20,8 +20,8 @@
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
-	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // Timeouts of connections between nodes.
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -242,4 +242,3 @@
 	}
 	e.Str("decision", "run").Str("reason", "owned").Int("status", a.Status).Msg("owner")
 }
-
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -50,7 +50,6 @@
 	Body   *Body
 }
 
-
 // Name returns the request id that the backend server is told. Sendings of an
 // idempotent request have different ones, because one may be cancelled while
 // another runs.
