--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -277,3 +277,14 @@
 	}
 	return c
 }
+
+// vars returns a node's figures from the operator port.
+func vars(t testing.TB, n *runningNode) map[string]any {
+	t.Helper()
+	a := send("GET", "http://"+n.Addresses().Operator.String()+"/debug/vars", nil, nil)
+	v := map[string]any{}
+	if err := json.Unmarshal([]byte(a.body), &v); err != nil {
+		t.Fatalf("figures: %v %q", err, a.body)
+	}
+	return v
+}
--- /dev/null
+++ b/node/peer_test.go
@@ -0,0 +1,177 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/jujubeknot/jujubeknot/node"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// pair is an entry node without a backend server and the node that owns all
+// keys, with a proxy between them.
+type pair struct {
+	control *fakeControl
+	entry   *runningNode
+	owner   *runningNode
+	server  *backendServer
+	proxy   *faultProxy
+}
+
+func startPair(t testing.TB, rules string) *pair {
+	p := &pair{control: newControl(t, rules)}
+	l := proxied(t)
+	p.proxy = l.proxy
+	p.server = newBackend(t, "server1", "applications")
+	p.owner = startNode(t, p.control, "owner", p.server, func(c *node.Config) { c.PeerListener = l })
+	p.entry = startNode(t, p.control, "entry", nil, nil)
+	for _, n := range []*runningNode{p.owner, p.entry} {
+		eventually(t, "node serves", func() bool { return n.Ready() && send("GET", n.url+"/applications/k", nil, nil).status == 200 })
+	}
+	// Warms up: the guard starts a new backend server with one request at a
+	// time.
+	for i := range 40 {
+		send("GET", fmt.Sprintf("%s/applications/warm%d", p.entry.url, i), nil, nil)
+	}
+	return p
+}
+
+// TestSilentConnectionIsSettledWhileRunning guards against a request that runs
+// twice, or whose answer is lost, because the connection that it came on went
+// silent while it ran.
+func TestSilentConnectionIsSettledWhileRunning(t *testing.T) {
+	p := startPair(t, testRules)
+	started, release := make(chan struct{}), make(chan struct{})
+	p.server.setHandle(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		_, _ = w.Write([]byte("signed"))
+	})
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- send("POST", p.entry.url+"/applications/k", map[string]string{idHeader: "s1"}, strings.NewReader("x"))
+	}()
+	<-started
+	p.proxy.silence()
+	eventually(t, "the entry node asks", func() bool { return strings.Contains(p.owner.log.String(), `"state":"running"`) })
+	close(release)
+	if a := <-answers; a.status != 200 || a.body != "signed" {
+		t.Fatalf("status %d body %q error %v", a.status, a.body, a.err)
+	}
+	if n := p.server.ran("s1"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+// TestSilentConnectionBarsTheSending guards against a request that runs twice
+// because its first copy arrives after the connection that held it back for a
+// while works again.
+func TestSilentConnectionBarsTheSending(t *testing.T) {
+	p := startPair(t, testRules)
+	resume := p.proxy.silence()
+	a := send("POST", p.entry.url+"/applications/k", map[string]string{idHeader: "s2"}, strings.NewReader("x"))
+	if a.status != 200 {
+		t.Fatalf("status %d body %q error %v", a.status, a.body, a.err)
+	}
+	if !strings.Contains(p.owner.log.String(), `"state":"barred"`) {
+		t.Fatal("the sending was not barred")
+	}
+	resume()
+	eventually(t, "requests pass again", func() bool {
+		return send("GET", p.entry.url+"/applications/k", nil, nil).status == 200
+	})
+	if n := p.server.ran("s2"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+// TestPeerPortRefusesCallers guards against callers who reach a backend server
+// through the port for nodes, with or without forged headers.
+func TestPeerPortRefusesCallers(t *testing.T) {
+	p := startPair(t, testRules)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	registered := fmt.Sprint(vars(t, p.entry)["lease"].(map[string]any)["incarnation"])
+	for name, forged := range map[string]map[string]string{
+		"none":    {},
+		"secret":  {headers.PeerIncarnation: registered, headers.PeerSecret: "guess", headers.PeerUpstream: "applications"},
+		"empty":   {headers.PeerIncarnation: registered, headers.PeerSecret: ""},
+		"unknown": {headers.PeerIncarnation: "999", headers.PeerSecret: "guess", headers.PeerUpstream: "applications"},
+	} {
+		q, err := http.NewRequest("POST", "http://"+p.owner.Addresses().Peer.String()+"/applications/k", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Header.Set(idHeader, "forged")
+		for h, v := range forged {
+			q.Header.Set(h, v)
+		}
+		r, err := client.Do(q)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		_ = r.Body.Close()
+		if r.StatusCode < 400 || r.Header.Get(headers.Outcome) != "notRun" {
+			t.Errorf("%s: status %d outcome %q", name, r.StatusCode, r.Header.Get(headers.Outcome))
+		}
+	}
+	// HTTP/1.1 is not spoken there at all.
+	if a := send("GET", "http://"+p.owner.Addresses().Peer.String()+"/applications/k", map[string]string{idHeader: "forged"}, nil); a.status == 200 {
+		t.Error("HTTP/1.1 request was answered on the peer port")
+	}
+	if n := p.server.ran("forged"); n != 0 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+// TestForgedHeadersAreRemoved guards against callers who set the headers that
+// nodes use among themselves or towards backend servers.
+func TestForgedHeadersAreRemoved(t *testing.T) {
+	p := startPair(t, testRules)
+	got := make(chan http.Header, 1)
+	p.server.setHandle(func(w http.ResponseWriter, r *http.Request) { got <- r.Header.Clone() })
+	for _, n := range []*runningNode{p.entry, p.owner} {
+		a := send("POST", n.url+"/applications/k", map[string]string{
+			headers.Fence: "999", headers.Partition: "3", headers.PeerSecret: "s", headers.RequestID: "mine", "Jujubeknot-New": "1",
+			"Jujubeknot_Fence": "999", "Connection": "X-Hop", "X-Hop": "1", "X-Kept": "kept",
+		}, strings.NewReader("x"))
+		if a.status != 200 {
+			t.Fatalf("status %d %v", a.status, a.err)
+		}
+		h := <-got
+		if h.Get(headers.Fence) != "1" || h.Get(headers.RequestID) == "mine" || h.Get("X-Kept") != "kept" {
+			t.Errorf("fence %q, id %q, kept %q", h.Get(headers.Fence), h.Get(headers.RequestID), h.Get("X-Kept"))
+		}
+		for _, name := range []string{headers.PeerSecret, headers.PeerIncarnation, "Jujubeknot-New", "X-Hop", "Jujubeknot_fence", "Jujubeknot_Fence"} {
+			if _, ok := h[name]; ok {
+				t.Errorf("%s reached the backend server", name)
+			}
+		}
+	}
+}
+
+// TestSilentPeerIsFoundByPing guards against requests that keep choosing a
+// half-open connection: pings have to close it, on connections without TLS too.
+func TestSilentPeerIsFoundByPing(t *testing.T) {
+	p := startPair(t, testRules)
+	p.proxy.silence()
+	before := p.proxy.count()
+	// No request is sent: only the pings can find out. The next request then
+	// opens a new connection and needs no second try.
+	eventually(t, "connection closed by ping", func() bool { return peerConnections(t, p.entry) == 0 })
+	if a := send("POST", p.entry.url+"/applications/k", map[string]string{idHeader: "p"}, strings.NewReader("x")); a.status != 200 {
+		t.Fatalf("status %d body %q error %v", a.status, a.body, a.err)
+	}
+	if p.proxy.count() != before+1 {
+		t.Errorf("%d new connections, want 1", p.proxy.count()-before)
+	}
+}
+
+func peerConnections(t testing.TB, n *runningNode) int {
+	t.Helper()
+	return int(vars(t, n)["peerConnections"].(float64))
+}
+
--- /dev/null
+++ b/node/raw_test.go
@@ -0,0 +1,228 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// rawServer is a backend server that writes its responses byte by byte as a
+// test wants them.
+type rawServer struct {
+	*backendServer
+	mu sync.Mutex
+	// answer writes the response to one request and returns false to close.
+	answer func(c net.Conn, r *http.Request) bool
+	// connections that carried requests, in order.
+	connections []net.Conn
+}
+
+func newRawServer(t testing.TB, answer func(c net.Conn, r *http.Request) bool) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{answer: answer, backendServer: &backendServer{
+		name: "raw", upstream: "applications", bootID: "boot-1", address: l.Addr().String(), runs: map[string]int{},
+	}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *rawServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(r.URL.Path, "/v1/") {
+			body := make([]byte, r.ContentLength*min(1, max(r.ContentLength, 0)))
+			_, _ = r.Body.Read(body)
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			continue
+		}
+		s.backendServer.mu.Lock()
+		s.runs[r.Header.Get(idHeader)]++
+		s.backendServer.mu.Unlock()
+		s.mu.Lock()
+		s.connections = append(s.connections, c)
+		s.mu.Unlock()
+		if !s.answer(c, r) {
+			return
+		}
+	}
+}
+
+// startRaw starts an entry node and the node of a raw server.
+func startRaw(t testing.TB, answer func(c net.Conn, r *http.Request) bool) (*rawServer, []*runningNode) {
+	control := newControl(t, testRules)
+	s := newRawServer(t, answer)
+	owner := startNode(t, control, "owner", nil, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s.announce(ctx, t, owner.Addresses().Backend, s.address)
+	entry := startNode(t, control, "entry", nil, nil)
+	for _, n := range []*runningNode{owner, entry} {
+		eventually(t, "node serves", func() bool { return n.Ready() && send("GET", n.url+"/applications/ok", nil, nil).status == 200 })
+	}
+	return s, []*runningNode{owner, entry}
+}
+
+func fine(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// TestIncompleteAnswersAreErrors guards against a part of a response that a
+// caller takes for the whole, at one hop and at two, streamed or not.
+func TestIncompleteAnswersAreErrors(t *testing.T) {
+	long := strings.Repeat("x", 200<<10)
+	faults := map[string]string{
+		"short":              "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"shortLong":          "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + long,
+		"chunksCut":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"chunksCutLong":      fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(long), long),
+		"chunkCut":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400\r\npart",
+		"noFraming":          "HTTP/1.1 200 OK\r\n\r\npart",
+		"headerCut":          "HTTP/1.1 200 OK\r\nContent-Le",
+		"headerHuge":         "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 400<<10) + "\r\nContent-Length: 4\r\n\r\npart",
+		"twoLengths":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\npart",
+		"nothing":            "",
+		"idOfAnotherRequest": "HTTP/1.1 200 OK\r\nJujubeknot-Request-Id: other\r\nContent-Length: 4\r\n\r\npart",
+	}
+	_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		if text, ok := faults[r.Header.Get("X-Fault")]; ok {
+			_, _ = c.Write([]byte(text))
+			return false
+		}
+		return fine(c, "ok")
+	})
+	for name := range faults {
+		for i, n := range nodes {
+			for _, method := range []string{"GET", "POST"} {
+				a := send(method, n.url+"/applications/k", map[string]string{"X-Fault": name}, nil)
+				if a.err == nil && (a.status < 500 || a.refusal.Outcome != "unknown") {
+					t.Errorf("%s, hop %d, %s: status %d outcome %q with %d bytes", name, i+1, method, a.status, a.refusal.Outcome, len(a.body))
+				}
+			}
+		}
+	}
+	for _, n := range nodes {
+		if a := send("GET", n.url+"/applications/k", nil, nil); a.status != 200 || a.body != "ok" {
+			t.Errorf("after the faults: status %d body %q error %v", a.status, a.body, a.err)
+		}
+	}
+}
+
+// TestLateAnswerReachesNobodyElse guards against an answer that arrives after
+// its request was given up and is taken for that of the next one.
+func TestLateAnswerReachesNobodyElse(t *testing.T) {
+	release := make(chan struct{})
+	s, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get(idHeader) == "late" {
+			<-release
+			return fine(c, "late")
+		}
+		return fine(c, r.Header.Get(idHeader))
+	})
+	for _, n := range nodes {
+		a := send("POST", n.url+"/applications/k", map[string]string{idHeader: "late", "Jujubeknot-Deadline": "60"}, nil)
+		if a.refusal.Outcome != "unknown" || a.refusal.Reason != "deadline" || a.status != 504 {
+			t.Fatalf("status %d refusal %+v error %v", a.status, a.refusal, a.err)
+		}
+	}
+	s.mu.Lock()
+	late := map[net.Conn]bool{s.connections[len(s.connections)-1]: true}
+	s.mu.Unlock()
+	close(release)
+	for i := range 20 {
+		id := fmt.Sprintf("next%d", i)
+		if a := send("POST", nodes[i%2].url+"/applications/k", map[string]string{idHeader: id}, nil); a.body != id {
+			t.Fatalf("%s got %q (status %d)", id, a.body, a.status)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.connections[len(s.connections)-20:] {
+		if late[c] {
+			t.Fatal("the connection of the late answer was used again")
+		}
+	}
+}
+
+// TestExtraBytesEndTheConnection guards against bytes after a response that
+// are taken for the answer to the next request.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	s, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get(idHeader) == "extra" {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+			return true
+		}
+		return fine(c, r.Header.Get(idHeader))
+	})
+	for i := range 20 {
+		if a := send("GET", nodes[0].url+"/applications/k", map[string]string{idHeader: "extra"}, nil); a.body != "ok" {
+			t.Fatalf("got %q", a.body)
+		}
+		id := fmt.Sprintf("n%d", i)
+		if a := send("GET", nodes[0].url+"/applications/k", map[string]string{idHeader: id}, nil); a.body != id {
+			t.Fatalf("%s got %q (status %d)", id, a.body, a.status)
+		}
+	}
+	_ = s
+}
+
+// TestMalformedFramingIsRefused guards against requests whose end a backend
+// server could see elsewhere than the node, and that so smuggle another one.
+func TestMalformedFramingIsRefused(t *testing.T) {
+	s, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool { return fine(c, "ok") })
+	const head = "POST /applications/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n"
+	for name, text := range map[string]string{
+		"twoLengths":      head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+		"lengthNotNumber": head + "Content-Length: 4x\r\n\r\nabcd",
+		"negativeLength":  head + "Content-Length: -1\r\n\r\nabcd",
+		"chunkedTwice":    head + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+		"oddEncoding":     head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"badChunk":        head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"headerSpace":     head + "Content-Length : 4\r\n\r\nabcd",
+		"headerFold":      head + "Content-Length: 4\r\n X: y\r\n\r\nabcd"[:0] + "Bad\x00Name: 1\r\n\r\n",
+		"http10":          "POST /applications/k HTTP/1.0\r\nX-Test-Id: smuggled\r\nContent-Length: 1\r\n\r\na",
+		"noHost":          "POST /applications/k HTTP/1.1\r\nX-Test-Id: smuggled\r\n\r\n",
+		"dotSegments":     "GET /applications/../documents/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n\r\n",
+		"escapedDots":     "GET /applications/%2e%2e/documents/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n\r\n",
+		"shortBody":       head + "Content-Length: 10\r\n\r\nabc",
+		"asterisk":        "OPTIONS * HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n\r\n",
+		"connect":         "CONNECT /applications/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", nodes[0].Addresses().Callers.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(text))
+		_ = c.(*net.TCPConn).CloseWrite()
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil && r.StatusCode/100 != 4 && r.StatusCode/100 != 5 && name != "asterisk" {
+			t.Errorf("%s: status %d", name, r.StatusCode)
+		}
+		_ = c.Close()
+	}
+	if n := s.ran("smuggled"); n != 0 {
+		t.Errorf("%d of the requests reached the backend server", n)
+	}
+}
