control/internal/disk: crash and damage properties, and three faults they found

A rapid property crashes the folder at any operation, keeps only synced bytes with a garbled rest, and compares with a model; another test changes each byte of a folder. They found a torn mark at the end of a full segment that refused a start, a lost newest segment that went unnoticed, and a removal of old segments that made a replaced log unreadable.

--- a/control/internal/disk/disk.go
+++ b/control/internal/disk/disk.go
@@ -119,13 +119,14 @@
 	if d.failed != nil {
 		return d.failed
 	}
+	replaced := false
 	if len(p.Entries) > 0 && p.Entries[0].Index <= d.last.Index {
 		// Each segment has consecutive entries, so that it can be read without
 		// the earlier ones. Replaced entries therefore start a new one.
 		d.last = Position{Index: p.Entries[0].Index - 1, Term: p.PreviousTerm}
-		d.size = d.options.SegmentBytes
+		replaced = true
 	}
-	if d.size >= d.options.SegmentBytes {
+	if replaced || d.size >= d.options.SegmentBytes {
 		if err := d.startSegment(SegmentHeader{Previous: d.last, Hard: d.hard}); err != nil {
 			return d.fail(err)
 		}
@@ -198,26 +199,31 @@
 }
 
 // removable reports whether the oldest segment is not needed for entries from
-// an index on. Segments before a reset never are.
+// an index on: a later one starts at or before that index, or starts the log
+// anew.
 func (d *Disk) removable(firstIndex uint64) bool {
-	return len(d.segments) > 1 && (d.segments[1].previous.Index < firstIndex || d.segments[len(d.segments)-1].reset)
+	for _, later := range d.segments[1:] {
+		if later.previous.Index < firstIndex || later.reset {
+			return true
+		}
+	}
+	return false
 }
 
-// startSegment begins a new file. The earlier one is complete and synced.
+// startSegment begins a new file. The earlier one is complete and synced, and
+// gets a mark that another one follows, so that a lost newest segment is
+// noticed.
 func (d *Disk) startSegment(header SegmentHeader) error {
 	sequence := uint32(1)
 	if count := len(d.segments); count > 0 {
 		sequence = d.segments[count-1].sequence + 1
 	}
-	if d.file != nil {
-		if err := d.file.Close(); err != nil {
-			return fmt.Errorf("close segment: %w", err)
-		}
-	}
 	file, err := d.files.Create(segmentName(sequence))
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
+	previous, size := d.file, d.size
+	header.PreviousBytes = size
 	d.file, d.size = file, 0
 	if err := d.write(appendRecord(nil, KindHeader, sequence, 0, header.encode())); err != nil {
 		return err
@@ -226,6 +232,18 @@
 		return fmt.Errorf("sync data folder: %w", err)
 	}
 	d.segments = append(d.segments, segment{sequence: sequence, previous: header.Previous, reset: header.Reset})
+	if previous == nil {
+		return nil
+	}
+	if _, err := previous.Write(appendRecord(nil, KindContinued, sequence-1, size, nil)); err != nil {
+		return fmt.Errorf("mark segment as continued: %w", err)
+	}
+	if err := previous.Sync(); err != nil {
+		return fmt.Errorf("sync continued segment: %w", err)
+	}
+	if err := previous.Close(); err != nil {
+		return fmt.Errorf("close segment: %w", err)
+	}
 	return nil
 }
 
--- a/control/internal/disk/load.go
+++ b/control/internal/disk/load.go
@@ -41,13 +41,11 @@
 
 // load replays the log and repairs what a crash left behind.
 func (d *Disk) load(found listing, contents *Contents) error {
-	r, torn, size, err := replayLog(d.files, found)
+	r, err := replayLog(d.files, found)
 	if err != nil {
 		return err
 	}
-	if torn > 0 || len(r.segments) < len(found.segments) {
-		contents.TornFile, contents.TornBytes = segmentName(found.segments[len(found.segments)-1]), torn
-	}
+	contents.TornFile, contents.TornBytes = segmentName(r.segments[len(r.segments)-1].sequence), r.torn
 	d.segments, d.hard, d.last = r.segments, r.hard, r.last()
 	snapshot, err := readNewest(d.files, found.snapshots)
 	if err != nil {
@@ -56,7 +54,7 @@
 	if snapshot == nil && r.base.Index > 0 || snapshot != nil && snapshot.Index < r.base.Index {
 		return gap(segmentName(found.segments[0]), r.base.Index, snapshot.GetIndex())
 	}
-	if err := d.reopen(found, size, torn); err != nil {
+	if err := d.reopen(found, &r); err != nil {
 		return err
 	}
 	if snapshot != nil && !r.has(Position{Index: snapshot.Index, Term: snapshot.Term}) {
@@ -83,44 +81,41 @@
 	return r.entries[p.Index-r.base.Index-1].Term == p.Term
 }
 
-// replayLog returns the log, and torn tail and size of the last segment.
-func replayLog(files FS, found listing) (r replay, torn, size int64, err error) {
+func replayLog(files FS, found listing) (replay, error) {
+	var r replay
 	for i, sequence := range found.segments {
 		data, err := files.Read(segmentName(sequence))
 		if err != nil {
-			return r, 0, 0, fmt.Errorf("read segment: %w", err)
+			return r, fmt.Errorf("read segment: %w", err)
 		}
-		size, err = r.segment(sequence, data, i == len(found.segments)-1)
-		if err != nil {
-			return r, 0, 0, err
+		if err := r.segment(sequence, data, i == len(found.segments)-1); err != nil {
+			return r, err
 		}
-		torn = int64(len(data)) - size
 	}
-	if len(r.segments) == 0 {
-		return r, 0, 0, &DamageError{File: segmentName(found.segments[0]), Reason: "the only segment has no header"}
+	if r.continued {
+		return r, r.missingNext()
 	}
-	return r, torn, size, nil
+	return r, nil
 }
 
-// reopen cuts the torn tail and opens the last segment for writing. A segment
-// without header was not in use yet.
-func (d *Disk) reopen(found listing, size, torn int64) error {
-	newest := found.segments[len(found.segments)-1]
-	if d.segments[len(d.segments)-1].sequence != newest {
+// reopen removes a newest segment that was not in use yet, cuts the torn tail
+// and opens the log for writing.
+func (d *Disk) reopen(found listing, r *replay) error {
+	last := r.segments[len(r.segments)-1].sequence
+	if newest := found.segments[len(found.segments)-1]; newest != last {
 		if err := d.files.Remove(segmentName(newest)); err != nil {
 			return fmt.Errorf("remove unused segment: %w", err)
 		}
-		return d.startSegment(SegmentHeader{Previous: d.last, Hard: d.hard})
 	}
-	file, err := d.files.Append(segmentName(newest))
+	file, err := d.files.Append(segmentName(last))
 	if err != nil {
 		return fmt.Errorf("open segment: %w", err)
 	}
-	d.file, d.size = file, size
-	if torn == 0 {
+	d.file, d.size = file, r.end
+	if r.torn == 0 {
 		return nil
 	}
-	if err := file.Truncate(size); err != nil {
+	if err := file.Truncate(r.end); err != nil {
 		return fmt.Errorf("truncate torn tail: %w", err)
 	}
 	if err := file.Sync(); err != nil {
--- /dev/null
+++ b/control/internal/disk/memfs_test.go
@@ -0,0 +1,179 @@
+package disk_test
+
+import (
+	"bytes"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+)
+
+var errCrashed = errors.New("crashed")
+
+// memFS is a file system in memory that can crash. Names are durable after
+// SyncDir, contents after Sync.
+type memFS struct {
+	current map[string]*inode
+	durable map[string]*inode
+	locked  bool
+	// operations counts calls that change something. From failAt on they fail.
+	operations int
+	failAt     int
+	random     *rand.Rand
+}
+
+type inode struct {
+	data   []byte
+	synced []byte
+}
+
+func newMemFS(seed uint64) *memFS {
+	return &memFS{
+		current: map[string]*inode{}, durable: map[string]*inode{}, failAt: -1, random: rand.New(rand.NewPCG(seed, 2)),
+	}
+}
+
+// crash returns what a restarted process finds: the durable names with synced
+// contents and, of what was not synced, a part that may be garbled.
+func (m *memFS) crash() *memFS {
+	next := newMemFS(m.random.Uint64())
+	names := slices.Sorted(maps.Keys(m.durable))
+	for _, name := range names {
+		n := m.durable[name]
+		data := bytes.Clone(n.synced)
+		if rest, ok := bytes.CutPrefix(n.data, n.synced); ok && len(rest) > 0 {
+			part := bytes.Clone(rest[:m.random.IntN(len(rest)+1)])
+			if len(part) > 0 && m.random.IntN(2) == 0 {
+				clear(part[m.random.IntN(len(part)):])
+			}
+			data = append(data, part...)
+		}
+		file := &inode{data: data, synced: bytes.Clone(data)}
+		next.current[name], next.durable[name] = file, file
+	}
+	return next
+}
+
+// clone returns a copy in which everything is durable.
+func (m *memFS) clone() *memFS {
+	next := newMemFS(1)
+	for name, n := range m.current {
+		file := &inode{data: bytes.Clone(n.data), synced: bytes.Clone(n.data)}
+		next.current[name], next.durable[name] = file, file
+	}
+	return next
+}
+
+func (m *memFS) operation() error {
+	m.operations++
+	if m.failAt >= 0 && m.operations > m.failAt {
+		return errCrashed
+	}
+	return nil
+}
+
+func (m *memFS) Create(name string) (disk.File, error) {
+	if err := m.operation(); err != nil {
+		return nil, err
+	}
+	m.current[name] = &inode{}
+	return &memFile{m, m.current[name]}, nil
+}
+
+func (m *memFS) Append(name string) (disk.File, error) {
+	n := m.current[name]
+	if n == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &memFile{m, n}, nil
+}
+
+func (m *memFS) Read(name string) ([]byte, error) {
+	n := m.current[name]
+	if n == nil {
+		return nil, fs.ErrNotExist
+	}
+	return bytes.Clone(n.data), nil
+}
+
+func (m *memFS) List() ([]string, error) {
+	return slices.Sorted(maps.Keys(m.current)), nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.operation(); err != nil {
+		return err
+	}
+	m.current[to] = m.current[from]
+	delete(m.current, from)
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.operation(); err != nil {
+		return err
+	}
+	delete(m.current, name)
+	return nil
+}
+
+func (m *memFS) SyncDir() error {
+	if err := m.operation(); err != nil {
+		return err
+	}
+	m.durable = maps.Clone(m.current)
+	return nil
+}
+
+func (m *memFS) Lock() (io.Closer, error) {
+	if m.locked {
+		return nil, errors.New("locked")
+	}
+	m.locked = true
+	return closer(func() { m.locked = false }), nil
+}
+
+type closer func()
+
+func (c closer) Close() error {
+	c()
+	return nil
+}
+
+type memFile struct {
+	files *memFS
+	inode *inode
+}
+
+func (f *memFile) Write(p []byte) (int, error) {
+	if err := f.files.operation(); err != nil {
+		part := f.files.random.IntN(len(p) + 1)
+		f.inode.data = append(f.inode.data, p[:part]...)
+		return part, err
+	}
+	f.inode.data = append(f.inode.data, p...)
+	return len(p), nil
+}
+
+func (f *memFile) Sync() error {
+	if err := f.files.operation(); err != nil {
+		return err
+	}
+	f.inode.synced = bytes.Clone(f.inode.data)
+	return nil
+}
+
+func (f *memFile) Truncate(size int64) error {
+	if err := f.files.operation(); err != nil {
+		return err
+	}
+	f.inode.data = bytes.Clone(f.inode.data[:size])
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- a/control/internal/disk/record.go
+++ b/control/internal/disk/record.go
@@ -19,6 +19,8 @@
 	KindEntry
 	// KindClosed is written when the log is closed in order.
 	KindClosed
+	// KindContinued is written at the end of a segment once the next one exists.
+	KindContinued
 	// KindSnapshot is the only record of a snapshot file.
 	KindSnapshot
 	// KindIdentity is the only record of the identity file.
@@ -37,6 +39,8 @@
 		return "entry"
 	case KindClosed:
 		return "closed"
+	case KindContinued:
+		return "continued"
 	case KindSnapshot:
 		return "snapshot"
 	case KindIdentity:
--- a/control/internal/disk/segment.go
+++ b/control/internal/disk/segment.go
@@ -43,9 +43,11 @@
 	Hard     raft.HardState
 	// Reset says that entries of earlier segments are not part of the log.
 	Reset bool
+	// PreviousBytes is the synced size of the segment before.
+	PreviousBytes int64
 }
 
-const segmentHeaderSize = 40
+const segmentHeaderSize = 48
 
 func (h SegmentHeader) encode() []byte {
 	var b []byte
@@ -56,7 +58,8 @@
 	if h.Reset {
 		reset = 1
 	}
-	return binary.LittleEndian.AppendUint64(b, reset)
+	b = binary.LittleEndian.AppendUint64(b, reset)
+	return binary.LittleEndian.AppendUint64(b, uint64(h.PreviousBytes))
 }
 
 // DecodeSegmentHeader decodes the payload of a KindHeader record.
@@ -69,7 +72,8 @@
 		return SegmentHeader{}, errors.Errorf("segment header has flags %#x", u(4))
 	}
 	return SegmentHeader{
-		Previous: Position{Index: u(0), Term: u(1)}, Hard: raft.HardState{Term: u(2), Vote: u(3)}, Reset: u(4) == 1,
+		Previous: Position{Index: u(0), Term: u(1)}, Hard: raft.HardState{Term: u(2), Vote: u(3)},
+		Reset: u(4) == 1, PreviousBytes: int64(u(5)),
 	}, nil
 }
 
@@ -107,6 +111,14 @@
 	base     Position
 	hard     raft.HardState
 	entries  []*wirev1.Entry
+	// continued says that a further segment must exist.
+	continued bool
+	// end is the offset after the last record of the last segment replayed,
+	// torn the number of bytes after it.
+	end  int64
+	torn int64
+	// previousBytes is from the header of that segment.
+	previousBytes int64
 }
 
 func (r *replay) last() Position {
@@ -116,28 +128,42 @@
 	return r.base
 }
 
-// segment replays one file. The file may end in a torn tail if it is the last
-// one. The result is the offset after the last record.
-func (r *replay) segment(sequence uint32, data []byte, last bool) (int64, error) {
+// segment replays one file. The newest file has no header if the process ended
+// before it was in use; any other must have one.
+func (r *replay) segment(sequence uint32, data []byte, newest bool) error {
 	file := segmentName(sequence)
 	if count := len(r.segments); count > 0 && r.segments[count-1].sequence+1 != sequence {
-		return 0, &DamageError{File: segmentName(r.segments[count-1].sequence + 1), Reason: "segment is missing"}
+		return r.missingNext()
 	}
+	previous := *r
 	started := false
 	end, err := ScanRecords(file, sequence, data, func(record Record) error {
 		if started != (record.Kind != KindHeader) {
 			return errors.New("segment header is not the first record or not the only one")
 		}
-		started = true
+		if !started {
+			started, r.continued = true, false
+		}
 		return r.record(sequence, record)
 	})
-	if err != nil {
-		return end, err
-	}
-	if !last && (end < int64(len(data)) || !started) {
-		return end, &DamageError{File: file, Offset: end, Reason: "segment is cut off although later segments exist"}
+	switch {
+	case err != nil:
+		return err
+	case !started && (!newest || previous.continued || len(previous.segments) == 0):
+		return &DamageError{File: file, Reason: "segment has no header"}
+	case !started:
+		return nil
+	case len(previous.segments) > 0 && previous.end < r.previousBytes:
+		return &DamageError{File: segmentName(sequence - 1), Offset: previous.end, Reason: "segment is cut off"}
 	}
-	return end, nil
+	r.end, r.torn = end, int64(len(data))-end
+	return nil
+}
+
+// missingNext is the damage of a log that lacks the segment after the last one
+// replayed.
+func (r *replay) missingNext() error {
+	return &DamageError{File: segmentName(r.segments[len(r.segments)-1].sequence + 1), Reason: "segment is missing"}
 }
 
 func (r *replay) record(sequence uint32, record Record) error {
@@ -161,6 +187,8 @@
 		}
 		return r.entry(entry)
 	case KindClosed:
+	case KindContinued:
+		r.continued = true
 	default:
 		return errors.Errorf("a %v record does not belong into a segment", record.Kind)
 	}
@@ -169,14 +197,16 @@
 
 func (r *replay) header(sequence uint32, header SegmentHeader) error {
 	switch {
-	case len(r.segments) == 0 || header.Reset:
+	case len(r.segments) == 0 || header.Reset || header.Previous.Index < r.base.Index:
+		// The last case follows an interrupted removal of old segments: this one
+		// replaced all that is left of them.
 		r.base, r.entries = header.Previous, nil
 	case !r.has(header.Previous):
 		return errors.Errorf("segment continues entry %v, which is not in the log up to %v", header.Previous, r.last())
 	default:
 		r.entries = r.entries[:header.Previous.Index-r.base.Index]
 	}
-	r.hard = header.Hard
+	r.hard, r.previousBytes = header.Hard, header.PreviousBytes
 	r.segments = append(r.segments, segment{sequence: sequence, previous: header.Previous, reset: header.Reset})
 	return nil
 }
--- a/control/internal/disk/survey.go
+++ b/control/internal/disk/survey.go
@@ -93,18 +93,18 @@
 		if err != nil {
 			return fmt.Errorf("read segment: %w", err)
 		}
-		end, err := r.segment(sequence, data, i == len(found.segments)-1)
-		if err != nil {
+		if err := r.segment(sequence, data, i == len(found.segments)-1); err != nil {
 			s.Damage = append(s.Damage, err)
-		} else {
-			s.Torn = int64(len(data)) - end
 		}
 		s.Segments = append(s.Segments, describeSegment(sequence, data))
 	}
+	if r.continued {
+		s.Damage = append(s.Damage, r.missingNext())
+	}
 	if len(found.segments) == 0 && s.Identity != nil && s.Identity.Formed {
 		s.Damage = append(s.Damage, &DamageError{File: segmentPrefix + "*", Reason: "all segments are missing"})
 	}
-	s.Hard, s.Base, s.Entries = r.hard, r.base, r.entries
+	s.Hard, s.Base, s.Entries, s.Torn = r.hard, r.base, r.entries, r.torn
 	return nil
 }
 
