bench/lab, bench/demo: run the whole path in one process and check the promises

Nothing ran all roles together.

Node and control got Kill, which ends a role without returning its lease or its leadership, as the loss of a process does.

--- /dev/null
+++ b/bench/cmd/jujubeknot-bench/commands.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/demo"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+// command makes a type a command of go-flags; main calls run instead.
+type command struct{}
+
+// Execute is not called: main has a handler of its own.
+func (command) Execute([]string) error { return nil }
+
+type demoCommand struct {
+	command
+	Rate  float64       `long:"rate" default:"400" description:"requests per second"`
+	Phase time.Duration `long:"phase" default:"5s" description:"time between two events"`
+	Seed  uint64        `long:"seed" default:"1" description:"seed of load and stand-ins"`
+	Log   string        `long:"log" value-name:"FILE" description:"write the log lines of all roles to a file"`
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	logger := zerolog.Nop()
+	if c.Log != "" {
+		file, err := os.Create(c.Log)
+		if err != nil {
+			return fmt.Errorf("open the log: %w", err)
+		}
+		defer file.Close()
+		logger = zerolog.New(file).With().Timestamp().Logger()
+	}
+	return demo.Run(ctx, demo.Config{Rate: c.Rate, Phase: c.Phase, Seed: c.Seed, Logger: logger, Stdout: os.Stdout})
+}
+
+type backendCommand struct {
+	command
+	Name         string        `long:"name" required:"true" description:"name of the backend server"`
+	Upstream     string        `long:"upstream" required:"true" description:"upstream that it belongs to"`
+	Zone         string        `long:"zone" description:"availability zone, for records"`
+	Listen       string        `long:"listen" default:"127.0.0.1:0" description:"address to listen at"`
+	Announce     string        `long:"announce" required:"true" description:"the node's address for backend servers"`
+	Node         string        `long:"node" description:"the node's address for callers, for nested calls"`
+	Slots        int           `long:"slots" default:"6" description:"requests at a time"`
+	Connections  int           `long:"connections" default:"110" description:"connections at a time"`
+	Service      time.Duration `long:"service" default:"5ms" description:"mean service time"`
+	ChecksFences bool          `long:"checks-fences" description:"refuse old fencing tokens"`
+}
+
+func (c *backendCommand) run(ctx context.Context) error {
+	s := backend.New(backend.Config{
+		Name: c.Name, Upstream: c.Upstream, Zone: c.Zone, Listen: c.Listen, Announce: c.Announce, Node: c.Node,
+		Slots: c.Slots, Connections: c.Connections, ChecksFences: c.ChecksFences,
+		Service: backend.Service{Mean: c.Service},
+	})
+	if err := s.Start(); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	defer s.Close()
+	fmt.Printf("%s of %s listens at %s\n", c.Name, c.Upstream, s.Address())
+	<-ctx.Done()
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := s.Leave(leaving); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	return nil
+}
+
+// leaveTimeout bounds the time that a backend server waits for its node.
+const leaveTimeout = 30 * time.Second
+
+type loadCommand struct {
+	command
+	Targets  string        `long:"targets" required:"true" description:"callers' addresses of nodes, separated by commas"`
+	Rate     float64       `long:"rate" default:"200" description:"requests per second"`
+	Duration time.Duration `long:"duration" default:"10s" description:"length of the run"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
+	Path     string        `long:"path" required:"true" description:"path with the placeholder {key}"`
+	Method   string        `long:"method" default:"GET" description:"method"`
+	Bytes    int           `long:"bytes" description:"size of request bodies"`
+	Keys     int           `long:"keys" default:"10000" description:"number of keys"`
+	Resends  int           `long:"resends" default:"3" description:"resends of one request"`
+	Timeout  time.Duration `long:"timeout" default:"4s" description:"time after which the caller gives up"`
+}
+
+func (c *loadCommand) run(ctx context.Context) error {
+	result, err := load.Run(ctx, load.Config{
+		Seed: c.Seed, Targets: strings.Split(c.Targets, ","), Rate: c.Rate, Duration: c.Duration, Keys: c.Keys,
+		Classes: []load.Class{{Name: "load", Weight: 1, Method: c.Method, Path: c.Path, Bytes: c.Bytes, Resends: c.Resends, Timeout: c.Timeout}},
+	})
+	if result != nil {
+		fmt.Print(result)
+	}
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -0,0 +1,69 @@
+// Command jujubeknot-bench is the laboratory: stand-in backend servers, load,
+// experiments and the demo.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// version of the program.
+const version = "0.1.0"
+
+type options struct {
+	Version func()         `long:"version" description:"print the version and exit"`
+	Demo    demoCommand    `command:"demo" description:"run all roles in one process and check the promises"`
+	Backend backendCommand `command:"backend" description:"run one stand-in backend server"`
+	Load    loadCommand    `command:"load" description:"send load to nodes"`
+}
+
+// runner is a command that can be cancelled.
+type runner interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var o options
+	o.Version = func() {
+		fmt.Println("jujubeknot-bench", version)
+		os.Exit(0)
+	}
+	parser := flags.NewNamedParser("jujubeknot-bench", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("options", "", &o); err != nil {
+		panic(err)
+	}
+	failed := 0
+	parser.CommandHandler = func(command flags.Commander, _ []string) error {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		// A second signal has its default effect and ends the process at once.
+		context.AfterFunc(ctx, stop)
+		if err := command.(runner).run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, "jujubeknot-bench:", err)
+			failed = exitFailed
+		}
+		return nil
+	}
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "jujubeknot-bench:", err)
+		os.Exit(exitUsage)
+	}
+	os.Exit(failed)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -67,6 +67,8 @@
 	leader   *leader.Leader
 	peer     net.Listener
 	operator net.Listener
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // New opens the data folder and the listeners. A damaged or foreign data
@@ -78,7 +80,7 @@
 	if config.NodeSecret == "" || config.MemberSecret == "" {
 		return nil, errors.New("control: no node secret or no member secret")
 	}
-	m := &Member{config: config}
+	m := &Member{config: config, killed: make(chan struct{})}
 	var err error
 	if m.peer, err = net.Listen("tcp", config.Peer.String()); err != nil {
 		return nil, fmt.Errorf("listen for members and nodes: %w", err)
@@ -118,12 +120,19 @@
 	return log, nil
 }
 
+// Kill ends Run as the loss of the process would: connections are closed at
+// once and leadership is not handed over. It is for laboratories that run
+// several members in one process.
+func (m *Member) Kill() {
+	m.killOnce.Do(func() { close(m.killed) })
+}
+
 // Run serves until the context ends, then hands leadership over and stops. It
 // returns nil after such a stop and the error of the part that failed first
 // otherwise. It must be called once.
 func (m *Member) Run(ctx context.Context) error {
-	logContext, stopLog := context.WithCancel(context.Background())
-	defer stopLog()
+	logContext, stopLog := context.WithCancelCause(context.Background())
+	defer stopLog(nil)
 	leaderContext, stopLeader := context.WithCancel(context.Background())
 	defer stopLeader()
 	peer := m.server(m.peerHandler())
@@ -140,13 +149,18 @@
 	var err error
 	select {
 	case err = <-failed:
-		stopLog()
+		stopLog(nil)
 		err = cmp.Or(err, <-logEnded)
 	case err = <-logEnded:
+	case <-m.killed:
+		_ = peer.Close()
+		_ = operators.Close()
+		stopLog(replica.ErrAbandoned)
+		err = <-logEnded
 	case <-ctx.Done():
 		// The log hands leadership over before it ends, so that nodes need
 		// not wait for an election. Watch streams end with it.
-		stopLog()
+		stopLog(nil)
 		err = <-logEnded
 	}
 	stopLeader()
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -73,6 +73,9 @@
 		if err != nil {
 			return err
 		}
+		if ended && errors.Is(context.Cause(ctx), ErrAbandoned) {
+			return nil
+		}
 		if ended {
 			// Leadership is handed over before the end, so that the group does not
 			// have to wait for an election timeout.
--- a/control/internal/replica/replica.go
+++ b/control/internal/replica/replica.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/core/cluster"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -36,6 +38,10 @@
 	Members() []*wirev1.MemberStatus
 }
 
+// ErrAbandoned as the cause of the end of Run's context keeps the member from
+// handing leadership over, as if the process had been lost.
+var ErrAbandoned = errors.New("member abandoned")
+
 // Leadership says who leads the group.
 type Leadership struct {
 	Leading bool
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// ErrAbandoned as the cause of the end of Run's context keeps Run from
+// returning the lease, as if the process had been lost.
+var ErrAbandoned = errors.New("session abandoned")
+
 // Run keeps the node registered until the context ends, then returns the
 // lease.
 func (s *Session) Run(ctx context.Context) {
@@ -233,10 +237,14 @@
 	s.cfg.View.SetIdentity(view.Identity{})
 	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer done()
+	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned)
+	if abandoned {
+		done()
+	}
 	s.cfg.Owner.EndTerm(closing)
 	group.Wait()
 	s.cfg.Log.Warn().Uint64("incarnation", i.number).Str("reason", reason).Bool("returned", held).Msg("lease ended")
-	if held {
+	if held && !abandoned {
 		i.deregister(context.WithoutCancel(ctx))
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,9 @@
 	metrics *metrics.Set
 	started time.Time
 
+	killed   chan struct{}
+	killOnce sync.Once
+
 	listeners [4]net.Listener
 	servers   [4]*http.Server
 }
@@ -65,7 +68,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
-	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New())}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New()), killed: make(chan struct{})}
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -157,12 +160,19 @@
 	}
 }
 
+// Kill ends Run as the loss of the process would: connections are closed at
+// once, nothing is drained, and the lease is not returned. It is for
+// laboratories that run several nodes in one process.
+func (n *Node) Kill() {
+	n.killOnce.Do(func() { close(n.killed) })
+}
+
 // Run serves until the context ends, then drains: control moves the partitions
 // away, requests end, and the lease is returned. It returns nil after a
 // graceful stop and an error if a listener failed. It must be called once.
 func (n *Node) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
 	var group sync.WaitGroup
 	group.Go(func() { n.backend.Run(work) })
 	group.Go(func() { n.session.Run(work) })
@@ -177,10 +187,13 @@
 	var err error
 	select {
 	case err = <-failed:
+	case <-n.killed:
+		n.Close()
+		stop(controlclient.ErrAbandoned)
 	case <-ctx.Done():
 		n.drain()
 	}
-	stop()
+	stop(nil)
 	n.Close()
 	group.Wait()
 	n.owner.Wait()
--- a/node/peer_test.go
+++ b/node/peer_test.go
@@ -174,4 +174,3 @@
 	t.Helper()
 	return int(vars(t, n)["peerConnections"].(float64))
 }
-
