--- a/bench/backend/listener.go
+++ b/bench/backend/listener.go
@@ -16,8 +16,8 @@
 	open   int
 }
 
-func newListener(l net.Listener, max int, cost time.Duration, refuse func()) *listener {
-	return &listener{Listener: l, max: max, cost: cost, refuse: refuse}
+func newListener(l net.Listener, bound int, cost time.Duration, refuse func()) *listener {
+	return &listener{Listener: l, max: bound, cost: cost, refuse: refuse}
 }
 
 // Accept closes connections above the bound at once.
--- a/bench/backend/record.go
+++ b/bench/backend/record.go
@@ -78,13 +78,13 @@
 	dropped int
 }
 
-// NewRecorder returns a Recorder for at most max entries, 0 means
+// NewRecorder returns a Recorder for at most bound entries, 0 means
 // DefaultMaxEntries.
-func NewRecorder(max int) *Recorder {
-	if max <= 0 {
-		max = DefaultMaxEntries
+func NewRecorder(bound int) *Recorder {
+	if bound <= 0 {
+		bound = DefaultMaxEntries
 	}
-	return &Recorder{max: max}
+	return &Recorder{max: bound}
 }
 
 func (r *Recorder) add(e Entry) {
