core/admission: leave cold start by the limit, and quick return to what was sustained

A server under load left cold start by its finished work and then shed 25 requests within a second. Only work that does not raise the limit counts now, and after a cut the limit returns quickly to one below where the server shed.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -3,17 +3,21 @@
 import "time"
 
 const (
-	// coldRounds is the number of full rounds of finished work at one limit
-	// before a cold server's limit rises by one. A server with 18 slots and
-	// service times of 10 ms so takes 1.4 s to the full limit.
-	coldRounds = 8
-	// coldCaution slows the rise above the limit at which the server shed.
-	coldCaution = 4
-	// coldWork is the finished work for each slot after which a server with
-	// little traffic counts as warm.
+	// growRounds is the number of full rounds of finished work at one limit
+	// before the limit rises by one. A server with 18 slots and service times of
+	// 10 ms so takes 1.4 s from cold start to the full limit.
+	growRounds = 8
+	// caution slows the rise above the limit at which the server shed last, less
+	// one, until it is ceilingWidth above that.
+	caution      = 4
+	ceilingWidth = 3
+	// coldWork is the finished work for each slot after which a server counts
+	// as warm whose limit does not rise quickly: it has little traffic, is slower
+	// under load, or sheds. Other work does not count: a server under load left
+	// cold start too early by it and shed 25 requests within a second.
 	coldWork = 32
-	// slowdown is the ratio to the baseline above which the limit of a cold
-	// server does not rise: it is busy although it does not shed.
+	// slowdown is the ratio to the baseline above which the limit does not rise:
+	// the server is busy although it does not shed.
 	slowdown = 2
 	// coldCut, shedCut and timeoutCut are what remains of the limit.
 	coldCut    = 0.5
@@ -32,13 +36,16 @@
 
 // limiter adapts the number of requests in flight to what the backend server
 // sustains: additive growth with finished work, multiplicative cuts at shed
-// answers and timeouts, at most one cut for the requests of one round.
+// answers and timeouts, at most one cut for the requests of one round. Up to
+// the limit before the last cut it rises quickly, because that was sustained,
+// and slowly beyond, because each try costs a shed request.
 type limiter struct {
 	slots int
 	limit float64
 	cold  bool
-	// ceiling is the limit above which a cold server's limit rises slowly.
-	ceiling  float64
+	// ceiling is the limit above which the limit rises slowly.
+	ceiling float64
+	// finished counts towards coldWork.
 	finished int
 	// baseline is the lowest typical latency of late; in cold start that at
 	// limit 1. 0 before it is known.
@@ -104,30 +111,29 @@
 	l.cutAt = started
 	if l.cold {
 		factor = coldCut
-		l.finished = 0
-	}
-	l.limit = max(1, min(l.limit, float64(l.slots))*factor)
-	if l.cold {
-		l.ceiling = l.limit
 	}
+	l.limit = min(l.limit, float64(l.slots))
+	l.ceiling = max(1, l.limit-1)
+	l.limit = max(1, l.limit*factor)
 }
 
 func (l *limiter) grow(inFlight int, typical float64) {
-	// Work below half of the limit says nothing about the limit.
-	used := 2*inFlight >= l.value()
-	if !l.cold {
-		if used {
-			l.limit = min(l.limit+1/l.limit, float64(l.slots))
-		}
-		return
-	}
-	l.finished++
-	if used && typical <= slowdown*l.baseline {
-		step := 1 / (coldRounds * l.limit)
+	// Work below half of the limit says nothing about the limit, and neither
+	// does that of a server that has become slow.
+	rises := 2*inFlight >= l.value() && typical <= slowdown*l.baseline
+	stalled := !rises || l.limit >= l.ceiling
+	if rises {
+		step := 1 / (growRounds * l.limit)
 		if l.limit >= l.ceiling {
-			step /= coldCaution
+			step /= caution
 		}
 		l.limit = min(l.limit+step, float64(l.slots))
+		if l.limit >= l.ceiling+ceilingWidth {
+			l.ceiling = float64(l.slots)
+		}
+	}
+	if stalled {
+		l.finished++
 	}
 	if l.limit >= float64(l.slots) || l.finished >= coldWork*l.slots {
 		l.cold = false
--- a/core/admission/ring_test.go
+++ b/core/admission/ring_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	ids     uint64
 	waiting map[uint64]*call
 	running []*call
+	// nested counts the nested calls, and those that were refused.
+	nested, nestedRefused int
 }
 
 func (r *ring) offer(side, depth, levels int, parent *call) {
@@ -36,6 +39,7 @@
 	c := &call{id: r.ids, side: side, depth: depth, levels: levels, parent: parent}
 	if parent != nil {
 		parent.child, parent.called = c, true
+		r.nested++
 	}
 	switch r.guards[side].Offer(r.now, admission.Request{ID: c.id, Key: c.id%3 + 1, Depth: depth, Priority: 5}).Verdict {
 	case admission.VerdictAdmit:
@@ -43,11 +47,18 @@
 	case admission.VerdictQueue:
 		r.waiting[c.id] = c
 	case admission.VerdictRefuse:
-		c.end()
+		r.refused(c)
 	}
 	r.events(r.guards[side].Expire(r.now))
 }
 
+func (r *ring) refused(c *call) {
+	if c.parent != nil {
+		r.nestedRefused++
+	}
+	c.end()
+}
+
 // end lets the caller of a call go on.
 func (c *call) end() {
 	if c.parent != nil {
@@ -62,7 +73,7 @@
 		if e.Answer.Verdict == admission.VerdictAdmit {
 			r.running = append(r.running, c)
 		} else {
-			c.end()
+			r.refused(c)
 		}
 	}
 }
@@ -127,3 +138,24 @@
 		}
 	})
 }
+
+// TestRingSucceeds guards against nested calls that find no slot because calls
+// from outside hold all of them: under overload by ring calls, most of those
+// that were admitted have to end with all their nested calls run.
+func TestRingSucceeds(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	r := &ring{now: time.Unix(100, 0), waiting: make(map[uint64]*call)}
+	for i := range r.guards {
+		r.guards[i] = admission.New(admission.Config{Slots: 6})
+	}
+	for range 20_000 {
+		r.offer(random.IntN(2), 0, 2, nil)
+		for range 2 {
+			r.step(random.IntN, admission.ResultOK)
+		}
+	}
+	t.Logf("%d nested calls, %d refused", r.nested, r.nestedRefused)
+	if r.nested < 5000 || float64(r.nestedRefused) > 0.25*float64(r.nested) {
+		t.Errorf("%d of %d nested calls refused, want at most a quarter", r.nestedRefused, r.nested)
+	}
+}
