ctl, examples: check members before a change, decode all sample settings

A mistyped member id or address got control's 'invalid membership change' with an unknown outcome (exit 5); it is now refused before anything is sent (exit 1). Tests decode the 3 samples of control and the 3 of the node with the programs' own loaders.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -234,6 +234,9 @@
 		t.run("members add 4 10.0.0.4:7101")
 		t.note("member changes arrived: %d", t.changed)
 		t.run("members list")
+		t.run("members remove 9")
+		t.run("members add 5 10.0.0.4:7101")
+		t.run("members add 4 10.0.0.5:7101")
 		t.run("members remove 4")
 		t.loseAnswers = 1
 		t.run("drain doc-1")
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/jujubeknot/jujubeknot/control"
 	"github.com/jujubeknot/jujubeknot/ctl"
 )
 
@@ -22,6 +24,19 @@
 			t.Error(out.String())
 		}
 	}
+	files, err = filepath.Glob("../examples/one-machine/control-*.ini")
+	if err != nil || len(files) != 3 {
+		t.Fatal(files, err)
+	}
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := control.LoadSettings(path, data); err != nil {
+			t.Error(err)
+		}
+	}
 	var out strings.Builder
 	// The context has ended, so that only the settings are tried.
 	ctx, cancel := context.WithCancel(t.Context())
--- a/ctl/members.go
+++ b/ctl/members.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -39,6 +40,18 @@
 		return coded(ExitUsage, fmt.Sprintf("%d %s: expected an id of at least 1, and an IP number and port such as 10.0.0.4:7101",
 			c.Args.ID, c.Args.Address))
 	}
+	members, err := s.members(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range members {
+		if m.GetId() == c.Args.ID && m.GetAddress() != address.String() {
+			return coded(ExitRefused, fmt.Sprintf("member %d is at %s; a new member needs an id that was never used", m.GetId(), m.GetAddress()))
+		}
+		if m.GetId() != c.Args.ID && m.GetAddress() == address.String() {
+			return coded(ExitRefused, fmt.Sprintf("member %d has the address %s; remove it first", m.GetId(), address))
+		}
+	}
 	s.Out("adding member %d; it votes once it has stored the whole log", c.Args.ID)
 	return s.changeMembers(ctx, &wirev1.Member{Id: c.Args.ID, Address: address.String()}, 0)
 }
@@ -53,13 +66,46 @@
 	if c.Args.ID == 0 {
 		return coded(ExitUsage, "0: expected the id of a member")
 	}
+	members, err := s.members(ctx)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(members, func(m *wirev1.Member) bool { return m.GetId() == c.Args.ID }) {
+		return coded(ExitRefused, fmt.Sprintf("there is no member %d; nothing was changed", c.Args.ID))
+	}
+	if voters(members) == 1 {
+		return coded(ExitRefused, "the last voting member cannot be removed; nothing was changed")
+	}
 	return s.changeMembers(ctx, nil, c.Args.ID)
 }
 
-func (s *session) changeMembers(ctx context.Context, add *wirev1.Member, remove uint64) error {
+// members connects and returns the members as they are.
+func (s *session) members(ctx context.Context) ([]*wirev1.Member, error) {
 	if err := s.connect(); err != nil {
-		return err
+		return nil, err
 	}
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var members []*wirev1.Member
+	for _, m := range status.GetMembers() {
+		members = append(members, m.GetMember())
+	}
+	return members, nil
+}
+
+func voters(members []*wirev1.Member) int {
+	count := 0
+	for _, m := range members {
+		if !m.GetLearner() {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *session) changeMembers(ctx context.Context, add *wirev1.Member, remove uint64) error {
 	members, err := s.client.ChangeMembers(ctx, add, remove)
 	var unknown *operator.UnknownError
 	if errors.As(err, &unknown) {
@@ -68,12 +114,14 @@
 	if err != nil {
 		return err
 	}
-	slices.SortFunc(members, func(a, b *wirev1.Member) int { return int(a.GetId()) - int(b.GetId()) })
+	slices.SortFunc(members, func(a, b *wirev1.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	rows := [][]string{{"MEMBER", "ADDRESS", "ROLE"}}
 	for _, m := range members {
 		rows = append(rows, []string{number(m.GetId()), m.GetAddress(), either(m.GetLearner(), "learner", "voter")})
 	}
 	s.Out("done; the members are now:")
 	s.Table(rows)
+	n := voters(members)
+	s.Out("with %s, %d may fail at a time", count(n, "voter"), (n-1)/2)
 	return nil
 }
