docs: operating manual with generated settings tables

Install, ports, settings, commands, exit codes, rules reference, failures, replacement of a member, backups, upgrade. Tests compare the 3 settings tables and the 5 options with the programs and parse the 9 examples of rules, so the page cannot drift from them. The replacement of a member was run as written on one machine; the other procedures were not all run.

--- a/core/settings/field.go
+++ b/core/settings/field.go
@@ -124,25 +124,27 @@
 
 // words returns the conditions for a person to read, without required.
 func (c check) words(typ reflect.Type) string {
-	if len(c.oneOf) > 0 {
-		return strings.Join(c.oneOf, " or ")
+	if n := len(c.oneOf); n > 1 {
+		return strings.Join(c.oneOf[:n-1], ", ") + " or " + c.oneOf[n-1]
+	} else if n == 1 {
+		return c.oneOf[0]
 	}
-	what := ""
+	before, after := "", ""
 	switch {
 	case typ.Kind() == reflect.Slice:
-		what = "number of elements "
+		after = " elements"
 	case typ.Kind() == reflect.String:
-		what = "number of bytes "
+		after = " bytes"
 	case isAddress(typ):
-		what = "port "
+		before = "a port of "
 	}
 	switch {
 	case c.min != "" && c.max != "":
-		return fmt.Sprintf("%s%s to %s", what, c.min, c.max)
+		return before + c.min + " to " + c.max + after
 	case c.min != "":
-		return fmt.Sprintf("%sat least %s", what, c.min)
+		return before + "at least " + c.min + after
 	case c.max != "":
-		return fmt.Sprintf("%sat most %s", what, c.max)
+		return before + "at most " + c.max + after
 	}
 	return ""
 }
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/jujubeknot/jujubeknot/control"
+	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/core/settings"
 	"github.com/jujubeknot/jujubeknot/ctl"
 )
 
@@ -46,3 +49,44 @@
 		t.Errorf("exit %d: %s", code, out.String())
 	}
 }
+
+// TestDocuments guards against a table of settings or options, or an example
+// of a rule, that differs from what the programs read. With -update it writes
+// the tables.
+func TestDocuments(t *testing.T) {
+	const path = "../docs/OPERATING.md"
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	for name, all := range map[string][]settings.Setting{
+		"control": settings.Describe(&control.Settings{}),
+		"ctl":     ctl.Settings(),
+	} {
+		mark := "<!-- settings: " + name + " -->\n"
+		before, rest, found := strings.Cut(page, mark)
+		_, after, closed := strings.Cut(rest, "<!-- end -->")
+		if !found || !closed {
+			t.Fatalf("%s has no place for the settings of %s", path, name)
+		}
+		page = before + mark + settings.Table(all) + "<!-- end -->" + after
+	}
+	golden(t, path, page)
+	for _, o := range rules.Options() {
+		row := fmt.Sprintf("| `%s` | %s | %s | %s to %s | %s |\n", o.Name, o.Kind, o.Default, o.Low, o.High, o.Help)
+		if !strings.Contains(page, row) {
+			t.Errorf("%s lacks the option: %s", path, row)
+		}
+	}
+	blocks := strings.Split(page, "```rules\n")[1:]
+	for _, block := range blocks {
+		example, _, _ := strings.Cut(block, "```")
+		if _, faults := rules.Parse(example); faults != nil {
+			t.Errorf("%v in the example:\n%s", faults, example)
+		}
+	}
+	if len(blocks) != 9 {
+		t.Errorf("%d examples, want one for each of 9 rules", len(blocks))
+	}
+}
--- a/node/cmd/jujubeknot-node/samples_test.go
+++ b/node/cmd/jujubeknot-node/samples_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+
+	"github.com/jujubeknot/jujubeknot/core/settings"
 )
 
 // TestSamples guards against sample settings that this version refuses.
@@ -17,3 +21,15 @@
 		}
 	}
 }
+
+// TestDocumentedSettings guards against a table in the documents that differs
+// from what the program reads.
+func TestDocumentedSettings(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if table := settings.Table(settings.Describe(&fileSettings{})); !strings.Contains(string(page), table) {
+		t.Errorf("docs/OPERATING.md lacks this table:\n%s", table)
+	}
+}
