--- /dev/null
+++ b/control/internal/leader/leader_test.go
@@ -0,0 +1,254 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/leader"
+	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// run lets rounds pass until the time has passed. A round takes 20 ms.
+func (w *world) run(t tester, duration time.Duration) {
+	for end := w.now + duration; w.now < end; {
+		w.round(t)
+		w.work(t)
+	}
+}
+
+// owners counts the partitions of each server; "" stands for none.
+func (w *world) owners() map[string]int {
+	owners := map[string]int{}
+	for p := range uint32(partitions) {
+		owners[w.state.Node(w.state.Assignment("desk", p).GetOwner()).GetBackendServer().GetName()]++
+	}
+	return owners
+}
+
+func settled(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t)
+	w.run(t, time.Second)
+	if got := fmt.Sprint(w.owners()); got != "map[s1:2 s2:2 s3:2 s4:2]" {
+		t.Fatalf("owners after start: %s", got)
+	}
+	return w
+}
+
+// TestStartIsEven guards against the first server to register being given
+// every partition: settled fails if it is.
+func TestStartIsEven(t *testing.T) { settled(t) }
+
+// TestZoneOutMovesAll guards against partitions that stay in a zone that was
+// taken out, request ids that are lost on the way, and a zone that gets work
+// again before it returns.
+func TestZoneOutMovesAll(t *testing.T) {
+	w := settled(t)
+	before := w.moves
+	w.applyRules(t, deskRules+"zone a out # t: test\n")
+	w.run(t, time.Second)
+	if got := fmt.Sprint(w.owners()); got != "map[s3:4 s4:4]" {
+		t.Errorf("owners 1 s after the zone was taken out: %s", got)
+	}
+	if w.moves-before != 4 {
+		t.Errorf("%d planned moves with request ids, want 4", w.moves-before)
+	}
+	w.nodes = w.nodes[:2:2]
+	w.run(t, 3*time.Second)
+	if got := fmt.Sprint(w.owners()); got != "map[:8]" {
+		t.Errorf("owners with no server left outside the zone: %s", got)
+	}
+}
+
+// TestNewLeaderWaits guards against a new leader that takes partitions from a
+// node which an earlier leader may have granted a lease.
+func TestNewLeaderWaits(t *testing.T) {
+	w := settled(t)
+	w.elect(1)
+	w.work(t)
+	w.nodes = w.nodes[1:]
+	w.run(t, lease.Config{}.Whole()-40*time.Millisecond)
+	if got := w.owners()["s1"]; got != 2 {
+		t.Errorf("s1 has %d partitions before a whole lease has passed, want 2", got)
+	}
+	w.run(t, 80*time.Millisecond)
+	if got := w.owners(); got["s1"] != 0 || got[""] != 0 {
+		t.Errorf("owners after a whole lease: %v", got)
+	}
+}
+
+// TestPausedLeader guards against a leader that resumes after a pause, in
+// which another one took over, and acts on the leases that it remembers.
+func TestPausedLeader(t *testing.T) {
+	w := settled(t)
+	paused := w.current()
+	w.elect(1)
+	w.run(t, 5*time.Second)
+	index := w.index
+	var notLeader *replica.NotLeaderError
+	if _, err := paused.leader.Step(context.Background()); !errors.As(err, &notLeader) {
+		t.Errorf("paused leader's step: %v", err)
+	}
+	if w.index != index {
+		t.Errorf("the paused leader changed the state")
+	}
+	if _, err := paused.leader.Renew(context.Background(), &wirev1.RenewRequest{Incarnation: w.nodes[0].incarnation}); !errors.As(err, &notLeader) {
+		t.Errorf("paused leader's renewal: %v", err)
+	}
+	// It leads again with another term: what it knew is void.
+	w.elect(0)
+	w.work(t)
+	if got := fmt.Sprint(w.owners()); got != "map[s1:2 s2:2 s3:2 s4:2]" {
+		t.Errorf("owners right after the first leader is back: %s", got)
+	}
+}
+
+// TestReleaseSurvivesLeaderChange guards against a partition that its owner
+// released for a leader which is gone, and that nobody gets.
+func TestReleaseSurvivesLeaderChange(t *testing.T) {
+	w := settled(t)
+	w.nodes[0].unheard = true
+	w.nodes[0].draining = true
+	before := w.moves
+	for released := 0; released < 2; {
+		w.round(t)
+		released = 0
+		for _, h := range w.nodes[0].held {
+			if h.released {
+				released++
+			}
+		}
+	}
+	w.elect(1)
+	w.run(t, time.Second)
+	if got := w.owners(); got["s1"] != 0 || got[""] != 0 {
+		t.Errorf("owners after the change of leader: %v", got)
+	}
+	if w.moves != before {
+		t.Error("moves without request ids are marked as planned")
+	}
+}
+
+// TestTargetLost guards against a released partition whose new owner is lost
+// before the assignment.
+func TestTargetLost(t *testing.T) {
+	w := settled(t)
+	w.nodes[0].unheard = true
+	w.applyRules(t, deskRules+"server s1 drain # t: test\nserver s2 drain # t: test\nserver s3 drain # t: test\n")
+	w.work(t)
+	w.watch(t, w.nodes[0])
+	w.nodes = w.nodes[:3]
+	w.applyRules(t, deskRules+"server s1 drain # t: test\n")
+	w.run(t, 3*time.Second)
+	if got := w.owners(); got["s1"] != 0 || got[""] != 0 || got["s4"] != 0 {
+		t.Errorf("owners after the target was lost: %v", got)
+	}
+}
+
+// TestPutOffMoveWaits guards against a node that is asked to release the same
+// partition over and over while a long request runs.
+func TestPutOffMoveWaits(t *testing.T) {
+	w := settled(t)
+	w.nodes[0].busy = true
+	w.applyRules(t, deskRules+"server s1 drain # t: test\n")
+	w.run(t, time.Second)
+	explained, err := w.current().leader.Explain(context.Background(), "desk", keyOn(t, w, "s1"))
+	if err != nil || explained.GetWaitingFor() == "" || explained.GetOwner().GetBackendServer().GetName() != "s1" {
+		t.Errorf("explain while put off: %v, %v", explained, err)
+	}
+	w.nodes[0].busy = false
+	w.run(t, time.Second)
+	if got := w.owners()["s1"]; got != 2 {
+		t.Errorf("s1 has %d partitions 2 s after its moves were put off, want still 2", got)
+	}
+	w.run(t, 5*time.Second)
+	if got := w.owners()["s1"]; got != 0 {
+		t.Errorf("s1 still has %d partitions", got)
+	}
+}
+
+func keyOn(t *testing.T, w *world, server string) string {
+	t.Helper()
+	for i := range 1000 {
+		key := fmt.Sprint("key", i)
+		if r, err := w.current().leader.Explain(context.Background(), "desk", key); err == nil && r.GetOwner().GetBackendServer().GetName() == server {
+			return key
+		}
+	}
+	t.Fatalf("no key is on %s", server)
+	return ""
+}
+
+// TestNodeBehindRules guards against a node that keeps its lease while it
+// works by rules that were replaced.
+func TestNodeBehindRules(t *testing.T) {
+	w := settled(t)
+	l := w.current().leader
+	w.applyRules(t, deskRules+"zone z out # t: test\n")
+	renew := func() *wirev1.RenewResponse {
+		r, err := l.Renew(context.Background(), &wirev1.RenewRequest{Incarnation: w.nodes[0].incarnation, Sequence: 1 << 20, RulesRevision: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := renew(); r.GetLeaseMs() == 0 || r.GetBehind() {
+		t.Errorf("renewal right after the change: %v", r)
+	}
+	w.now += time.Second + time.Millisecond
+	if r := renew(); r.GetLeaseMs() != 0 || !r.GetBehind() || r.GetLost() {
+		t.Errorf("renewal over 1 s after the change: %v", r)
+	}
+}
+
+// TestServerNameIsHeld guards against two processes that both own what one
+// backend server name is given. The live lease wins; a process that restarts
+// gets the name when the lease of the one before it is over.
+func TestServerNameIsHeld(t *testing.T) {
+	w := settled(t)
+	second := &wirev1.RegisterRequest{Node: nodeOf("s1", "b"), RequestId: "second"}
+	second.Node.PeerAddress = "127.0.0.1:2"
+	register := func() (*wirev1.RegisterResponse, error) {
+		return w.current().leader.Register(context.Background(), second)
+	}
+	var taken *leader.NameTakenError
+	if _, err := register(); !errors.As(err, &taken) || taken.Address != "127.0.0.1:1" || taken.Holder != w.nodes[0].incarnation {
+		t.Fatalf("second process: %v", err)
+	}
+	w.nodes = w.nodes[1:]
+	w.run(t, lease.Config{}.Whole()-60*time.Millisecond)
+	if _, err := register(); !errors.As(err, &taken) {
+		t.Fatalf("second process before the lease of the first is over: %v", err)
+	}
+	w.now += 60 * time.Millisecond
+	got, err := register()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := register()
+	if err != nil || again.GetIncarnation() != got.GetIncarnation() {
+		t.Errorf("resent registration: %v, %v; want incarnation %d", again, err, got.GetIncarnation())
+	}
+}
+
+// TestLostRegistration guards against a registration whose answer was lost
+// and whose node can never get the name again.
+func TestLostRegistration(t *testing.T) {
+	w := newWorld(t)
+	w.lost = func() bool { return true }
+	request := &wirev1.RegisterRequest{Node: nodeOf("s9", "b"), RequestId: "r"}
+	if _, err := w.current().leader.Register(context.Background(), request); !errors.Is(err, errLost) {
+		t.Fatalf("lost answer: %v", err)
+	}
+	w.lost = func() bool { return false }
+	first := w.state.NodeByServer("s9").GetIncarnation()
+	if got, err := w.current().leader.Register(context.Background(), request); err != nil || got.GetIncarnation() != first {
+		t.Errorf("resent registration: %v, %v; want incarnation %d", got, err, first)
+	}
+}
