--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,237 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/node"
+)
+
+const benchRules = `upstream applications keyed partitions=16 slots=64 connections=100 # test: keyed
+route /applications to applications key=segment:2 timeout=10s # test: key in the path
+`
+
+// trivialServer answers every request with two bytes and parses no more than
+// the end of the header. It takes the body of a grant for lines of a header.
+func trivialServer(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				for {
+					line, err := br.ReadSlice('\n')
+					if err != nil {
+						return
+					}
+					if len(line) > 2 {
+						continue
+					}
+					if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func benchNodes(b *testing.B) (entry, owner *runningNode) {
+	// As the program does.
+	debug.SetGCPercent(node.GCPercent)
+	c := newControl(b, benchRules)
+	server := &backendServer{name: "server1", upstream: "applications", bootID: "1", address: trivialServer(b), slots: 64, connections: 100}
+	quiet := func(c *node.Config) { c.Log = zerolog.New(io.Discard) }
+	owner = startNode(b, c, "owner", nil, quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	server.announce(ctx, b, owner.Addresses().Backend, server.address)
+	entry = startNode(b, c, "entry", nil, quiet)
+	for _, n := range []*runningNode{owner, entry} {
+		eventually(b, "node serves", func() bool { return n.Ready() && send("GET", n.url+"/applications/ok", nil, nil).status == 200 })
+	}
+	return entry, owner
+}
+
+// caller is one connection that sends a request and reads the answer.
+type benchCaller struct {
+	c  net.Conn
+	br *bufio.Reader
+}
+
+func newBenchCaller(b *testing.B, n *runningNode) *benchCaller {
+	c, err := net.Dial("tcp", n.Addresses().Callers.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return &benchCaller{c, bufio.NewReader(c)}
+}
+
+func (c *benchCaller) get(key int) error {
+	if _, err := fmt.Fprintf(c.c, "GET /applications/key%d HTTP/1.1\r\nHost: h\r\n\r\n", key); err != nil {
+		return err
+	}
+	status, err := c.br.ReadSlice('\n')
+	if err != nil {
+		return err
+	}
+	if !bytes.HasPrefix(status, []byte("HTTP/1.1 200")) {
+		return fmt.Errorf("status line %q", status)
+	}
+	for {
+		line, err := c.br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) == 2 {
+			_, err = c.br.Discard(2)
+			return err
+		}
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// benchmarkRequests sends b.N requests over some connections and reports the
+// processor time of the whole process for each: callers, nodes and backend
+// server together.
+func benchmarkRequests(b *testing.B, n *runningNode) {
+	const connections = 32
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var group sync.WaitGroup
+	b.ResetTimer()
+	start := processorTime()
+	for range connections {
+		c := newBenchCaller(b, n)
+		group.Go(func() {
+			defer func() { _ = c.c.Close() }()
+			for i := left.Add(-1); i >= 0; i = left.Add(-1) {
+				if err := c.get(int(i) % 1000); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64((processorTime()-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+// BenchmarkTwoHops is caller, entry node, owner's node, backend server.
+func BenchmarkTwoHops(b *testing.B) {
+	entry, _ := benchNodes(b)
+	benchmarkRequests(b, entry)
+}
+
+// BenchmarkOneHop is caller, owner's node, backend server.
+func BenchmarkOneHop(b *testing.B) {
+	_, owner := benchNodes(b)
+	benchmarkRequests(b, owner)
+}
+
+// BenchmarkNoHop is caller and backend server alone, to be taken off the
+// others.
+func BenchmarkNoHop(b *testing.B) {
+	address, err := net.ResolveTCPAddr("tcp", trivialServer(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var group sync.WaitGroup
+	b.ResetTimer()
+	start := processorTime()
+	for range 32 {
+		c, err := net.DialTCP("tcp", nil, address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		group.Go(func() {
+			k := &benchCaller{c, bufio.NewReader(c)}
+			for range b.N/32 + 1 {
+				if err := k.get(1); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64((processorTime()-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+// BenchmarkLatency sends at 2,300 requests/s through two hops and reports what
+// they add to a request that a backend server answers at once.
+func BenchmarkLatency(b *testing.B) {
+	entry, _ := benchNodes(b)
+	const perSecond, connections = 2300, 64
+	jobs := make(chan time.Time, 4096)
+	var mu sync.Mutex
+	var took []time.Duration
+	var group sync.WaitGroup
+	for range connections {
+		c := newBenchCaller(b, entry)
+		group.Go(func() {
+			defer func() { _ = c.c.Close() }()
+			for due := range jobs {
+				if err := c.get(int(due.UnixNano() % 1000)); err != nil {
+					b.Error(err)
+					return
+				}
+				d := time.Since(due)
+				mu.Lock()
+				took = append(took, d)
+				mu.Unlock()
+			}
+		})
+	}
+	b.ResetTimer()
+	start := time.Now()
+	for i := range b.N {
+		due := start.Add(time.Duration(i) * time.Second / perSecond)
+		time.Sleep(time.Until(due))
+		jobs <- due
+	}
+	close(jobs)
+	group.Wait()
+	slices.Sort(took)
+	at := func(q float64) float64 { return float64(took[int(q*float64(len(took)-1))].Microseconds()) }
+	b.ReportMetric(at(0.5), "p50-µs")
+	b.ReportMetric(at(0.99), "p99-µs")
+	b.ReportMetric(at(0.999), "p999-µs")
+	if os.Getenv("JUJUBEKNOT_MEMORY") != "" {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		b.ReportMetric(float64(m.HeapInuse)/(1<<20), "heap-MB")
+	}
+}
--- a/node/cmd/jujubeknot-node/main.go
+++ b/node/cmd/jujubeknot-node/main.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return settingsFault(stderr, err.Error())
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(node.GCPercent)
+	}
 	return serve(cfg, log, stdout, stderr)
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -14,6 +14,11 @@
 // ended.
 const DefaultDrainTimeout = 15 * time.Second
 
+// GCPercent is the value for debug.SetGCPercent that the program uses. The
+// live heap of a node is a few MB; with Go's default of 100 a busy node would
+// spend a seventh of its processor time on collecting it.
+const GCPercent = 400
+
 // Config has the settings of a node. Name, AvailabilityZone, ControlMembers
 // and NodeSecret are required; the zero value of the others means the default.
 type Config struct {
@@ -38,6 +43,12 @@
 	// ConnectTimeout bounds a new connection to the backend server. Default
 	// 500 ms.
 	ConnectTimeout time.Duration
+	// CallerHeaderTimeout bounds the time for the header of a caller's request.
+	// Default 5 s.
+	CallerHeaderTimeout time.Duration
+	// CallerBodyTimeout bounds the time between two parts of its body. Default
+	// 10 s.
+	CallerBodyTimeout time.Duration
 	// DrainTimeout is described at DefaultDrainTimeout.
 	DrainTimeout time.Duration
 	// OperatorSecret is asked for on the operator port. Empty means that only
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,7 +31,9 @@
 type backendServer struct {
 	name, upstream, bootID string
 	address                string
-	server                 *http.Server
+	// slots and connections to announce, 6 and 20 if 0.
+	slots, connections int
+	server             *http.Server
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -118,8 +121,8 @@
 
 // announce announces the backend server at a node until the context ends.
 func (b *backendServer) announce(ctx context.Context, t testing.TB, to net.Addr, address string) {
-	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":6,"connections":20,"checksFences":true}`,
-		b.name, b.upstream, address, b.bootID)
+	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":%d,"connections":%d,"checksFences":true}`,
+		b.name, b.upstream, address, b.bootID, cmp.Or(b.slots, 6), cmp.Or(b.connections, 20))
 	post := func() {
 		r, err := http.Post("http://"+to.String()+"/v1/announce", "application/json", bytes.NewReader([]byte(body)))
 		if err != nil {
--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -137,8 +137,9 @@
 // the connection and the slot are free before the next hop gets the answer.
 func (a *attempt) answer(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
 	r := a.x.response
+	relay.Strip(r.Header)
 	answer := &relay.Answer{
-		Status: r.StatusCode, Header: relay.EndToEnd(r.Header), Length: r.ContentLength,
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
 		Trailer: func() http.Header { return r.Trailer },
 	}
 	if a.call.Method == http.MethodHead || r.Body == http.NoBody {
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -4,6 +4,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -31,10 +32,10 @@
 // Bounds on what callers send.
 const (
 	maxHeaderBytes = 64 << 10
-	// headerTimeout and bodyTimeout bound how long a slow sender may take for
-	// the header, and between two parts of the body.
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 10 * time.Second
+	// DefaultHeaderTimeout and DefaultBodyTimeout bound how long a slow sender
+	// may take for the header, and between two parts of the body.
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultBodyTimeout   = 10 * time.Second
 	// writeTimeout bounds how long a caller may take for a part of the answer.
 	writeTimeout = 30 * time.Second
 	idleTimeout  = 2 * time.Minute
@@ -49,7 +50,8 @@
 	Do(ctx context.Context, to *wirev1.Node, c *relay.Call) (*relay.Answer, *outcome.Refusal)
 }
 
-// Config has the parts of a Handler. All are required but Nested.
+// Config has the parts and settings of a Handler. The parts are required but
+// for Nested; the zero value of the settings means the default.
 type Config struct {
 	Log     zerolog.Logger
 	Clock   clock.Clock
@@ -62,6 +64,9 @@
 	// Nested reports whether an address is the backend server's, whose calls
 	// may state their depth. Loopback addresses always may.
 	Nested func(netip.Addr) bool
+	// HeaderTimeout and BodyTimeout are described at their defaults.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
 }
 
 // Handler serves callers. It is safe for concurrent use.
@@ -81,6 +86,8 @@
 	if cfg.Nested == nil {
 		cfg.Nested = func(netip.Addr) bool { return false }
 	}
+	cfg.HeaderTimeout = cmp.Or(cfg.HeaderTimeout, DefaultHeaderTimeout)
+	cfg.BodyTimeout = cmp.Or(cfg.BodyTimeout, DefaultBodyTimeout)
 	return &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstream{}}
 }
 
@@ -91,7 +98,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: h, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: h.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow,
 			MaxReceiveBufferPerConnection: 4 * streamWindow,
@@ -258,7 +265,7 @@
 	if r.ContentLength > limit {
 		return relay.NotRun(outcome.ReasonBodyTooLarge)
 	}
-	source := &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control}
+	source := &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control, timeout: q.h.cfg.BodyTimeout}
 	abort := func() { _ = q.control.SetReadDeadline(time.Unix(1, 0)) }
 	b, err := relay.ReadBody(source, r.ContentLength, abort)
 	if err != nil {
@@ -283,10 +290,11 @@
 type slowBody struct {
 	r       io.Reader
 	control *http.ResponseController
+	timeout time.Duration
 }
 
 // Read reads a part of the body.
 func (b *slowBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = b.control.SetReadDeadline(time.Now().Add(b.timeout))
 	return b.r.Read(p)
 }
--- /dev/null
+++ b/node/internal/peer/call.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+)
+
+// maxLeft bounds the time left that another node may state.
+const maxLeft = 24 * time.Hour
+
+// callFields is the number of fields of a call in a header.
+const callFields = 12
+
+// encodeCall writes a call for the header Jujubeknot-Peer-Call: fields
+// separated by spaces, in the order in which decodeCall reads them.
+func encodeCall(c *relay.Call, left time.Duration) string {
+	b := make([]byte, 0, 160)
+	b = append(b, c.ID...)
+	b = append(b, ' ')
+	b = append(b, c.Sending...)
+	b = append(b, ' ')
+	b = append(b, url.PathEscape(c.Upstream)...)
+	number := func(v uint64, base int) {
+		b = append(b, ' ')
+		b = strconv.AppendUint(b, v, base)
+	}
+	number(bit(c.Keyed), 10)
+	number(uint64(c.Partition), 10)
+	number(c.Epoch, 10)
+	number(c.KeyHash, 16)
+	number(uint64(max(left.Milliseconds(), 1)), 10)
+	number(uint64(c.Depth), 10)
+	number(uint64(c.Priority), 10)
+	number(bit(c.Idempotent)|bit(c.CallerID)<<1, 10)
+	number(uint64(c.Attempt), 10)
+	return string(b)
+}
+
+func bit(v bool) uint64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// decodeCall reads what encodeCall wrote.
+func decodeCall(text string) (*relay.Call, time.Duration, error) {
+	var fields [callFields]string
+	for i := range fields {
+		var more bool
+		fields[i], text, more = strings.Cut(text, " ")
+		if more != (i < callFields-1) || fields[i] == "" {
+			return nil, 0, errors.Errorf("call of a peer: expected %d fields", callFields)
+		}
+	}
+	upstream, err := url.PathUnescape(fields[2])
+	if err != nil {
+		return nil, 0, errors.New("call of a peer: upstream has a bad escape")
+	}
+	bad := -1
+	number := func(i, base, bits int) uint64 {
+		v, err := strconv.ParseUint(fields[i], base, bits)
+		if err != nil {
+			bad = i
+		}
+		return v
+	}
+	c := &relay.Call{ID: fields[0], Sending: fields[1], Upstream: upstream}
+	c.Keyed = number(3, 10, 1) == 1
+	c.Partition = uint32(number(4, 10, 32))
+	c.Epoch = number(5, 10, 64)
+	c.KeyHash = number(6, 16, 64)
+	left := time.Duration(number(7, 10, 32)) * time.Millisecond
+	c.Depth = int(number(8, 10, 8))
+	c.Priority = int(number(9, 10, 8))
+	flags := number(10, 10, 2)
+	c.Idempotent, c.CallerID = flags&1 != 0, flags&2 != 0
+	c.Attempt = int(number(11, 10, 31))
+	if bad >= 0 {
+		return nil, 0, errors.Errorf("call of a peer: field %d is not a number in range", bad+1)
+	}
+	if left > maxLeft {
+		return nil, 0, errors.Errorf("call of a peer: more than %v left", maxLeft)
+	}
+	return c, left, nil
+}
--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -162,8 +162,9 @@
 		_ = response.Body.Close()
 		return nil, relay.Unknown(outcome.ReasonAnswerIncomplete), errors.Errorf("answer to %q on the request %q", id, c.Sending)
 	}
+	relay.Strip(response.Header)
 	answer := &relay.Answer{
-		Status: response.StatusCode, Header: relay.EndToEnd(response.Header), Length: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Body: response.Body, Trailer: func() http.Header { return response.Trailer },
 	}
 	if c.Method == http.MethodHead {
@@ -196,29 +197,13 @@
 		return nil, fmt.Errorf("path for peer: %w", err)
 	}
 	u.Scheme, u.Host = "http", to.GetPeerAddress()
-	h := make(http.Header, len(c.Header)+14)
+	h := make(http.Header, len(c.Header)+4)
 	for name, values := range c.Header {
 		h[name] = values
 	}
 	q := (&http.Request{Method: c.Method, URL: u, Host: c.Host, Header: h, ProtoMajor: 2}).WithContext(ctx)
 	p.present(h)
-	set := func(name, value string) { h[name] = []string{value} }
-	set(headers.RequestID, c.ID)
-	set(headers.PeerSending, c.Sending)
-	set(headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	set(headers.Depth, strconv.Itoa(c.Depth))
-	set(headers.PeerUpstream, c.Upstream)
-	set(headers.PeerKey, strconv.FormatUint(c.KeyHash, 16))
-	set(headers.PeerPriority, strconv.Itoa(c.Priority))
-	set(headers.PeerIdempotent, strconv.FormatBool(c.Idempotent))
-	if c.Keyed {
-		set(headers.Partition, strconv.FormatUint(uint64(c.Partition), 10))
-		set(headers.Fence, strconv.FormatUint(c.Epoch, 10))
-	}
-	if c.CallerID {
-		set(headers.PeerCallerID, "true")
-		set(headers.Attempt, strconv.Itoa(c.Attempt))
-	}
+	h[headers.PeerCall] = []string{encodeCall(c, left)}
 	attachBody(q, c.Body)
 	return q, nil
 }
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -96,7 +96,7 @@
 		relay.WriteRefusal(w, refusal)
 		return
 	}
-	if r.URL.Path == settlePath && r.Header.Get(headers.PeerUpstream) == "" {
+	if r.URL.Path == settlePath && r.Header.Get(headers.PeerCall) == "" {
 		h.settle(w, r)
 		return
 	}
@@ -141,29 +141,13 @@
 
 // call reads a call from its headers.
 func (h *Handler) call(w http.ResponseWriter, r *http.Request) (*relay.Call, *outcome.Refusal) {
-	get := r.Header.Get
-	c := &relay.Call{
-		ID: get(headers.RequestID), Sending: get(headers.PeerSending), Upstream: get(headers.PeerUpstream),
-		Idempotent: get(headers.PeerIdempotent) == "true", CallerID: get(headers.PeerCallerID) == "true",
-		Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: relay.EndToEnd(r.Header),
-	}
-	n := numbers{header: r.Header}
-	left := n.get(headers.Deadline, 10, 63)
-	c.Depth = int(n.get(headers.Depth, 10, 16))
-	c.Priority = int(n.get(headers.PeerPriority, 10, 16))
-	c.KeyHash = n.get(headers.PeerKey, 16, 64)
-	if get(headers.Fence) != "" {
-		c.Keyed = true
-		c.Epoch = n.get(headers.Fence, 10, 64)
-		c.Partition = uint32(n.get(headers.Partition, 10, 32))
-	}
-	if c.CallerID {
-		c.Attempt = int(n.get(headers.Attempt, 10, 31))
-	}
-	if n.bad || c.ID == "" || c.Sending == "" || c.Upstream == "" || left > uint64(24*time.Hour/time.Millisecond) {
+	c, left, err := decodeCall(r.Header.Get(headers.PeerCall))
+	if err != nil {
+		h.Log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("request of another node cannot be read")
 		return nil, relay.NotRun(outcome.ReasonBadRequest)
 	}
-	c.Deadline = h.Clock.Now().Add(time.Duration(left) * time.Millisecond)
+	c.Deadline = h.Clock.Now().Add(left)
+	c.Method, c.URI, c.Host, c.Header = r.Method, r.URL.RequestURI(), r.Host, relay.EndToEnd(r.Header)
 	return c, h.body(w, r, c)
 }
 
@@ -190,20 +174,6 @@
 	return nil
 }
 
-// numbers reads numeric headers and notes whether one was bad.
-type numbers struct {
-	header http.Header
-	bad    bool
-}
-
-func (n *numbers) get(name string, base, bits int) uint64 {
-	v, err := strconv.ParseUint(n.header.Get(name), base, bits)
-	if err != nil {
-		n.bad = true
-	}
-	return v
-}
-
 func (h *Handler) settle(w http.ResponseWriter, r *http.Request) {
 	var q settleQuestion
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<10)).Decode(&q); err != nil || q.Sending == "" {
--- a/node/internal/relay/header.go
+++ b/node/internal/relay/header.go
@@ -37,6 +37,21 @@
 	return out
 }
 
+// Strip removes from the headers of an answer what EndToEnd leaves out.
+func Strip(h http.Header) {
+	lines := h["Connection"]
+	for name := range h {
+		if hopByHop[name] || own(name) {
+			delete(h, name)
+		}
+	}
+	for _, line := range lines {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
+	}
+}
+
 // own reports whether a name is one of the project's own headers. Underscores
 // count as hyphens, because some backend servers do not tell them apart.
 func own(name string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
@@ -123,12 +125,17 @@
 	callers := caller.New(caller.Config{
 		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
+		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
 	n.servers = [4]*http.Server{
 		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
 		placeOperator: figures.Server(),
 	}
+	for _, s := range n.servers {
+		// What net/http reports is about single connections.
+		s.ErrorLog = stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+	}
 }
 
 // Addresses returns where the node listens.
--- a/node/peer_test.go
+++ b/node/peer_test.go
@@ -44,7 +44,7 @@
 func TestSilentConnectionIsSettledWhileRunning(t *testing.T) {
 	p := startPair(t, testRules)
 	started, release := make(chan struct{}), make(chan struct{})
-	p.server.setHandle(func(w http.ResponseWriter, r *http.Request) {
+	p.server.setHandle(func(w http.ResponseWriter, _ *http.Request) {
 		close(started)
 		<-release
 		_, _ = w.Write([]byte("signed"))
@@ -97,9 +97,9 @@
 	registered := fmt.Sprint(vars(t, p.entry)["lease"].(map[string]any)["incarnation"])
 	for name, forged := range map[string]map[string]string{
 		"none":    {},
-		"secret":  {headers.PeerIncarnation: registered, headers.PeerSecret: "guess", headers.PeerUpstream: "applications"},
+		"secret":  {headers.PeerIncarnation: registered, headers.PeerSecret: "guess", headers.PeerCall: "a b applications 1 0 1 0 1000 0 5 1 0"},
 		"empty":   {headers.PeerIncarnation: registered, headers.PeerSecret: ""},
-		"unknown": {headers.PeerIncarnation: "999", headers.PeerSecret: "guess", headers.PeerUpstream: "applications"},
+		"unknown": {headers.PeerIncarnation: "999", headers.PeerSecret: "guess", headers.PeerCall: "a b applications 1 0 1 0 1000 0 5 1 0"},
 	} {
 		q, err := http.NewRequest("POST", "http://"+p.owner.Addresses().Peer.String()+"/applications/k", strings.NewReader("x"))
 		if err != nil {
@@ -132,7 +132,7 @@
 func TestForgedHeadersAreRemoved(t *testing.T) {
 	p := startPair(t, testRules)
 	got := make(chan http.Header, 1)
-	p.server.setHandle(func(w http.ResponseWriter, r *http.Request) { got <- r.Header.Clone() })
+	p.server.setHandle(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Clone() })
 	for _, n := range []*runningNode{p.entry, p.owner} {
 		a := send("POST", n.url+"/applications/k", map[string]string{
 			headers.Fence: "999", headers.Partition: "3", headers.PeerSecret: "s", headers.RequestID: "mine", "Jujubeknot-New": "1",
@@ -174,4 +174,3 @@
 	t.Helper()
 	return int(vars(t, n)["peerConnections"].(float64))
 }
-
--- a/node/raw_test.go
+++ b/node/raw_test.go
@@ -191,7 +191,7 @@
 // TestMalformedFramingIsRefused guards against requests whose end a backend
 // server could see elsewhere than the node, and that so smuggle another one.
 func TestMalformedFramingIsRefused(t *testing.T) {
-	s, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool { return fine(c, "ok") })
+	s, nodes := startRaw(t, func(c net.Conn, _ *http.Request) bool { return fine(c, "ok") })
 	const head = "POST /applications/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: smuggled\r\n"
 	for name, text := range map[string]string{
 		"twoLengths":      head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -35,19 +35,10 @@
 	PeerIncarnation = "Jujubeknot-Peer-Incarnation"
 	// PeerSecret is the secret of the sending node's incarnation.
 	PeerSecret = "Jujubeknot-Peer-Secret"
-	// PeerUpstream is the upstream that the entry node chose.
-	PeerUpstream = "Jujubeknot-Peer-Upstream"
-	// PeerKey is the hash of the key, for fairness among keys.
-	PeerKey = "Jujubeknot-Peer-Key"
-	// PeerIdempotent is true where the request may run more than once.
-	PeerIdempotent = "Jujubeknot-Peer-Idempotent"
-	// PeerSending identifies this sending of the request, for settling.
-	PeerSending = "Jujubeknot-Peer-Sending"
-	// PeerCallerID is true where the request id comes from the caller's
-	// Idempotency-Key.
-	PeerCallerID = "Jujubeknot-Peer-Caller-Id"
-	// PeerPriority is the priority of the route.
-	PeerPriority = "Jujubeknot-Peer-Priority"
+	// PeerCall has everything that the owner's node must know about the call.
+	// It is one header because its value differs with each request: several
+	// would each take a place in the header tables of HTTP/2.
+	PeerCall = "Jujubeknot-Peer-Call"
 )
 
 // Prefix starts each header of the project's own.
