--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -146,6 +146,9 @@
 		t.run("status --secret-file @empty.secret")
 		t.run("status --timeout -3s")
 		t.run("members add 0 10.0.0.4:7101")
+		t.run("inspect @missing")
+		t.run("inspect @ --from 9 --to 8")
+		t.run("inspect @")
 		// The library wraps help at the width of the terminal, so it is not
 		// part of the golden file.
 		var help bytes.Buffer
@@ -248,6 +251,11 @@
 		t.leader = netip.MustParseAddrPort("10.0.0.3:7102")
 		t.run("apply @a.rules" + all)
 		t.note("asked %v", t.asked)
+		t.note("members name the leader's other listener")
+		t.asked, t.hint = nil, "10.0.0.3:7101"
+		t.run("members list" + all)
+		t.note("asked %v", t.asked)
+		t.hint = ""
 		t.silent["10.0.0.1:7102"], t.absent["10.0.0.2:7102"] = true, true
 		started := time.Now()
 		t.run("members list" + all)
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -41,5 +41,8 @@
 	PeerCall = "Jujubeknot-Peer-Call"
 )
 
+// MemberSecret is the secret that control members share.
+const MemberSecret = "Jujubeknot-Member-Secret"
+
 // Prefix starts each header of the project's own.
 const Prefix = "Jujubeknot-"
