bench/load: tell a refused connection from a lost answer

116 of 12,021 operations of the demo ended as lost: they went to the killed node, whose port refuses connections, and were not resent although nothing had left the caller. They are now counted as unreached and resent to the next node, as callers do.

--- a/bench/load/result.go
+++ b/bench/load/result.go
@@ -21,6 +21,8 @@
 	OutcomeUnknown Outcome = "unknown"
 	// OutcomeStatus is any other status that is not 2xx.
 	OutcomeStatus Outcome = "status"
+	// OutcomeUnreached means that no connection came about, so nothing was sent.
+	OutcomeUnreached Outcome = "unreached"
 	// OutcomeLost means that no complete response came.
 	OutcomeLost Outcome = "lost"
 	// OutcomeTimeout means that the caller gave up.
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -127,7 +128,7 @@
 // mayResend reports whether a caller may send the operation again.
 func mayResend(o Operation) bool {
 	switch o.Outcome {
-	case OutcomeNotRun:
+	case OutcomeNotRun, OutcomeUnreached:
 		return true
 	case OutcomeUnknown, OutcomeLost, OutcomeStatus, OutcomeWrong:
 		return o.Idempotent || o.OwnID
@@ -157,6 +158,10 @@
 	}
 	a.Latency = time.Since(a.At)
 	a.Reason = err.Error()
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		a.Outcome = OutcomeUnreached
+	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		a.Outcome = OutcomeTimeout
 	}
