--- a/bench/cmd/jujubeknot-bench/commands.go
+++ b/bench/cmd/jujubeknot-bench/commands.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/jujubeknot/jujubeknot/bench/backend"
 	"github.com/jujubeknot/jujubeknot/bench/demo"
 	"github.com/jujubeknot/jujubeknot/bench/load"
@@ -29,15 +27,11 @@
 }
 
 func (c *demoCommand) run(ctx context.Context) error {
-	logger := zerolog.Nop()
-	if c.Log != "" {
-		file, err := os.Create(c.Log)
-		if err != nil {
-			return fmt.Errorf("open the log: %w", err)
-		}
-		defer file.Close()
-		logger = zerolog.New(file).With().Timestamp().Logger()
+	logger, done, err := openLog(c.Log)
+	if err != nil {
+		return err
 	}
+	defer done()
 	return demo.Run(ctx, demo.Config{Rate: c.Rate, Phase: c.Phase, Seed: c.Seed, Logger: logger, Stdout: os.Stdout})
 }
 
--- a/bench/cmd/jujubeknot-bench/main.go
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -24,6 +24,7 @@
 
 type options struct {
 	Version func()         `long:"version" description:"print the version and exit"`
+	Run     runCommand     `command:"run" description:"run an experiment by name; without a name, list them"`
 	Demo    demoCommand    `command:"demo" description:"run all roles in one process and check the promises"`
 	Backend backendCommand `command:"backend" description:"run one stand-in backend server"`
 	Load    loadCommand    `command:"load" description:"send load to nodes"`
--- /dev/null
+++ b/bench/cmd/jujubeknot-bench/run.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/bench/experiment"
+)
+
+type runCommand struct {
+	command
+	Seed  uint64  `long:"seed" default:"1" description:"seed of load and stand-ins"`
+	Scale float64 `long:"scale" default:"1" description:"multiplies lengths and repetitions"`
+	JSON  string  `long:"json" value-name:"FILE" description:"write the report as JSON"`
+	Plots string  `long:"plots" value-name:"FOLDER" description:"write the plots as SVG"`
+	Log   string  `long:"log" value-name:"FILE" description:"write the log lines of all roles to a file"`
+	Names struct {
+		Name string `positional-arg-name:"EXPERIMENT"`
+	} `positional-args:"yes"`
+}
+
+func (c *runCommand) run(ctx context.Context) error {
+	if c.Names.Name == "" {
+		for _, x := range experiment.All() {
+			fmt.Printf("%-12s %s\n", x.Name, x.Measure)
+		}
+		return nil
+	}
+	x, err := experiment.Find(c.Names.Name)
+	if err != nil {
+		return err
+	}
+	logger, done, err := openLog(c.Log)
+	if err != nil {
+		return err
+	}
+	defer done()
+	report, err := x.Run(ctx, experiment.Env{Seed: c.Seed, Scale: c.Scale, Progress: os.Stderr, Logger: logger})
+	if err != nil {
+		return err
+	}
+	if err := report.Markdown(os.Stdout); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := report.WriteJSON(c.JSON); err != nil {
+			return err
+		}
+	}
+	if c.Plots != "" {
+		return report.WritePlots(c.Plots)
+	}
+	return nil
+}
+
+// openLog returns a logger that writes to a file, or drops lines if there is
+// none, and a function that closes it.
+func openLog(name string) (zerolog.Logger, func(), error) {
+	if name == "" {
+		return zerolog.Nop(), func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return zerolog.Nop(), nil, fmt.Errorf("open the log: %w", err)
+	}
+	return zerolog.New(file).With().Timestamp().Logger(), func() { _ = file.Close() }, nil
+}
--- /dev/null
+++ b/bench/experiment/recovery.go
@@ -0,0 +1,119 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/bench/lab"
+)
+
+const (
+	recoveryKeys       = 64
+	recoveryPartitions = 1024
+	// recoveryWatch is how long keys are probed after an event.
+	recoveryWatch = 4 * time.Second
+)
+
+// event is something that makes keys unavailable, and what undoes it.
+type event struct {
+	name string
+	do   func(context.Context, *lab.Lab, int) (undo func() error, err error)
+}
+
+func killServer(_ context.Context, l *lab.Lab, n int) (func() error, error) {
+	i := n % 7
+	l.KillServer(i)
+	return func() error { return l.StartServer(i) }, nil
+}
+
+func killLeader(ctx context.Context, l *lab.Lab, _ int) (func() error, error) {
+	leader, err := l.Leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l.KillMember(leader)
+	return func() error { return l.StartMember(leader) }, nil
+}
+
+// recoveryEvents are the events of the experiment on recovery.
+var recoveryEvents = []event{
+	{"nothing", func(context.Context, *lab.Lab, int) (func() error, error) { return func() error { return nil }, nil }},
+	{"zone out", func(ctx context.Context, l *lab.Lab, n int) (func() error, error) {
+		zone := l.Servers()[n%4].Zone
+		_, err := l.SetZone(ctx, zone, true)
+		return func() error { _, err := l.SetZone(ctx, zone, false); return err }, err
+	}},
+	{"node stopped gracefully", func(_ context.Context, l *lab.Lab, n int) (func() error, error) {
+		i := n % 7
+		err := l.StopServer(i)
+		return func() error { return l.StartServer(i) }, err
+	}},
+	{"node and server killed", killServer},
+	{"control leader killed", killLeader},
+	{"node and leader killed", func(ctx context.Context, l *lab.Lab, n int) (func() error, error) {
+		startMember, err := killLeader(ctx, l, n)
+		if err != nil {
+			return nil, err
+		}
+		startServer, err := killServer(ctx, l, n)
+		return func() error {
+			if err := startMember(); err != nil {
+				return err
+			}
+			return startServer()
+		}, err
+	}},
+}
+
+// recovery measures the time for which keys are unavailable.
+func recovery(ctx context.Context, e Env) (*Report, error) {
+	table := Table{
+		Title: fmt.Sprintf("Rahma, longest time that any of %d keys was not served, one probe per key each 20 ms; without an event it is one service time plus the probe's interval", recoveryKeys),
+		Columns: []string{
+			"event", "repetitions", "least", "median", "worst",
+		},
+	}
+	for _, x := range recoveryEvents {
+		var longest []time.Duration
+		err := e.withLab(ctx, lab.Config{Deployment: lab.Rahma()}, func(l *lab.Lab) error {
+			for n := range e.times(20) {
+				e.say("recovery: %s, %d", x.name, n+1)
+				unavailable, err := once(ctx, l, x, n)
+				if err != nil {
+					return err
+				}
+				longest = append(longest, unavailable)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", x.name, err)
+		}
+		least, median, worst := spread(longest)
+		table.add(x.name, len(longest), least, median, worst)
+	}
+	return &Report{Tables: []Table{table}}, nil
+}
+
+// once makes an event happen and returns the longest time that a key was not
+// served.
+func once(ctx context.Context, l *lab.Lab, x event, n int) (time.Duration, error) {
+	probe := l.StartProbe(lab.Probe{Path: "/applications/{key}/status", Keys: lab.KeysOfPartitions(recoveryKeys, recoveryPartitions)})
+	defer probe.Stop()
+	time.Sleep(200 * time.Millisecond)
+	from := time.Now()
+	undo, err := x.do(ctx, l, n)
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(recoveryWatch)
+	probe.Stop()
+	longest := probe.Unavailable(from, time.Now().Add(-time.Second))[0]
+	if err := undo(); err != nil {
+		return 0, err
+	}
+	ready, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return longest, l.WaitReady(ready)
+}
