bench/experiment: probe 32 keys in the recovery experiment

64 keys at 50 probes a second are 3,200 requests/s: without any event the longest wait was 231 to 313 ms on the busy machine.

--- a/bench/experiment/recovery.go
+++ b/bench/experiment/recovery.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	recoveryKeys       = 64
+	recoveryKeys       = 32
 	recoveryPartitions = 1024
 	// recoveryWatch is how long keys are probed after an event.
 	recoveryWatch = 4 * time.Second
