ctl, node: read documents and samples in tests so that a change of them repeats the test

go test keeps the verdict of a package while files outside its module change. Links in testdata bring the files into the module.

--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -14,10 +14,13 @@
 	"github.com/jujubeknot/jujubeknot/ctl"
 )
 
+// Documents and samples are read through links in testdata, because go test
+// repeats an earlier verdict where only files outside the module changed.
+
 // TestExamples guards against sample rules and settings that this version
 // refuses.
 func TestExamples(t *testing.T) {
-	files, err := filepath.Glob("../examples/*.rules")
+	files, err := filepath.Glob("testdata/examples/*.rules")
 	if err != nil || len(files) != 2 {
 		t.Fatal(files, err)
 	}
@@ -27,7 +30,7 @@
 			t.Error(out.String())
 		}
 	}
-	files, err = filepath.Glob("../examples/one-machine/control-*.ini")
+	files, err = filepath.Glob("testdata/examples/one-machine/control-*.ini")
 	if err != nil || len(files) != 3 {
 		t.Fatal(files, err)
 	}
@@ -44,7 +47,7 @@
 	// The context has ended, so that only the settings are tried.
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	args := []string{"--settings", "../examples/one-machine/ctl.ini", "status"}
+	args := []string{"--settings", "testdata/examples/one-machine/ctl.ini", "status"}
 	if code := ctl.Run(ctx, args, &out, &out); code != ctl.ExitUnreachable {
 		t.Errorf("exit %d: %s", code, out.String())
 	}
@@ -54,7 +57,7 @@
 // of a rule, that differs from what the programs read. With -update it writes
 // the tables.
 func TestDocuments(t *testing.T) {
-	const path = "../docs/OPERATING.md"
+	const path = "testdata/docs/OPERATING.md"
 	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
--- a/node/cmd/jujubeknot-node/samples_test.go
+++ b/node/cmd/jujubeknot-node/samples_test.go
@@ -11,7 +11,7 @@
 
 // TestSamples guards against sample settings that this version refuses.
 func TestSamples(t *testing.T) {
-	files, err := filepath.Glob("../../../examples/one-machine/node-*.ini")
+	files, err := filepath.Glob("testdata/examples/one-machine/node-*.ini")
 	if err != nil || len(files) != 3 {
 		t.Fatal(files, err)
 	}
@@ -25,7 +25,7 @@
 // TestDocumentedSettings guards against a table in the documents that differs
 // from what the program reads.
 func TestDocumentedSettings(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/OPERATING.md")
+	page, err := os.ReadFile("testdata/docs/OPERATING.md")
 	if err != nil {
 		t.Fatal(err)
 	}
