control/inspect: golden files, and entries of a damaged folder

An operator with a damaged folder needs the entries that can still be read: they are printed from every readable part. 4 golden files cover a whole, a torn and a damaged folder and a JSON range.

--- a/control/inspect/inspect.go
+++ b/control/inspect/inspect.go
@@ -79,7 +79,7 @@
 type identity struct {
 	GroupID  string `json:"groupId"`
 	MemberID uint64 `json:"memberId"`
-	Folder   string `json:"folder"`
+	Folder   uint64 `json:"folder,string"`
 	Formed   bool   `json:"formed"`
 }
 
@@ -117,7 +117,7 @@
 		Snapshots: []snapshot{}, Segments: []segment{}, Entries: []entry{}, Damage: []string{},
 	}
 	if i := s.Identity; i != nil {
-		r.Identity = &identity{GroupID: i.GroupID, MemberID: i.MemberID, Folder: fmt.Sprintf("%016x", i.Folder), Formed: i.Formed}
+		r.Identity = &identity{GroupID: i.GroupID, MemberID: i.MemberID, Folder: i.Folder, Formed: i.Formed}
 	}
 	for _, info := range s.Snapshots {
 		r.Snapshots = append(r.Snapshots, newSnapshot(info))
--- /dev/null
+++ b/control/inspect/inspect_test.go
@@ -0,0 +1,122 @@
+package inspect_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeknot/jujubeknot/control/inspect"
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/core/raft"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func encode(t *testing.T, m proto.Message) []byte {
+	t.Helper()
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fill writes a folder with a membership, a snapshot and commands.
+func fill(t *testing.T) (string, *disk.Disk) {
+	t.Helper()
+	dir := t.TempDir()
+	files, err := disk.Folder(dir)
+	must(t, err)
+	d, _, err := disk.Open(files, disk.Options{SegmentBytes: 300})
+	must(t, err)
+	must(t, d.Claim(disk.Identity{GroupID: "g", MemberID: 2, Folder: 0xabc}))
+	first, err := raft.Bootstrap([]*wirev1.Member{{Id: 2, Address: "10.0.0.2:7000", Folder: 0xabc}})
+	must(t, err)
+	must(t, d.Form(first))
+	command := &wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{Incarnation: 3, Reason: "lease over"}}}
+	for index := uint64(2); index <= 8; index++ {
+		e := &wirev1.Entry{Index: index, Term: 2, Data: encode(t, command)}
+		if index == 2 {
+			e.Kind, e.Data = wirev1.Entry_KIND_EMPTY, nil
+		}
+		if index == 8 {
+			e.Data = []byte{0xff}
+		}
+		must(t, d.Persist(raft.Persist{Hard: &raft.HardState{Term: 2, Vote: 2}, PreviousTerm: 2, Entries: []*wirev1.Entry{e}}))
+	}
+	state := &wirev1.ClusterState{AppliedIndex: 5, Nodes: []*wirev1.Node{{Incarnation: 4, Name: "n"}}}
+	snapshot := &wirev1.Snapshot{
+		Index: 5, Term: 2, Data: encode(t, state),
+		Membership: &wirev1.Membership{Members: []*wirev1.Member{{Id: 2, Address: "10.0.0.2:7000", Folder: 0xabc}}},
+	}
+	must(t, d.PersistSnapshot(raft.PersistSnapshot{Snapshot: snapshot, FirstIndex: 4}))
+	return dir, d
+}
+
+func checkGolden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		must(t, os.MkdirAll("testdata", 0o750))
+		must(t, os.WriteFile(path, got, 0o600))
+	}
+	want, err := os.ReadFile(path)
+	must(t, err)
+	if !bytes.Equal(got, want) {
+		t.Errorf("output differs from %s:\n%s", path, got)
+	}
+}
+
+// TestReport guards against a change of the output and against a report that
+// leaves out damage or the torn tail.
+func TestReport(t *testing.T) {
+	dir, d := fill(t)
+	if err := inspect.Run(dir, inspect.Options{}, &bytes.Buffer{}); err == nil || err.Error() != "data folder "+dir+" is in use by another process" {
+		t.Fatalf("a folder in use gives %v", err)
+	}
+	must(t, d.Close())
+	run := func(golden string, options inspect.Options, want error) {
+		t.Helper()
+		var out bytes.Buffer
+		if err := inspect.Run(dir, options, &out); !errors.Is(err, want) {
+			t.Fatalf("%s: %v", golden, err)
+		}
+		if options.JSON && !json.Valid(out.Bytes()) {
+			t.Errorf("%s is not valid JSON", golden)
+		}
+		checkGolden(t, golden, out.Bytes())
+	}
+	run("whole.txt", inspect.Options{}, nil)
+	run("range.json", inspect.Options{JSON: true, From: 5, To: 6}, nil)
+	change := func(name string, change func([]byte) []byte) {
+		t.Helper()
+		path := filepath.Join(dir, name)
+		data, err := os.ReadFile(path)
+		must(t, err)
+		must(t, os.WriteFile(path, change(data), 0o600))
+	}
+	change("log-00000003", func(data []byte) []byte { return append(data, 1, 2, 3) })
+	run("torn.txt", inspect.Options{SkipEntries: true}, nil)
+	change("log-00000002", func(data []byte) []byte {
+		data[250] ^= 1
+		return data
+	})
+	run("damaged.txt", inspect.Options{}, inspect.ErrDamaged)
+	if err := inspect.Run(filepath.Join(dir, "none"), inspect.Options{}, &bytes.Buffer{}); err == nil {
+		t.Error("a folder that does not exist was inspected")
+	}
+}
--- a/control/inspect/text.go
+++ b/control/inspect/text.go
@@ -20,7 +20,7 @@
 func (r report) writeText(w io.Writer) error {
 	var b bytes.Buffer
 	if i := r.Identity; i != nil {
-		fmt.Fprintf(&b, "identity: member %d of group %q, folder %s, formed %v\n", i.MemberID, i.GroupID, i.Folder, i.Formed)
+		fmt.Fprintf(&b, "identity: member %d of group %q, folder %d, formed %v\n", i.MemberID, i.GroupID, i.Folder, i.Formed)
 	} else {
 		fmt.Fprintln(&b, "identity: none")
 	}
--- a/control/internal/disk/survey.go
+++ b/control/internal/disk/survey.go
@@ -15,8 +15,8 @@
 	Hard      raft.HardState
 	Snapshots []SnapshotInfo
 	Segments  []SegmentInfo
-	// Entries are those that a member would start with, except what a damaged
-	// file hides.
+	// Entries are those that a member would start with. In a damaged folder
+	// they are all that can be read, replaced ones included.
 	Base    Position
 	Entries []*wirev1.Entry
 	// Damage lists what keeps a member from starting.
@@ -88,6 +88,7 @@
 
 func (s *Survey) readSegments(files FS, found listing) error {
 	var r replay
+	var readable []*wirev1.Entry
 	for i, sequence := range found.segments {
 		data, err := files.Read(segmentName(sequence))
 		if err != nil {
@@ -96,7 +97,8 @@
 		if err := r.segment(sequence, data, i == len(found.segments)-1); err != nil {
 			s.Damage = append(s.Damage, err)
 		}
-		s.Segments = append(s.Segments, describeSegment(sequence, data))
+		info, entries := describeSegment(sequence, data)
+		s.Segments, readable = append(s.Segments, info), append(readable, entries...)
 	}
 	if r.continued {
 		s.Damage = append(s.Damage, r.missingNext())
@@ -105,11 +107,15 @@
 		s.Damage = append(s.Damage, &DamageError{File: segmentPrefix + "*", Reason: "all segments are missing"})
 	}
 	s.Hard, s.Base, s.Entries, s.Torn = r.hard, r.base, r.entries, r.torn
+	if len(s.Damage) > 0 {
+		s.Entries = readable
+	}
 	return nil
 }
 
 // describeSegment reads a segment on its own, up to the first damage.
-func describeSegment(sequence uint32, data []byte) SegmentInfo {
+func describeSegment(sequence uint32, data []byte) (SegmentInfo, []*wirev1.Entry) {
+	var entries []*wirev1.Entry
 	info := SegmentInfo{File: segmentName(sequence), Bytes: len(data)}
 	// Damage was reported by the replay; here the readable part counts.
 	info.Readable, _ = ScanRecords(info.File, sequence, data, func(record Record) error {
@@ -125,6 +131,7 @@
 			if err := proto.Unmarshal(record.Payload, entry); err != nil {
 				return err
 			}
+			entries = append(entries, entry)
 			info.Last = Position{Index: entry.Index, Term: entry.Term}
 			if info.First.Index == 0 {
 				info.First = info.Last
@@ -132,7 +139,7 @@
 		}
 		return nil
 	})
-	return info
+	return info, entries
 }
 
 // checkGap compares the newest snapshot with the start of the log.
