--- a/core/raft/property_test.go
+++ b/core/raft/property_test.go
@@ -128,6 +128,9 @@
 	for _, m := range leader.member.Membership().Members {
 		p := g.processes[m.Id]
 		for index, text := range g.acked {
+			if p.isOut {
+				continue
+			}
 			if uint64(len(p.applied)) < index || p.applied[index-1] != text {
 				g.t.Fatalf("member %d lost acknowledged entry %d, %s; it applied %d entries", p.id, index, text, len(p.applied))
 			}
@@ -154,3 +157,31 @@
 		g.settle()
 	})
 }
+
+// TestEmptiedDiskCannotVote guards against an acknowledged entry that is lost
+// because a member whose disk was emptied votes under its old id.
+func TestEmptiedDiskCannotVote(t *testing.T) {
+	g := newGroup(t, 1, 3)
+	g.run(time.Second)
+	leader := g.leader()
+	emptied, late := g.processes[leader.id%3+1], g.processes[(leader.id+1)%3+1]
+	g.isolate(late.id, true)
+	g.propose(leader)
+	g.run(200 * time.Millisecond)
+	if g.ackedTop != uint64(len(leader.applied)) || g.ackedTop < 3 {
+		t.Fatalf("%d entries are acknowledged, %d applied", g.ackedTop, len(leader.applied))
+	}
+	g.crash(leader)
+	g.crash(emptied)
+	clear(g.cut)
+	g.add(emptied.id, 999, raft.Stored{})
+	g.run(5 * time.Second)
+	if other := g.leader(); other != nil {
+		t.Fatalf("member %d leads with the vote of an emptied disk", other.id)
+	}
+	if again := g.processes[emptied.id]; !again.isOut || again.halted != raft.HaltOtherFolder {
+		t.Fatalf("the emptied member goes on: halted %v, %v", again.isOut, again.halted)
+	}
+	g.processes[emptied.id].member = nil
+	g.settle()
+}
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -89,6 +89,9 @@
 	reads    map[uint64]uint64
 	ready    map[uint64]bool
 	failed   map[uint64]raft.Rejected
+	// promotions has, by index and term of a membership entry, the new voter and
+	// what its leader had applied.
+	promotions map[[2]uint64][2]uint64
 	// crashAfter ends a process after that many further effects, below 0 never.
 	crashAfter int
 }
@@ -100,7 +103,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), processes: map[uint64]*process{}, cut: map[[2]uint64]bool{},
 		leaders: map[uint64]uint64{}, entries: map[[2]uint64]string{}, committed: map[uint64]string{},
 		proposed: map[uint64][2]uint64{}, acked: map[uint64]string{}, reads: map[uint64]uint64{},
-		ready: map[uint64]bool{}, failed: map[uint64]raft.Rejected{}, crashAfter: -1,
+		ready: map[uint64]bool{}, failed: map[uint64]raft.Rejected{}, promotions: map[[2]uint64][2]uint64{}, crashAfter: -1,
 	}
 	var members []*wirev1.Member
 	for id := uint64(1); id <= uint64(size); id++ {
@@ -162,6 +165,7 @@
 	case raft.Persist:
 		p.disk.persist(e)
 		g.checkLogMatching(p)
+		g.notePromotions(p, e.Entries)
 	case raft.PersistSnapshot:
 		p.disk.persistSnapshot(e)
 	case raft.Send:
@@ -207,6 +211,7 @@
 			g.t.Fatalf("state machines disagree at %d: %s and on member %d %s", e.Index, known, p.id, text)
 		}
 		g.committed[e.Index] = text
+		g.checkPromotion(e)
 		p.applied = append(p.applied, text)
 		if p.role.Role == raft.RoleLeader && p.role.Term == e.Term {
 			g.acked[e.Index] = text
@@ -243,6 +248,43 @@
 	}
 }
 
+// notePromotions remembers which learners a leader makes voters.
+func (g *group) notePromotions(p *process, entries []*wirev1.Entry) {
+	before := &wirev1.Membership{}
+	for _, e := range p.disk.Entries {
+		if e.Kind != wirev1.Entry_KIND_MEMBERSHIP {
+			continue
+		}
+		after := &wirev1.Membership{}
+		if err := proto.Unmarshal(e.Data, after); err != nil {
+			g.t.Fatalf("membership in entry %d: %v", e.Index, err)
+		}
+		for _, m := range after.Members {
+			key := [2]uint64{e.Index, e.Term}
+			if _, known := g.promotions[key]; !known && !m.Learner && learns(before, m.Id) && slices.Contains(entries, e) {
+				g.promotions[key] = [2]uint64{m.Id, uint64(len(p.applied))}
+			}
+		}
+		before = after
+	}
+}
+
+func learns(membership *wirev1.Membership, id uint64) bool {
+	return slices.ContainsFunc(membership.Members, func(m *wirev1.Member) bool { return m.Id == id && m.Learner })
+}
+
+// checkPromotion checks that a learner had the log before it became a voter.
+func (g *group) checkPromotion(e *wirev1.Entry) {
+	promotion, ok := g.promotions[[2]uint64{e.Index, e.Term}]
+	if !ok {
+		return
+	}
+	disk := g.processes[promotion[0]].disk
+	if last := disk.BaseIndex + uint64(len(disk.Entries)); last < promotion[1] {
+		g.t.Fatalf("learner %d became a voter with the log up to %d, %d was committed", promotion[0], last, promotion[1])
+	}
+}
+
 func (g *group) send(m *wirev1.RaftMessage) {
 	if g.cut[[2]uint64{m.From, m.To}] {
 		return
