--- a/bench/backend/gate.go
+++ b/bench/backend/gate.go
@@ -9,6 +9,8 @@
 type gate struct {
 	mu     sync.Mutex
 	closed chan struct{}
+	// held counts those that wait.
+	held int
 }
 
 func (g *gate) freeze() {
@@ -32,16 +34,39 @@
 // only the end of the server itself, ctx, ends the wait early.
 func (g *gate) wait(ctx context.Context) {
 	for {
-		g.mu.Lock()
-		closed := g.closed
-		g.mu.Unlock()
+		closed := g.enter()
 		if closed == nil {
 			return
 		}
 		select {
 		case <-closed:
 		case <-ctx.Done():
+		}
+		g.leave()
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
+
+// enter returns the channel to wait for, nil if the gate is open.
+func (g *gate) enter() chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed != nil {
+		g.held++
+	}
+	return g.closed
+}
+
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held--
+}
+
+func (g *gate) waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -203,13 +203,16 @@
 	Cold     bool
 	Draining bool
 	Granted  int
+	// Held is the number of requests and announcements that a frozen server
+	// holds.
+	Held int
 }
 
 // Stats returns figures of the running server.
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := Stats{Draining: s.draining, Granted: len(s.grants)}
+	t := Stats{Draining: s.draining, Granted: len(s.grants), Held: s.gate.waiting()}
 	if s.boot != nil {
 		t.InFlight, t.Capacity, t.Cold = s.boot.inFlight, s.capacity(s.boot), s.boot.capacity > 0
 	}
--- a/core/choice/twochoices.go
+++ b/core/choice/twochoices.go
@@ -49,6 +49,13 @@
 	forgetAfter = time.Minute
 	// forgetEvery is the number of picks between two searches for such nodes.
 	forgetEvery = 4096
+	// minSamples is the number of latencies before a server can be a straggler;
+	// the first one alone may be long by chance.
+	minSamples = 5
+	// goodProbes is the number of probes in a row that end the avoidance of a
+	// straggler. One alone is as short as that of a healthy server in a fifth of
+	// the cases, even at a tenfold slowdown.
+	goodProbes = 3
 	// tries bounds the draws for two candidates that are not avoided before
 	// all candidates are looked at.
 	tries = 8
@@ -129,6 +136,8 @@
 	straggler    bool
 	probed       time.Time
 	probedAtPick uint64
+	// goodProbes counts short latencies in a row since straggler was set.
+	goodProbes int
 }
 
 // NewTwoChoices returns the default policy.
@@ -286,6 +295,7 @@
 	s.straggler = true
 	s.probed = now
 	s.probedAtPick = t.picks
+	s.goodProbes = 0
 	t.slow = append(t.slow, incarnation)
 }
 
@@ -295,7 +305,9 @@
 		s := t.servers[incarnation]
 		since := now.Sub(s.probed)
 		due := since >= t.config.ProbeInterval && float64(t.picks-s.probedAtPick)*t.config.ProbeShare >= 1
-		if (!due && since < t.config.MaxProbeInterval) || now.Before(s.backoffUntil) {
+		// After a good probe the next one follows at once, to decide soon.
+		due = due || since >= t.config.MaxProbeInterval || (s.goodProbes > 0 && s.inFlight == 0)
+		if !due || now.Before(s.backoffUntil) {
 			continue
 		}
 		for i, c := range candidates {
@@ -362,20 +374,20 @@
 		t.typical /= 1 + smoothing/4
 	}
 	s.samples++
-	weight := max(smoothing, 1/float64(s.samples))
-	if s.straggler {
-		// Probes are few, so each has to count: a healthy one or two end the
-		// avoidance.
-		weight = 0.6
-	}
-	s.logLatency += weight * (math.Log(latency) - s.logLatency)
-	slow := math.Exp(s.logLatency) > t.config.StragglerFactor*t.reference()
+	s.logLatency += max(smoothing, 1/float64(s.samples)) * (math.Log(latency) - s.logLatency)
+	bound := t.config.StragglerFactor * t.reference()
 	switch {
-	case slow && !s.straggler:
+	case s.straggler && latency > bound:
+		s.goodProbes = 0
+	case s.straggler:
+		s.goodProbes++
+		if s.goodProbes >= goodProbes {
+			s.straggler = false
+			s.logLatency = math.Log(t.reference())
+			t.dropSlow(incarnation)
+		}
+	case s.samples >= minSamples && math.Exp(s.logLatency) > bound:
 		t.markSlow(now, incarnation, s)
-	case !slow && s.straggler:
-		s.straggler = false
-		t.dropSlow(incarnation)
 	}
 }
 
--- a/core/outcome/requests_test.go
+++ b/core/outcome/requests_test.go
@@ -304,6 +304,25 @@
 	}
 }
 
+// TestUnrecordedSending guards against a bar for a sending that waits but had no
+// room in the table: it may still be told to run.
+func TestUnrecordedSending(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := outcome.NewRequests(outcome.RequestsConfig{MaxEntries: 3})
+	r.Begin(now, outcome.BeginRequest{ID: "a", Sending: "s1"})
+	r.Begin(now, outcome.BeginRequest{ID: "b"})
+	if a := r.Begin(now, outcome.BeginRequest{ID: "a", Sending: "s2"}); a.Verdict != outcome.BeginWait {
+		t.Fatalf("second sending: %v, want wait", a.Verdict)
+	}
+	r.Fail(now, "b", false)
+	if s := r.Settle(now, "s2"); s.State != outcome.SettleUnknown {
+		t.Errorf("settle of the waiting sending: %v, want unknown", s.State)
+	}
+	if events := r.Fail(now, "a", false); len(events) != 1 || events[0].Answer.Verdict != outcome.BeginRun {
+		t.Errorf("events %+v, want the waiting sending to run", events)
+	}
+}
+
 // TestLargeResponse guards against a large body that is kept, and against a
 // waiting sending that misses it although it is at hand.
 func TestLargeResponse(t *testing.T) {
