--- a/bench/check/check_test.go
+++ b/bench/check/check_test.go
@@ -1,6 +1,7 @@
 package check_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,34 @@
 		}
 	}
 }
+
+// TestFigures guards against unavailable time, imbalance or churn that is
+// measured wrong.
+func TestFigures(t *testing.T) {
+	operation := func(key string, due int, outcome load.Outcome) load.Operation {
+		return load.Operation{Key: key, Intended: at(due), Outcome: outcome, Latency: time.Second / 2}
+	}
+	operations := []load.Operation{
+		operation("k", 3, load.OutcomeOK), operation("k", 1, load.OutcomeNotRun), operation("k", 0, load.OutcomeOK),
+		operation("k", 2, load.OutcomeLost), operation("j", 2, load.OutcomeTimeout), operation("i", 2, load.OutcomeSkipped),
+	}
+	gaps := check.Gaps(operations, at(4))
+	want := []check.Gap{{Key: "k", From: at(1), To: at(3).Add(time.Second / 2), Failures: 2}, {Key: "j", From: at(2), Failures: 1}}
+	if !slices.Equal(gaps, want) {
+		t.Errorf("gaps %v, want %v", gaps, want)
+	}
+	seconds := check.Seconds(operations, at(0))
+	if len(seconds) != 4 || seconds[2].Counts[load.OutcomeLost] != 1 || seconds[3].P99 != time.Second/2 || seconds[1].P99 != 0 {
+		t.Errorf("seconds %+v", seconds)
+	}
+	entries := join(run(1, "a", "x", 1, 0, 1), run(2, "a", "y", 1, 2, 3), run(3, "b", "z", 2, 4, 5), run(4, "a", "v", 3, 6, 7))
+	if r := check.Imbalance(entries, "desk", at(0), at(7)); r != 1.5 {
+		t.Errorf("imbalance %v, want 3 of 4 runs at one of two servers to give 1.5", r)
+	}
+	if c := check.OwnerChanges(entries, "desk", at(0), at(7)); c != (check.Churn{Partitions: 1, Moved: 1, Changes: 2}) {
+		t.Errorf("churn %+v", c)
+	}
+	if c := check.OwnerChanges(entries, "desk", at(0), at(3)); c.Changes != 0 {
+		t.Errorf("churn %+v before the first change", c)
+	}
+}
