--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -297,6 +297,7 @@
 		t.nodes[0].Node.Cold = true
 		t.nodes[1].LeaseLeftMs = 0
 		t.nodes[2].Node.BackendServer.Name = "doc-1\x1b[2J"
+		t.nodes[2].Node.BackendServer.Upstream = "documents\x1b[3A"
 		t.run("status")
 		t.run("status --json")
 		t.run("explain centre-9 --upstream applications")
@@ -323,9 +324,11 @@
 		time.Sleep(100 * time.Millisecond)
 		save(launch + "zone amman-1 away  # Samir: fault\n")
 		t.mu.Lock()
-		t.loseAnswers = 2
+		// More than one call sends, so that the watch itself tries again.
+		t.loseAnswers = 30
 		t.mu.Unlock()
 		save(launch + "zone amman-3 out  # Samir: switch\n")
+		time.Sleep(20 * time.Second)
 		save("")
 		save(launch + "zone amman-3 in  # Samir: back\n")
 		cancel()
