--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -184,6 +184,10 @@
 		started := time.Now()
 		t.run("apply @b.rules --wait --timeout 5s")
 		t.note("waited %s", time.Since(started))
+		t.note("the operator interrupts the wait after a second")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		t.runIn(ctx, "apply @b.rules --wait")
 		t.file("c.rules", strings.Replace(launch, "keyed ", "keyed partitions=64 ", 1))
 		t.run("apply @c.rules")
 		t.run("diff @c.rules")
@@ -258,6 +262,7 @@
 		t.asked, t.hint = nil, "10.0.0.3:7101"
 		t.run("members list" + all)
 		t.note("asked %v", t.asked)
+		t.run("members list --timeout 1s --control=10.0.0.1:7102 --control=10.0.0.2:7102")
 		t.hint = ""
 		t.silent["10.0.0.1:7102"], t.absent["10.0.0.2:7102"] = true, true
 		started := time.Now()
@@ -296,6 +301,7 @@
 		t.nodes[0].Node.Cold = true
 		t.nodes[1].LeaseLeftMs = 0
 		t.nodes[2].Node.BackendServer.Name = "doc-1\x1b[2J"
+		t.nodes[2].Node.BackendServer.Upstream = "documents\x1b[3A"
 		t.run("status")
 		t.run("status --json")
 		t.run("explain centre-9 --upstream applications")
@@ -322,14 +328,19 @@
 		time.Sleep(100 * time.Millisecond)
 		save(launch + "zone amman-1 away  # Samir: fault\n")
 		t.mu.Lock()
-		t.loseAnswers = 2
+		// More than one call sends, so that the watch itself tries again.
+		t.loseAnswers = 30
 		t.mu.Unlock()
 		save(launch + "zone amman-3 out  # Samir: switch\n")
+		time.Sleep(20 * time.Second)
 		save("")
 		save(launch + "zone amman-3 in  # Samir: back\n")
 		cancel()
 		<-done
-		go func() { done <- t.runIn(context.Background(), "watch @a.rules") }()
+		// The conflict ends the watch long before this.
+		ctx, cancel = context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		go func() { done <- t.runIn(ctx, "watch @a.rules") }()
 		time.Sleep(time.Second)
 		t.file("b.rules", launch)
 		t.run("apply @b.rules")
