--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -251,4 +251,17 @@
 	if got, err := w.current().leader.Register(context.Background(), request); err != nil || got.GetIncarnation() != first {
 		t.Errorf("resent registration: %v, %v; want incarnation %d", got, err, first)
 	}
+	for range 2 {
+		w.run(t, 2*lease.Config{}.Whole())
+		if w.state.NodeByServer("s9") != nil {
+			t.Fatal("the lease is not over")
+		}
+		got, err := w.current().leader.Register(context.Background(), request)
+		if err != nil || got.GetIncarnation() <= first {
+			t.Fatalf("registration resent after the lease: %v, %v; want a new incarnation", got, err)
+		}
+		if again, err := w.current().leader.Register(context.Background(), request); err != nil || again.GetIncarnation() != got.GetIncarnation() {
+			t.Errorf("registration sent once more: %v, %v; want incarnation %d", again, err, got.GetIncarnation())
+		}
+	}
 }
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -13,7 +13,11 @@
 )
 
 // ErrRegisterAnew is returned for an incarnation whose lease is over.
-var ErrRegisterAnew = errors.New("the lease of this incarnation is over; register with a new request id")
+var ErrRegisterAnew = errors.New("the lease of this incarnation is over; register again")
+
+// errIncarnationOver is the answer to a repeated registration whose
+// incarnation was removed since.
+var errIncarnationOver = errors.New("the incarnation of this registration was removed")
 
 // InvalidError is returned for a registration that can never be accepted.
 type InvalidError struct{ Message string }
@@ -101,13 +105,23 @@
 		replaces = h.GetIncarnation()
 	}
 	l.mu.Unlock()
-	result, err := l.config.Log.Propose(ctx, &wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{
-		Node: request.GetNode(), Replaces: replaces, RequestId: request.GetRequestId(),
-	}}})
-	if err != nil {
-		return nil, err
+	id := request.GetRequestId()
+	for {
+		result, err := l.config.Log.Propose(ctx, &wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{
+			Node: request.GetNode(), Replaces: replaces, RequestId: id,
+		}}})
+		if err != nil {
+			return nil, err
+		}
+		response, err := l.registered(request, result)
+		if !errors.Is(err, errIncarnationOver) {
+			return response, err
+		}
+		// The answer to an earlier sending was lost and its incarnation is
+		// over. The node repeats the request until it gets an answer, so it
+		// needs another incarnation, which later repetitions find in turn.
+		id = fmt.Sprintf("%s#%d", id, result.Index)
 	}
-	return l.registered(request, result)
 }
 
 func (l *Leader) registered(request *wirev1.RegisterRequest, result cluster.Result) (*wirev1.RegisterResponse, error) {
@@ -125,12 +139,13 @@
 		l.config.Logger.Warn().Str("node", request.GetNode().GetName()).Str("peer", request.GetNode().GetPeerAddress()).
 			Str("refused", result.Message).Msg("node not registered")
 		return nil, &NameTakenError{Server: server, Holder: result.Holder, Address: holder.GetPeerAddress()}
-	}
-	if state.Node(result.Index) == nil {
-		return nil, ErrRegisterAnew
+	case cluster.CodeUnchanged:
+		if state.Node(result.Index) == nil {
+			return nil, errIncarnationOver
+		}
 	}
 	duration, granted := l.granter.Renew(now, result.Index)
-	if !granted {
+	if !granted || state.Node(result.Index) == nil {
 		return nil, ErrRegisterAnew
 	}
 	l.dirty = true
