--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -137,6 +137,10 @@
 	m.persisted = m.log.last()
 	m.membershipChanged = len(m.memberships) > 0
 	m.resetElectionDeadline()
+	if m.quorum(func(id uint64) bool { return id == config.ID }) {
+		// The only voter has nobody to wait for.
+		m.electionDeadline = now
+	}
 	m.reported = RoleChanged{Role: RoleFollower, Term: m.term}
 	return m, nil
 }
