--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -75,9 +75,13 @@
 	ids       []uint64
 	network   []delivery
 	// lossy turns on loss, duplication and delay.
-	lossy  bool
-	cut    map[[2]uint64]bool
-	nextID uint64
+	lossy bool
+	cut   map[[2]uint64]bool
+	// drop loses the messages for which it returns true.
+	drop func(*wirev1.RaftMessage) bool
+	// candidate is the only member whose campaigns are heard, 0 for all.
+	candidate uint64
+	nextID    uint64
 
 	leaders   map[uint64]uint64
 	entries   map[[2]uint64]string
@@ -89,6 +93,9 @@
 	reads    map[uint64]uint64
 	ready    map[uint64]bool
 	failed   map[uint64]raft.Rejected
+	// promotions has, by index and term of a membership entry, the new voter and
+	// what its leader had applied.
+	promotions map[[2]uint64][2]uint64
 	// crashAfter ends a process after that many further effects, below 0 never.
 	crashAfter int
 }
@@ -100,7 +107,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), processes: map[uint64]*process{}, cut: map[[2]uint64]bool{},
 		leaders: map[uint64]uint64{}, entries: map[[2]uint64]string{}, committed: map[uint64]string{},
 		proposed: map[uint64][2]uint64{}, acked: map[uint64]string{}, reads: map[uint64]uint64{},
-		ready: map[uint64]bool{}, failed: map[uint64]raft.Rejected{}, crashAfter: -1,
+		ready: map[uint64]bool{}, failed: map[uint64]raft.Rejected{}, promotions: map[[2]uint64][2]uint64{}, crashAfter: -1,
 	}
 	var members []*wirev1.Member
 	for id := uint64(1); id <= uint64(size); id++ {
@@ -162,6 +169,7 @@
 	case raft.Persist:
 		p.disk.persist(e)
 		g.checkLogMatching(p)
+		g.notePromotions(p, e.Entries)
 	case raft.PersistSnapshot:
 		p.disk.persistSnapshot(e)
 	case raft.Send:
@@ -175,6 +183,9 @@
 		g.apply(p, e.Entries)
 	case raft.Proposed:
 		g.proposed[e.ID] = [2]uint64{e.Index, e.Term}
+		if uint64(len(p.applied)) >= e.Index {
+			g.t.Fatalf("entry %d is applied before its proposal %d is answered", e.Index, e.ID)
+		}
 	case raft.ReadReady:
 		if required := g.reads[e.ID]; e.Index < required || uint64(len(p.applied)) < required {
 			g.t.Fatalf("stale read: member %d in term %d answers read %d at %d with %d applied, %d was acknowledged before",
@@ -204,6 +215,7 @@
 			g.t.Fatalf("state machines disagree at %d: %s and on member %d %s", e.Index, known, p.id, text)
 		}
 		g.committed[e.Index] = text
+		g.checkPromotion(e)
 		p.applied = append(p.applied, text)
 		if p.role.Role == raft.RoleLeader && p.role.Term == e.Term {
 			g.acked[e.Index] = text
@@ -240,8 +252,48 @@
 	}
 }
 
+// notePromotions remembers which learners a leader makes voters.
+func (g *group) notePromotions(p *process, entries []*wirev1.Entry) {
+	before := &wirev1.Membership{}
+	for _, e := range p.disk.Entries {
+		if e.Kind != wirev1.Entry_KIND_MEMBERSHIP {
+			continue
+		}
+		after := &wirev1.Membership{}
+		if err := proto.Unmarshal(e.Data, after); err != nil {
+			g.t.Fatalf("membership in entry %d: %v", e.Index, err)
+		}
+		for _, m := range after.Members {
+			key := [2]uint64{e.Index, e.Term}
+			if _, known := g.promotions[key]; !known && !m.Learner && learns(before, m.Id) && slices.Contains(entries, e) {
+				g.promotions[key] = [2]uint64{m.Id, uint64(len(p.applied))}
+			}
+		}
+		before = after
+	}
+}
+
+func learns(membership *wirev1.Membership, id uint64) bool {
+	return slices.ContainsFunc(membership.Members, func(m *wirev1.Member) bool { return m.Id == id && m.Learner })
+}
+
+// checkPromotion checks that a learner had the log before it became a voter.
+func (g *group) checkPromotion(e *wirev1.Entry) {
+	promotion, ok := g.promotions[[2]uint64{e.Index, e.Term}]
+	if !ok {
+		return
+	}
+	disk := g.processes[promotion[0]].disk
+	if last := disk.BaseIndex + uint64(len(disk.Entries)); last < promotion[1] {
+		g.t.Fatalf("learner %d became a voter with the log up to %d, %d was committed", promotion[0], last, promotion[1])
+	}
+}
+
 func (g *group) send(m *wirev1.RaftMessage) {
-	if g.cut[[2]uint64{m.From, m.To}] {
+	if g.cut[[2]uint64{m.From, m.To}] || g.drop != nil && g.drop(m) {
+		return
+	}
+	if g.candidate != 0 && m.Kind == wirev1.RaftMessage_KIND_PRE_VOTE && m.From != g.candidate {
 		return
 	}
 	copies := 1
@@ -365,3 +417,47 @@
 	}
 	return b.String()
 }
+
+func (g *group) addMember(leader *process, id uint64) uint64 {
+	g.nextID++
+	g.step(leader, raft.ProposeMembership{ID: g.nextID, Add: &wirev1.Member{Id: id, Address: fmt.Sprint("m", id)}})
+	return g.nextID
+}
+
+func (g *group) removeMember(leader *process, id uint64) uint64 {
+	g.nextID++
+	g.step(leader, raft.ProposeMembership{ID: g.nextID, Remove: id})
+	return g.nextID
+}
+
+// connect cuts everything except the connections among the given members.
+func (g *group) connect(ids ...uint64) {
+	for _, from := range g.ids {
+		for _, to := range g.ids {
+			g.cut[[2]uint64{from, to}] = !slices.Contains(ids, from) || !slices.Contains(ids, to)
+		}
+	}
+}
+
+// elect ends all leaderships and lets a member win the votes of others.
+func (g *group) elect(id uint64, voters ...uint64) *process {
+	g.t.Helper()
+	g.connect()
+	g.run(2 * time.Second)
+	g.connect(append(voters, id)...)
+	p := g.processes[id]
+	g.candidate = id
+	for range 3 {
+		// A member that voted in a later term rejects the first attempt.
+		if p.role.Role != raft.RoleLeader {
+			p.offset += time.Second
+			g.step(p, raft.Tick{})
+			g.run(80 * time.Millisecond)
+		}
+	}
+	g.candidate = 0
+	if p.role.Role != raft.RoleLeader {
+		g.t.Fatalf("member %d did not win the votes of %v: %s", id, voters, g.describeMembers())
+	}
+	return p
+}
