--- a/control/control_test.go
+++ b/control/control_test.go
@@ -169,7 +169,7 @@
 // another number of partitions, which would give keys two owners.
 func TestRulesThatCannotHold(t *testing.T) {
 	m := leader(t, newGroup(t, 1))
-	if o := m.apply(t, 0, "upstream a keyed\nroute\n", "x"); o.GetOutcome() != wirev1.ApplyRulesResponse_OUTCOME_INVALID || len(o.GetErrors()) != 2 {
+	if o := m.apply(t, 0, "upstream a keyed\nroute\n", "x"); o.GetOutcome() != wirev1.ApplyRulesResponse_OUTCOME_INVALID || len(o.GetErrors()) != 3 {
 		t.Errorf("rules without comments: %v", o)
 	}
 	m.apply(t, 0, deskRules, "a")
