node/internal/caller: end connections whose request body was not read

A run with the real control group and stand-in backend servers showed callers that got 431 to nothing they had sent: after a refused upload the rest of its body was taken for the next request. The connection now ends after such an answer.

--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -17,6 +17,11 @@
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
+// refusedPause is the time after a refused connection for which calls are
+// refused at once. One call in each pause finds out whether the backend server
+// is back.
+const refusedPause = 25 * time.Millisecond
+
 // Term is the right to run keyed calls.
 type Term struct {
 	// Context ends with the lease. It is nil for calls without a key.
@@ -40,6 +45,9 @@
 // sends the call. A refusal with outcome notRun means that no byte was written
 // or that the backend server said that it ran nothing.
 func (s *Server) Do(ctx context.Context, call *relay.Call, gate Gate) (*relay.Answer, *outcome.Refusal) {
+	if s.cfg.Clock.Now().UnixNano() < s.refusedUntil.Load() {
+		return nil, relay.NotRun(outcome.ReasonUnreachable)
+	}
 	ticket, refusal := s.guard.enter(ctx, call, gate.Halt, gate.HaltReason)
 	if refusal != nil {
 		return nil, refusal
@@ -78,6 +86,9 @@
 		a.s.guard.leave(a.ticket, admission.ResultCancelled, 0)
 		return relay.NotRun(outcome.ReasonQueueFull)
 	}
+	// Calls that come meanwhile would only queue up for a server that is not
+	// there.
+	a.s.refusedUntil.Store(a.s.cfg.Clock.Now().Add(refusedPause).UnixNano())
 	a.s.guard.leave(a.ticket, admission.ResultRefused, 0)
 	a.s.log.Debug().Err(err).Msg("backend server refused a connection")
 	return relay.NotRun(outcome.ReasonUnreachable)
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -9,7 +9,10 @@
 	"github.com/pkg/errors"
 )
 
-var errNoConnection = errors.New("all connections to the backend server are in use")
+var (
+	errNoConnection = errors.New("all connections to the backend server are in use")
+	errNoServer     = errors.New("no backend server is announced, or it is lost")
+)
 
 // pool keeps warm connections to the backend server, because a new one costs
 // about 1 ms, and bounds how many are open. It is safe for concurrent use.
@@ -71,7 +74,10 @@
 		p.idle = p.idle[:n-1]
 		return c, "", 0, nil
 	}
-	if p.address == "" || p.open >= p.bound {
+	if p.address == "" || p.bound == 0 {
+		return nil, "", 0, errNoServer
+	}
+	if p.open >= p.bound {
 		return nil, "", 0, errNoConnection
 	}
 	p.open++
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,9 @@
 	guard  *guard
 	pool   pool
 	client *http.Client
+	// refusedUntil is when a refused connection stops to count, in nanoseconds
+	// by the clock.
+	refusedUntil atomic.Int64
 	// cancels are request ids that the backend server is told to cancel.
 	cancels chan string
 
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,6 +119,8 @@
 	upstream *rules.Upstream
 	started  time.Time
 	attempt  int
+	// body is nil if the request has none.
+	body *slowBody
 	// tried has the nodes that this request was sent to without a key.
 	tried []uint64
 }
@@ -130,6 +133,7 @@
 	q.call.ID = h.ids.next()
 	answer, refusal := q.serve()
 	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	q.closeUnlessRead()
 	if refusal != nil {
 		refusal.RequestID = q.call.ID
 		relay.WriteRefusal(w, refusal)
@@ -262,12 +266,13 @@
 	if limit == 0 {
 		limit = rules.DefaultMaxBody
 	}
+	q.body = &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control, timeout: q.h.cfg.BodyTimeout}
 	if r.ContentLength > limit {
 		return relay.NotRun(outcome.ReasonBodyTooLarge)
 	}
-	source := &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control, timeout: q.h.cfg.BodyTimeout}
 	abort := func() { _ = q.control.SetReadDeadline(time.Unix(1, 0)) }
-	b, err := relay.ReadBody(source, r.ContentLength, abort)
+	q.body.length = r.ContentLength
+	b, err := relay.ReadBody(q.body, r.ContentLength, abort)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -291,10 +296,32 @@
 	r       io.Reader
 	control *http.ResponseController
 	timeout time.Duration
+	// length as announced, -1 if unknown.
+	length int64
+	read   int64
+	ended  atomic.Bool
 }
 
 // Read reads a part of the body.
 func (b *slowBody) Read(p []byte) (int, error) {
 	_ = b.control.SetReadDeadline(time.Now().Add(b.timeout))
-	return b.r.Read(p)
+	n, err := b.r.Read(p)
+	b.read += int64(n)
+	if err == io.EOF || err == nil && b.read == b.length {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// closeUnlessRead makes an HTTP/1.1 connection end after the answer if the
+// body was not read to its end. net/http would otherwise take the rest of the
+// body for the next request, because full duplex keeps it from looking, and
+// without full duplex it would wait for a slow sender before the answer.
+func (q *request) closeUnlessRead() {
+	if q.r.ProtoMajor != 1 || q.r.ContentLength == 0 || q.body != nil && q.body.ended.Load() {
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	_ = q.control.EnableFullDuplex()
+	_ = q.control.SetReadDeadline(time.Now().Add(q.h.cfg.BodyTimeout))
 }
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -132,6 +132,10 @@
 			return nil
 		}
 		s.cfg.Log.Warn().Err(err).Str("member", address).Msg("registration failed")
+		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+			// The answer to an earlier try was lost, and its lease is over.
+			request.RequestId = rand.Text()
+		}
 		pause := retryPause
 		if refused(err) {
 			pause = refusedPause
