node, core/routing: tests for moves, resends, lease end, nested calls and keys

A graceful stop under load loses and repeats nothing, resends run once after a planned move and are undecided after a loss, keyed calls are cancelled with the lease, and cyclic nested calls pass when both sides are full. Properties of the table and fuzz targets for route, key and call decoding.

--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,213 @@
+package routing_test
+
+import (
+	"flag"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// TestMain fixes rapid's seed so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const text = `upstream applications keyed partitions=1024 # a: b
+upstream documents unkeyed # a: b
+route / to documents # a: b
+route /app to applications key=segment:2 # a: b
+route /app/by-header to applications key=header:X-Key # a: b
+route /query/ to applications key=query:key # a: b
+zone out1 out # a: b
+server drained drain # a: b
+`
+
+func table(t interface{ Fatal(...any) }) *routing.Table {
+	n, err := routing.New().With(&wirev1.Update{Index: 1, Rules: &wirev1.RulesRevision{Revision: 1, Text: text}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// TestRouteAndKey guards against requests that take another route or key than
+// the backend server will read.
+func TestRouteAndKey(t *testing.T) {
+	for _, c := range []struct {
+		target, header string
+		route          string
+		key            string
+		reason         outcome.Reason
+	}{
+		{"/app/k1", "", "/app", "k1", outcome.ReasonNoOwner},
+		{"/app/k1/more?x=1", "", "/app", "k1", outcome.ReasonNoOwner},
+		{"/app/a%2Fb/c", "", "/app", "a/b", outcome.ReasonNoOwner},
+		{"/app", "", "/app", "", outcome.ReasonNoKey},
+		{"/app/", "", "/app", "", outcome.ReasonNoKey},
+		{"/app//k1", "", "/app", "", outcome.ReasonNoKey},
+		{"/apple/k1", "", "/", "", outcome.ReasonNoServer},
+		{"/app/by-header", "h1", "/app/by-header", "h1", outcome.ReasonNoOwner},
+		{"/app/by-header/k", "", "/app/by-header", "", outcome.ReasonNoKey},
+		{"/app/by-header", "one,two", "/app/by-header", "", outcome.ReasonBadRequest},
+		{"/app/by-header", "one,one", "/app/by-header", "one", outcome.ReasonNoOwner},
+		{"/query?a=1&key=q%201", "", "/query/", "q 1", outcome.ReasonNoOwner},
+		{"/query?key=a&key=b", "", "/query/", "", outcome.ReasonBadRequest},
+		{"/query?key=%zz", "", "/query/", "", outcome.ReasonBadRequest},
+		{"/query", "", "/query/", "", outcome.ReasonNoKey},
+		{"/app/../query", "", "", "", outcome.ReasonBadRequest},
+		{"/app/%2e%2E/x", "", "", "", outcome.ReasonBadRequest},
+		{"/app/.hidden", "", "/app", ".hidden", outcome.ReasonNoOwner},
+	} {
+		path, query, _ := strings.Cut(c.target, "?")
+		q := routing.Request{Path: path, Query: query, Header: map[string][]string{}}
+		if c.header != "" {
+			q.Header["X-Key"] = strings.Split(c.header, ",")
+		}
+		d := table(t).Decide(q)
+		if d.Reason != c.reason {
+			t.Errorf("%s: reason %q, want %q", c.target, d.Reason, c.reason)
+		}
+		if route := d.Route; c.route != "" && (route == nil || route.Prefix != c.route) {
+			t.Errorf("%s: route %v, want %s", c.target, route, c.route)
+		}
+		if c.key != "" && d.KeyHash != keyspace.Hash(c.key) {
+			t.Errorf("%s: not the key %q", c.target, c.key)
+		}
+	}
+}
+
+// TestDeltasMakeTheSameTable guards against tables that differ with the way in
+// which the same state arrived, and against chunks that a later table changes
+// under an earlier one.
+func TestDeltasMakeTheSameTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type key struct {
+			upstream  string
+			partition uint32
+		}
+		want := map[key]routing.Assignment{}
+		current := table(t)
+		history := []*routing.Table{current}
+		states := []map[key]routing.Assignment{{}}
+		for i := range rapid.IntRange(1, 12).Draw(t, "updates") {
+			u := &wirev1.Update{Index: uint64(i + 2)}
+			for range rapid.IntRange(0, 5).Draw(t, "changes") {
+				k := key{rapid.SampledFrom([]string{"applications", "other"}).Draw(t, "upstream"), uint32(rapid.IntRange(0, 1023).Draw(t, "partition"))}
+				a := routing.Assignment{Owner: rapid.Uint64Range(1, 5).Draw(t, "owner"), Epoch: want[k].Epoch + 1}
+				want[k] = a
+				u.Assignments = append(u.Assignments, &wirev1.Assignment{Upstream: k.upstream, Partition: k.partition, Owner: a.Owner, Epoch: a.Epoch})
+			}
+			next, err := current.With(u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			// Repeated and older updates change nothing.
+			if again, _ := next.With(u); again.Index() != next.Index() {
+				t.Fatal("a repeated update changed the index")
+			}
+			if older, _ := next.With(&wirev1.Update{Index: uint64(i), Snapshot: true}); older != next {
+				t.Fatal("an older update changed the table")
+			}
+			current = next
+			copied := map[key]routing.Assignment{}
+			for k, a := range want {
+				copied[k] = a
+			}
+			history, states = append(history, current), append(states, copied)
+		}
+		for i, h := range history {
+			for k := range want {
+				if got := h.Assignment(k.upstream, k.partition); got != states[i][k] {
+					t.Fatalf("table %d, %v: %v, want %v", i, k, got, states[i][k])
+				}
+			}
+		}
+	})
+}
+
+// TestEpochsAndRevisionsNeverFall guards against an owner that comes back by
+// an update which is late, and against rules that cannot be read.
+func TestEpochsAndRevisionsNeverFall(t *testing.T) {
+	at := func(index, owner, epoch uint64) *wirev1.Update {
+		return &wirev1.Update{Index: index, Assignments: []*wirev1.Assignment{{Upstream: "applications", Partition: 7, Owner: owner, Epoch: epoch}}}
+	}
+	n, _ := table(t).With(at(2, 10, 5))
+	n, _ = n.With(at(3, 11, 4))
+	if a := n.Assignment("applications", 7); a.Owner != 10 || a.Epoch != 5 || n.Index() != 3 {
+		t.Errorf("assignment %+v at index %d", a, n.Index())
+	}
+	snapshot := at(4, 12, 3)
+	snapshot.Snapshot = true
+	if n, _ = n.With(snapshot); n.Assignment("applications", 7).Owner == 12 {
+		t.Error("a snapshot brought a lower epoch into force")
+	}
+	bad, err := n.With(&wirev1.Update{Index: 5, Rules: &wirev1.RulesRevision{Revision: 2, Text: "nonsense"}})
+	if err == nil || bad.Revision() != 1 || bad.Upstream("applications") == nil || bad.Index() != 5 {
+		t.Errorf("error %v, revision %d, index %d", err, bad.Revision(), bad.Index())
+	}
+	if old, _ := n.With(&wirev1.Update{Index: 6, Rules: &wirev1.RulesRevision{Revision: 1, Text: ""}}); old.Upstream("applications") == nil {
+		t.Error("an equal revision replaced the rules")
+	}
+}
+
+// TestLeavingNodesAreNotChosen guards against new work for nodes that drain,
+// that the rules drain, or whose availability zone is out of service.
+func TestLeavingNodesAreNotChosen(t *testing.T) {
+	u := &wirev1.Update{Index: 2}
+	for i, n := range []*wirev1.Node{
+		{Name: "ok"}, {Name: "draining", Draining: true}, {Name: "drained"}, {Name: "zone", AvailabilityZone: "out1"},
+	} {
+		n.Incarnation, n.BackendServer = uint64(i+1), &wirev1.BackendServer{Name: n.GetName(), Upstream: "documents"}
+		u.Nodes = append(u.Nodes, n)
+	}
+	n, _ := table(t).With(u)
+	if got := n.Serving("documents"); len(got) != 1 || got[0].Incarnation != 1 {
+		t.Errorf("serving %v", got)
+	}
+	back := proto.CloneOf(u.GetNodes()[1])
+	back.Draining = false
+	n, _ = n.With(&wirev1.Update{Index: 3, Nodes: []*wirev1.Node{back}, RemovedNodes: []uint64{1}})
+	if got := n.Serving("documents"); len(got) != 1 || got[0].Incarnation != 2 {
+		t.Errorf("serving %v after the change", got)
+	}
+}
+
+// FuzzDecide guards against panics and against keys that depend on anything
+// but the request.
+func FuzzDecide(f *testing.F) {
+	for _, s := range []string{"/app/k", "/app/%2e%2e/k", "/query?key=1&key=2", "/app//", "%", "/app/%zz", "/app/by-header", "/query?key=%"} {
+		f.Add(s, "value")
+	}
+	n := table(f)
+	f.Fuzz(func(t *testing.T, target, value string) {
+		path, query, _ := strings.Cut(target, "?")
+		q := routing.Request{Path: path, Query: query, Header: map[string][]string{"X-Key": {value}}}
+		d := n.Decide(q)
+		if fmt.Sprint(d) != fmt.Sprint(n.Decide(q)) {
+			t.Fatal("two decisions about one request differ")
+		}
+		if d.Upstream != nil && d.Upstream.Keyed && d.Reason == outcome.ReasonNoOwner && d.Partition >= 1024 {
+			t.Fatalf("partition %d", d.Partition)
+		}
+		plain, err := url.PathUnescape(path)
+		for _, s := range strings.Split(plain, "/") {
+			if err == nil && s == ".." && d.Reason != outcome.ReasonBadRequest {
+				t.Fatalf("dot segments in %q were routed", path)
+			}
+		}
+	})
+}
--- a/node/internal/peer/call.go
+++ b/node/internal/peer/call.go
@@ -17,9 +17,9 @@
 // callFields is the number of fields of a call in a header.
 const callFields = 12
 
-// encodeCall writes a call for the header Jujubeknot-Peer-Call: fields
-// separated by spaces, in the order in which decodeCall reads them.
-func encodeCall(c *relay.Call, left time.Duration) string {
+// EncodeCall writes a call for the header Jujubeknot-Peer-Call: fields
+// separated by spaces, in the order in which DecodeCall reads them.
+func EncodeCall(c *relay.Call, left time.Duration) string {
 	b := make([]byte, 0, 160)
 	b = append(b, c.ID...)
 	b = append(b, ' ')
@@ -49,8 +49,8 @@
 	return 0
 }
 
-// decodeCall reads what encodeCall wrote.
-func decodeCall(text string) (*relay.Call, time.Duration, error) {
+// DecodeCall reads what EncodeCall wrote.
+func DecodeCall(text string) (*relay.Call, time.Duration, error) {
 	var fields [callFields]string
 	for i := range fields {
 		var more bool
--- /dev/null
+++ b/node/internal/peer/call_test.go
@@ -0,0 +1,62 @@
+package peer_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/peer"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+)
+
+// TestMain fixes rapid's seed so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestCallSurvivesTheHeader guards against fields that arrive at the owner's
+// node in another place or form.
+func TestCallSurvivesTheHeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := relay.Call{
+			ID: rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "id"), Sending: rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "sending"),
+			Upstream: rapid.StringN(1, 30, -1).Draw(t, "upstream"), Keyed: rapid.Bool().Draw(t, "keyed"),
+			Partition: rapid.Uint32().Draw(t, "partition"), Epoch: rapid.Uint64().Draw(t, "epoch"), KeyHash: rapid.Uint64().Draw(t, "key"),
+			Depth: rapid.IntRange(0, 2).Draw(t, "depth"), Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), CallerID: rapid.Bool().Draw(t, "callerID"), Attempt: rapid.IntRange(0, 9).Draw(t, "attempt"),
+		}
+		left := time.Duration(rapid.IntRange(1, 3_600_000).Draw(t, "left")) * time.Millisecond
+		got, gotLeft, err := peer.DecodeCall(peer.EncodeCall(&want, left))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.ID != want.ID || got.Sending != want.Sending || got.Upstream != want.Upstream || got.Keyed != want.Keyed ||
+			got.Partition != want.Partition || got.Epoch != want.Epoch || got.KeyHash != want.KeyHash || got.Depth != want.Depth ||
+			got.Priority != want.Priority || got.Idempotent != want.Idempotent || got.CallerID != want.CallerID ||
+			got.Attempt != want.Attempt || gotLeft != left {
+			t.Fatalf("got %+v with %v, want %+v with %v", got, gotLeft, &want, left)
+		}
+	})
+}
+
+// FuzzDecodeCall guards against panics and against calls without an id that
+// could not be settled.
+func FuzzDecodeCall(f *testing.F) {
+	f.Add("id sending applications 1 7 3 ff 1000 0 5 1 0")
+	f.Add("")
+	f.Add("id sending a%zz 1 7 3 ff 1000 0 5 1 0")
+	f.Add("id sending applications 1 7 3 ff 99999999999 0 5 1 0")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, left, err := peer.DecodeCall(text)
+		if err == nil && (c.ID == "" || c.Sending == "" || c.Upstream == "" || left < 0 || left > 24*time.Hour) {
+			t.Fatalf("%q gave %+v with %v", text, c, left)
+		}
+	})
+}
--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -203,7 +203,7 @@
 	}
 	q := (&http.Request{Method: c.Method, URL: u, Host: c.Host, Header: h, ProtoMajor: 2}).WithContext(ctx)
 	p.present(h)
-	h[headers.PeerCall] = []string{encodeCall(c, left)}
+	h[headers.PeerCall] = []string{EncodeCall(c, left)}
 	attachBody(q, c.Body)
 	return q, nil
 }
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -141,7 +141,7 @@
 
 // call reads a call from its headers.
 func (h *Handler) call(w http.ResponseWriter, r *http.Request) (*relay.Call, *outcome.Refusal) {
-	c, left, err := decodeCall(r.Header.Get(headers.PeerCall))
+	c, left, err := DecodeCall(r.Header.Get(headers.PeerCall))
 	if err != nil {
 		h.Log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("request of another node cannot be read")
 		return nil, relay.NotRun(outcome.ReasonBadRequest)
--- /dev/null
+++ b/node/moves_test.go
@@ -0,0 +1,229 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// TestPlannedMoveLosesNothing guards against requests that are refused, lost
+// or run twice while a node stops gracefully and its partitions move.
+func TestPlannedMoveLosesNothing(t *testing.T) {
+	c := startCluster(t, "applications", "applications")
+	entry := startNode(t, c.control, "entry", nil, nil)
+	eventually(t, "node serves", func() bool { return entry.Ready() && send("GET", entry.url+"/applications/k", nil, nil).status == 200 })
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	sent := make([]int, 4)
+	for i := range sent {
+		group.Go(func() {
+			for ; ; sent[i]++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("move%d-%d", i, sent[i])
+				if a := send("POST", entry.url+"/applications/"+id, map[string]string{idHeader: id}, strings.NewReader("x")); a.status != 200 {
+					t.Errorf("%s: status %d body %q error %v", id, a.status, a.body, a.err)
+					return
+				}
+			}
+		})
+	}
+	eventually(t, "requests pass", func() bool { return c.servers[0].total() > 20 && c.servers[1].total() > 20 })
+	c.nodes[0].stop()
+	if err := <-c.nodes[0].done; err != nil {
+		t.Errorf("stopping: %v", err)
+	}
+	after := c.servers[0].total()
+	second := c.servers[1].total()
+	eventually(t, "the other node has taken over", func() bool { return c.servers[1].total() > second+50 })
+	close(stop)
+	group.Wait()
+	if c.servers[0].total() != after {
+		t.Error("the backend server of the stopped node got new work")
+	}
+	for i := range sent {
+		for j := range sent[i] {
+			id := fmt.Sprintf("move%d-%d", i, j)
+			if n := c.servers[0].ran(id) + c.servers[1].ran(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	}
+}
+
+func (b *backendServer) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, r := range b.runs {
+		n += r
+	}
+	return n
+}
+
+// TestResendsRunOnce guards against a request with an Idempotency-Key that
+// runs again when it is resent, through another node or after its key has
+// moved to another owner.
+func TestResendsRunOnce(t *testing.T) {
+	c := startCluster(t, "applications", "applications")
+	header := func(id string) map[string]string {
+		return map[string]string{idHeader: id, headers.IdempotencyKey: "key of " + id, "Authorization": "caller"}
+	}
+	resend := func(step string) {
+		t.Helper()
+		for i := range 8 {
+			id := fmt.Sprint("resend", i)
+			for _, n := range c.nodes {
+				a := send("POST", n.url+"/applications/"+id, header(id), strings.NewReader("x"))
+				if a.status != 200 || !strings.Contains(a.body, "POST /applications/"+id+" x") {
+					t.Errorf("%s, %s: status %d body %q error %v", step, id, a.status, a.body, a.err)
+				}
+			}
+		}
+	}
+	resend("first")
+	// The same word for another request is another request.
+	if a := send("POST", c.nodes[0].url+"/applications/resend0/other", header("resend0"), nil); !strings.Contains(a.body, "other") {
+		t.Errorf("another request got %q", a.body)
+	}
+	c.nodes[0].stop()
+	<-c.nodes[0].done
+	c.nodes = c.nodes[1:]
+	resend("after the move")
+	for i := range 8 {
+		id := fmt.Sprint("resend", i)
+		want := 1
+		if i == 0 {
+			want = 2
+		}
+		if n := c.servers[0].ran(id) + c.servers[1].ran(id); n != want {
+			t.Errorf("%s ran %d times, want %d", id, n, want)
+		}
+	}
+}
+
+// TestResendAfterLossIsUndecided guards against a notRun or a second run of a
+// request whose first run only a lost owner knew of.
+func TestResendAfterLossIsUndecided(t *testing.T) {
+	c := startCluster(t, "applications", "applications")
+	id := map[string]string{}
+	for i := range 8 {
+		key := fmt.Sprint("loss", i)
+		a := send("POST", c.nodes[1].url+"/applications/"+key, map[string]string{idHeader: key, headers.IdempotencyKey: key}, nil)
+		id[key], _, _ = strings.Cut(a.body, " ")
+	}
+	c.control.mu.Lock()
+	for i, n := range c.control.nodes {
+		if n.GetName() == "node1" {
+			delete(c.control.nodes, i)
+		}
+	}
+	c.control.spread()
+	c.control.mu.Unlock()
+	for key, server := range id {
+		if server != "server1" {
+			continue
+		}
+		var a answer
+		eventually(t, "the new owner answers", func() bool {
+			a = send("POST", c.nodes[1].url+"/applications/"+key, map[string]string{idHeader: key, headers.IdempotencyKey: key}, nil)
+			return a.refusal.Reason != "noOwner"
+		})
+		if a.refusal.Outcome != "unknown" || a.refusal.Reason != "resendUndecided" {
+			t.Errorf("%s: status %d refusal %+v", key, a.status, a.refusal)
+		}
+		first := map[string]string{idHeader: "first " + key, headers.IdempotencyKey: "new " + key, headers.Attempt: "1"}
+		if a := send("POST", c.nodes[1].url+"/applications/"+key, first, nil); a.status != 200 {
+			t.Errorf("%s, first attempt: status %d refusal %+v", key, a.status, a.refusal)
+		}
+		if n := c.servers[0].ran(key) + c.servers[1].ran(key); n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+// TestLeaseEndStopsKeyedWork guards against an owner that goes on after its
+// lease: calls in flight have to be cancelled and new ones refused as notRun.
+func TestLeaseEndStopsKeyedWork(t *testing.T) {
+	p := startPair(t, testRules)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	p.server.setHandle(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "held" {
+			close(started)
+			<-r.Context().Done()
+			close(cancelled)
+		}
+	})
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- send("POST", p.owner.url+"/applications/k", map[string]string{idHeader: "held"}, nil)
+	}()
+	<-started
+	incarnation := uint64(vars(t, p.owner)["lease"].(map[string]any)["incarnation"].(float64))
+	p.control.mu.Lock()
+	p.control.refuseRenewals[incarnation] = true
+	p.control.mu.Unlock()
+	if a := <-answers; a.refusal.Outcome != "unknown" || a.refusal.Reason != "noLease" {
+		t.Errorf("status %d refusal %+v error %v", a.status, a.refusal, a.err)
+	}
+	<-cancelled
+	// A new incarnation gets the partitions again at a higher epoch.
+	eventually(t, "keys are served again", func() bool { return send("GET", p.entry.url+"/applications/k", nil, nil).status == 200 })
+	if again := uint64(vars(t, p.owner)["lease"].(map[string]any)["incarnation"].(float64)); again <= incarnation {
+		t.Errorf("incarnation %d after %d", again, incarnation)
+	}
+	if n := p.server.ran("held"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestNestedCallsPassFullServers guards against two full sides that wait for
+// each other: calls made by backend servers have reserved slots.
+func TestNestedCallsPassFullServers(t *testing.T) {
+	c := startCluster(t, "applications", "documents")
+	for i, other := range []string{"/documents/", "/applications/"} {
+		self, node := c.servers[i], c.nodes[i]
+		self.setHandle(func(w http.ResponseWriter, r *http.Request) {
+			var depth int
+			_, _ = fmt.Sscan(r.Header.Get(headers.Depth), &depth)
+			if depth == 2 {
+				return
+			}
+			a := send("GET", node.url+other+r.Header.Get(idHeader), map[string]string{
+				idHeader: r.Header.Get(idHeader), headers.Depth: fmt.Sprint(depth + 1), headers.Deadline: r.Header.Get(headers.Deadline),
+			}, nil)
+			w.WriteHeader(a.status)
+		})
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	ok, refused := 0, 0
+	for i := range 60 {
+		group.Go(func() {
+			path := []string{"/applications/", "/documents/"}[i%2]
+			id := fmt.Sprint("nested", i)
+			a := send("GET", c.nodes[i/2%2].url+path+id, map[string]string{idHeader: id, headers.Deadline: "8000"}, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.status == 200:
+				ok++
+			case a.err != nil || a.refusal.Reason == "deadline" || a.status == 504:
+				t.Errorf("%s: status %d refusal %+v error %v", id, a.status, a.refusal, a.err)
+			default:
+				refused++
+			}
+		})
+	}
+	group.Wait()
+	if ok == 0 {
+		t.Errorf("no nested call passed, %d refused", refused)
+	}
+}
