--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -39,7 +39,8 @@
 	runs map[string]int
 	// grants has the last expiry of each partition.
 	grants map[uint32]int64
-	// drains has the bodies of POST /v1/drain.
+	// drains has the values of POST /v1/drain.
+	drains  []bool
 	cancels []string
 	fences  map[string]uint64
 	// handle answers requests that are not the node's own calls.
@@ -77,6 +78,11 @@
 		_, _ = io.WriteString(w, `{"inFlight":0,"queued":0}`)
 		return
 	case "/v1/drain":
+		var d struct{ Drain bool }
+		_ = json.NewDecoder(r.Body).Decode(&d)
+		b.mu.Lock()
+		b.drains = append(b.drains, d.Drain)
+		b.mu.Unlock()
 		return
 	case "/v1/cancel":
 		var c struct {
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -228,6 +228,7 @@
 	group.Go(func() { i.reportLoop(loops) })
 	group.Go(func() { i.expiryLoop(loops) })
 	group.Go(func() { i.extendLoop(loops) })
+	group.Go(func() { i.drainLoop(loops) })
 	reason := i.wait(ctx)
 	held := i.giveUp()
 	cancel()
--- a/node/moves_test.go
+++ b/node/moves_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/jujubeknot/jujubeknot/wire/headers"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // TestPlannedMoveLosesNothing guards against requests that are refused, lost
@@ -114,7 +115,7 @@
 func TestResendAfterLossIsUndecided(t *testing.T) {
 	c := startCluster(t, "applications", "applications")
 	id := map[string]string{}
-	for i := range 8 {
+	for i := range 32 {
 		key := fmt.Sprint("loss", i)
 		a := send("POST", c.nodes[1].url+"/applications/"+key, map[string]string{idHeader: key, headers.IdempotencyKey: key}, nil)
 		id[key], _, _ = strings.Cut(a.body, " ")
@@ -127,10 +128,13 @@
 	}
 	c.control.spread()
 	c.control.mu.Unlock()
+	eventually(t, "the other node owns all", func() bool { return vars(t, c.nodes[1])["partitions"].(float64) == 16 })
+	lost := 0
 	for key, server := range id {
 		if server != "server1" {
 			continue
 		}
+		lost++
 		var a answer
 		eventually(t, "the new owner answers", func() bool {
 			a = send("POST", c.nodes[1].url+"/applications/"+key, map[string]string{idHeader: key, headers.IdempotencyKey: key}, nil)
@@ -147,12 +151,16 @@
 			t.Errorf("%s ran %d times", key, n)
 		}
 	}
+	if lost == 0 {
+		t.Errorf("no key was owned by the lost node: %v", id)
+	}
 }
 
 // TestLeaseEndStopsKeyedWork guards against an owner that goes on after its
 // lease: calls in flight have to be cancelled and new ones refused as notRun.
 func TestLeaseEndStopsKeyedWork(t *testing.T) {
-	p := startPair(t, testRules)
+	// Without the cancellation the request would run for a minute.
+	p := startPair(t, strings.ReplaceAll(testRules, "timeout=10s", "timeout=1m"))
 	started, cancelled := make(chan struct{}), make(chan struct{})
 	p.server.setHandle(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(idHeader) == "held" {
@@ -170,6 +178,7 @@
 	p.control.mu.Lock()
 	p.control.refuseRenewals[incarnation] = true
 	p.control.mu.Unlock()
+	eventually(t, "the request in flight ends", func() bool { return len(answers) == 1 })
 	if a := <-answers; a.refusal.Outcome != "unknown" || a.refusal.Reason != "noLease" {
 		t.Errorf("status %d refusal %+v error %v", a.status, a.refusal, a.err)
 	}
@@ -227,3 +236,36 @@
 		t.Errorf("no nested call passed, %d refused", refused)
 	}
 }
+
+// TestDrainedServerIsTold guards against a backend server that the rules take
+// out of service and that is not told, or is told before its work has ended.
+func TestDrainedServerIsTold(t *testing.T) {
+	c := startCluster(t, "applications", "applications")
+	told := func(want bool) func() bool {
+		return func() bool {
+			c.servers[0].mu.Lock()
+			defer c.servers[0].mu.Unlock()
+			n := len(c.servers[0].drains)
+			return n > 0 && c.servers[0].drains[n-1] == want
+		}
+	}
+	eventually(t, "told to serve", told(false))
+	c.control.mu.Lock()
+	c.control.rules = &wirev1.RulesRevision{Revision: 2, Text: testRules + "server server1 drain # test: drain\n"}
+	c.control.publish(&wirev1.Update{Rules: c.control.rules})
+	var owner uint64
+	for i, n := range c.control.nodes {
+		if n.GetName() == "node1" {
+			owner = i
+		}
+	}
+	c.control.mu.Unlock()
+	eventually(t, "rules in force", func() bool { return vars(t, c.nodes[0])["rulesRevision"].(float64) == 2 })
+	if told(true)() {
+		t.Fatal("told to drain while it owns partitions")
+	}
+	c.control.mu.Lock()
+	c.control.releaseAll(owner)
+	c.control.mu.Unlock()
+	eventually(t, "told to drain", told(true))
+}
--- a/node/peer_test.go
+++ b/node/peer_test.go
@@ -65,25 +65,35 @@
 	}
 }
 
-// TestSilentConnectionBarsTheSending guards against a request that runs twice
-// because its first copy arrives after the connection that held it back for a
-// while works again.
-func TestSilentConnectionBarsTheSending(t *testing.T) {
-	p := startPair(t, testRules)
-	resume := p.proxy.silence()
-	a := send("POST", p.entry.url+"/applications/k", map[string]string{idHeader: "s2"}, strings.NewReader("x"))
-	if a.status != 200 {
-		t.Fatalf("status %d body %q error %v", a.status, a.body, a.err)
-	}
-	if !strings.Contains(p.owner.log.String(), `"state":"barred"`) {
-		t.Fatal("the sending was not barred")
-	}
-	resume()
-	eventually(t, "requests pass again", func() bool {
-		return send("GET", p.entry.url+"/applications/k", nil, nil).status == 200
-	})
-	if n := p.server.ran("s2"); n != 1 {
-		t.Fatalf("ran %d times", n)
+// TestLateCopyNeverRuns guards against a request that runs although its caller
+// was told notRun, or a second time, because a copy of it arrives late.
+func TestLateCopyNeverRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		rules  string
+		status int
+		runs   int
+	}{
+		"sent again": {testRules, 200, 1},
+		"given up":   {testRules + "retry applications attempts=1 # test: no second try\n", 503, 0},
+	} {
+		p := startPair(t, c.rules)
+		p.proxy.cut()
+		eventually(t, "connections are closed", func() bool { return peerConnections(t, p.entry) == 0 })
+		deliver := p.proxy.lateNext()
+		a := send("POST", p.entry.url+"/applications/k", map[string]string{idHeader: name}, strings.NewReader("x"))
+		if a.status != c.status || c.runs == 0 && (a.refusal.Outcome != "notRun" || a.refusal.Reason != "barred") {
+			t.Errorf("%s: status %d body %q error %v", name, a.status, a.body, a.err)
+		}
+		if !strings.Contains(p.owner.log.String(), `"state":"barred"`) {
+			t.Errorf("%s: the sending was not barred", name)
+		}
+		deliver()
+		eventually(t, "the late copy is answered", func() bool {
+			return strings.Count(p.owner.log.String(), `"requestId":"`+a.header.Get(headers.RequestID)+`"`) == c.runs+1
+		})
+		if n := p.server.ran(name); n != c.runs {
+			t.Errorf("%s: ran %d times, want %d", name, n, c.runs)
+		}
 	}
 }
 
--- a/node/proxy_test.go
+++ b/node/proxy_test.go
@@ -16,6 +16,9 @@
 	links []*link
 	// opened counts connections.
 	opened int
+	// late, if not nil, takes the next connection: its bytes are collected and
+	// reach the target only when the channel is closed.
+	late chan struct{}
 }
 
 // link is one connection through the proxy.
@@ -51,6 +54,14 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		late := p.late
+		p.late = nil
+		p.mu.Unlock()
+		if late != nil {
+			go p.deliverLate(near, late)
+			continue
+		}
 		far, err := net.Dial("tcp", p.target())
 		if err != nil {
 			_ = near.Close()
@@ -67,6 +78,30 @@
 	}
 }
 
+// deliverLate collects what arrives until near is closed, and delivers it when
+// told to.
+func (p *faultProxy) deliverLate(near net.Conn, deliver <-chan struct{}) {
+	held, _ := io.ReadAll(near)
+	<-deliver
+	far, err := net.Dial("tcp", p.target())
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	_, _ = far.Write(held)
+	// Until the target has taken everything and closes.
+	_, _ = io.Copy(io.Discard, far)
+}
+
+// lateNext makes the bytes of the next connection arrive only after deliver.
+func (p *faultProxy) lateNext() (deliver func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := make(chan struct{})
+	p.late = late
+	return sync.OnceFunc(func() { close(late) })
+}
+
 func (k *link) pump(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
