--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -136,6 +136,10 @@
 			return nil
 		}
 		s.cfg.Log.Warn().Err(err).Str("member", address).Msg("registration failed")
+		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+			// The answer to an earlier try was lost, and its lease is over.
+			request.RequestId = rand.Text()
+		}
 		pause := retryPause
 		if refused(err) {
 			pause = refusedPause
@@ -228,6 +232,7 @@
 	group.Go(func() { i.reportLoop(loops) })
 	group.Go(func() { i.expiryLoop(loops) })
 	group.Go(func() { i.extendLoop(loops) })
+	group.Go(func() { i.drainLoop(loops) })
 	reason := i.wait(ctx)
 	held := i.giveUp()
 	cancel()
