bench/experiment: overload and straggler experiments, with violations as a table

Each run's records go through bench/check. Cold starts and zone changes are included as first versions that have not run yet.

--- a/bench/experiment/all.go
+++ b/bench/experiment/all.go
@@ -3,8 +3,12 @@
 // All returns all experiments.
 func All() []Experiment {
 	return []Experiment{
+		{"cold", "Requests above the capacity of servers in cold start, and tail latency meanwhile.", cold},
 		{"hops", "Latency that the two hops of a request add.", hops},
 		{"hotkeys", "Imbalance and churn of ownership when the hottest 10 keys change.", hotkeys},
+		{"overload", "Goodput at 3 times capacity.", overload},
 		{"recovery", "Time during which keys are unavailable.", recovery},
+		{"straggler", "Tail latency while one of eight servers is slow.", straggler},
+		{"zone", "Service while an availability zone leaves and returns.", zone},
 	}
 }
--- /dev/null
+++ b/bench/experiment/cold.go
@@ -0,0 +1,259 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot/plotter"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/check"
+	"github.com/jujubeknot/jujubeknot/bench/lab"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+const (
+	coldServers = 7
+	coldRate    = 1400
+	// coldBefore, coldAfterKill and coldAfterChill are the lengths of the
+	// phases: all warm, one server started again, another one cold without a
+	// restart.
+	coldBefore     = 4 * time.Second
+	coldAfterKill  = 18 * time.Second
+	coldAfterChill = 10 * time.Second
+	// coldDown is the time for which the killed server is down.
+	coldDown = 500 * time.Millisecond
+	// coldWarmUp and coldWarmRate run enough requests at each server before the
+	// measurement to make it warm.
+	coldWarmUp   = 4 * time.Second
+	coldWarmRate = 80
+	// coldWindow and coldShare define when a server carries its share again: it
+	// starts at least the share of the mean of all in each window from then on.
+	coldWindow = time.Second
+	coldShare  = 0.75
+)
+
+// coldVariant is one way of spreading the load.
+type coldVariant struct {
+	name  string
+	keyed bool
+	// policy is empty where callers go straight to the servers.
+	policy string
+}
+
+var coldVariants = []coldVariant{
+	{"keyed, balanced", true, "balanced"},
+	{"without keys, twoChoices", false, "twoChoices"},
+	{"without keys, roundRobin", false, "roundRobin"},
+	{"straight, round robin", false, ""},
+}
+
+// coldServer takes two requests at a time while it is cold, and fails over after
+// 30 more within a second.
+func coldServer() backend.Config {
+	return backend.Config{
+		Slots: 6, Connections: 110, ChecksFences: true,
+		Service: backend.Service{Shape: backend.ShapeExponential, Mean: 10 * time.Millisecond},
+		Cold:    backend.Cold{Capacity: 2, Work: 50, FailAt: 30, Restart: coldDown},
+	}
+}
+
+func (v coldVariant) deployment() lab.Deployment {
+	kind := "unkeyed"
+	key := ""
+	if v.keyed {
+		kind, key = "keyed partitions=1024", " key=segment:2"
+	}
+	return lab.Deployment{
+		Name: "cold", Zones: []string{"one", "two", "three"},
+		Upstreams: []lab.Upstream{{Name: "files", Keyed: v.keyed, Servers: coldServers, Server: coldServer()}},
+		Rules: fmt.Sprintf(`upstream files %s slots=6 connections=110 policy=%s # laboratory: policy under test
+route /files/ to files%s timeout=5s # laboratory: reads
+retry files budget=10%% attempts=3 # laboratory: no storm of retries
+`, kind, v.policy, key),
+	}
+}
+
+// coldSystem is what a variant runs on.
+type coldSystem struct {
+	targets []string
+	servers []*backend.Server
+	names   []string
+	records *backend.Recorder
+}
+
+// with runs a function with the system of the variant.
+func (v coldVariant) with(ctx context.Context, e Env, run func(coldSystem) error) error {
+	if v.policy != "" {
+		return e.withLab(ctx, lab.Config{Deployment: v.deployment()}, func(l *lab.Lab) error {
+			s := coldSystem{targets: l.Targets(), records: l.Records()}
+			for _, server := range l.Servers() {
+				s.servers, s.names = append(s.servers, server.Backend), append(s.names, server.Name)
+			}
+			return run(s)
+		})
+	}
+	s := coldSystem{records: backend.NewRecorder(0)}
+	for i := range coldServers {
+		config := coldServer()
+		config.Name, config.Upstream = fmt.Sprintf("files-%d", i+1), "files"
+		config.Seed, config.Records = e.Seed+uint64(i), s.records
+		server := backend.New(config)
+		if err := server.Start(); err != nil {
+			return err
+		}
+		defer server.Close()
+		s.servers, s.names = append(s.servers, server), append(s.names, config.Name)
+		s.targets = append(s.targets, server.Address())
+	}
+	return run(s)
+}
+
+// warm runs requests straight at each server until it is warm.
+func (s coldSystem) warm(ctx context.Context, e Env) error {
+	var direct []string
+	for _, server := range s.servers {
+		direct = append(direct, server.Address())
+	}
+	_, err := load.Run(ctx, load.Config{
+		Seed: e.subseed(1), Targets: direct, Rate: coldWarmRate * float64(len(direct)), Duration: coldWarmUp,
+		Classes: []load.Class{{Name: "warm", Weight: 1, Path: "/files/{key}"}},
+	})
+	return err
+}
+
+// coldEvent is a span of a run after something happened to a server.
+type coldEvent struct {
+	what     string
+	server   string
+	from, to time.Time
+	// planned is the number of ends of the server that the experiment caused.
+	planned int
+}
+
+// events makes the servers cold and returns when.
+func (s coldSystem) events(e Env) ([]coldEvent, error) {
+	time.Sleep(e.length(coldBefore))
+	killed := coldEvent{what: "killed and started again", server: s.names[0], from: time.Now(), planned: 1}
+	s.servers[0].Kill()
+	time.Sleep(coldDown)
+	if err := s.servers[0].Start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(e.length(coldAfterKill) - coldDown)
+	chilled := coldEvent{what: "cold without a restart", server: s.names[1], from: time.Now()}
+	killed.to = chilled.from
+	s.servers[1].Chill()
+	time.Sleep(e.length(coldAfterChill))
+	chilled.to = time.Now()
+	return []coldEvent{killed, chilled}, nil
+}
+
+// cold measures what servers in cold start get.
+func cold(ctx context.Context, e Env) (*Report, error) {
+	table := Table{
+		Title: fmt.Sprintf("%d servers, 6 slots, 2 while cold, exponential 10 ms, %d requests/s; a cold server fails over after 30 requests above its capacity within 1 s", coldServers, coldRate),
+		Columns: []string{
+			"variant", "server", "above its capacity", "crashes", "time until it carries its share", "99th percentile", "completed", "not completed",
+		},
+	}
+	verdicts := newVerdicts()
+	p := Plot{Name: "cold", Title: "A server killed and started cold, then another one cold without a restart", X: "time in s", Y: "99th percentile in ms"}
+	for _, v := range coldVariants {
+		err := v.with(ctx, e, func(s coldSystem) error {
+			e.say("cold: %s", v.name)
+			if err := s.warm(ctx, e); err != nil {
+				return err
+			}
+			result, events, err := s.run(ctx, e)
+			if err != nil {
+				return err
+			}
+			in := check.Input{Operations: result.Operations}
+			in.Entries, in.Dropped = s.records.Entries()
+			in.Entries = slices.DeleteFunc(in.Entries, func(x backend.Entry) bool { return x.At.Before(result.Start) })
+			for _, event := range events {
+				event.row(&table, v.name, in)
+			}
+			verdicts.verdict(v.name, in)
+			line := Line{Name: v.name}
+			for _, second := range check.Seconds(result.Operations, result.Start) {
+				line.Points = append(line.Points, plotter.XY{X: second.Offset.Seconds(), Y: float64(second.P99) / float64(time.Millisecond)})
+			}
+			p.Lines = append(p.Lines, line)
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", v.name, err)
+		}
+	}
+	return &Report{Tables: []Table{table, verdicts}, Plots: []Plot{p}}, nil
+}
+
+func (s coldSystem) run(ctx context.Context, e Env) (*load.Result, []coldEvent, error) {
+	const keys = 10_000
+	ended := startLoad(ctx, load.Config{
+		Seed: e.subseed(2), Targets: s.targets, Rate: coldRate, Duration: e.length(coldBefore + coldAfterKill + coldAfterChill),
+		Keys: keys, Hot: load.HotSet{Keys: keys, Share: 1},
+		Classes: []load.Class{{Name: "read", Weight: 1, Path: "/files/{key}", Resends: 2}},
+	})
+	events, err := s.events(e)
+	r := <-ended
+	if err == nil {
+		err = r.err
+	}
+	return r.result, events, err
+}
+
+// row adds what an event led to.
+func (v coldEvent) row(t *Table, name string, in check.Input) {
+	above, crashes := 0, -v.planned
+	starts := map[string][]int{}
+	windows := int(v.to.Sub(v.from) / coldWindow)
+	for _, x := range in.Entries {
+		i := int(x.At.Sub(v.from) / coldWindow)
+		if x.At.Before(v.from) || x.At.After(v.to) {
+			continue
+		}
+		switch {
+		case x.Kind == backend.EntryShed && x.Cold && x.InFlight > x.Capacity:
+			above++
+		case x.Kind == backend.EntryCrash:
+			crashes++
+		case x.Kind == backend.EntryStart && i < windows:
+			if starts[x.Server] == nil {
+				starts[x.Server] = make([]int, windows)
+			}
+			starts[x.Server][i]++
+		}
+	}
+	completed, failed, p99 := between(in.Operations, v.from, v.to)
+	t.add(name, v.what, above, crashes, carries(starts, v.server, windows), p99, completed, failed)
+}
+
+// carries returns the time from which a server gets its share in each window.
+func carries(starts map[string][]int, server string, windows int) string {
+	from := -1
+	for i := range windows {
+		total := 0
+		for _, counts := range starts {
+			total += counts[i]
+		}
+		own := 0
+		if counts := starts[server]; counts != nil {
+			own = counts[i]
+		}
+		switch {
+		case float64(own*coldServers) < coldShare*float64(total):
+			from = -1
+		case from < 0:
+			from = i
+		}
+	}
+	if from < 0 {
+		return "not reached"
+	}
+	return fmt.Sprintf("%.0f s", (time.Duration(from) * coldWindow).Seconds())
+}
--- /dev/null
+++ b/bench/experiment/verdict.go
@@ -0,0 +1,105 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/bench/check"
+	"github.com/jujubeknot/jujubeknot/bench/lab"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+// verdictKinds are the columns of the table of violations. Violations of the
+// other kinds stand in its last column.
+var verdictKinds = [][]check.Kind{
+	{check.KindRunTwice},
+	{check.KindRanAfterNotRun},
+	{check.KindTwoOwners, check.KindOldFence, check.KindOverlap},
+	{check.KindCold},
+	{check.KindOut},
+	{check.KindWrongResponse},
+}
+
+// newVerdicts returns the table that says which promises were broken.
+func newVerdicts() Table {
+	return Table{
+		Title: "Violations that bench/check found in the records",
+		Columns: []string{
+			"run", "operations", "run twice", "false notRun", "two owners", "cold capacity", "work in a zone that is out", "wrong response", "other",
+		},
+	}
+}
+
+// verdict adds a row with the violations of a run.
+func (t *Table) verdict(name string, in check.Input) {
+	counts := check.Count(check.Check(in))
+	cells := []any{name, len(in.Operations)}
+	for _, kinds := range verdictKinds {
+		n := 0
+		for _, k := range kinds {
+			n += counts[k]
+			delete(counts, k)
+		}
+		cells = append(cells, n)
+	}
+	other := 0
+	for _, n := range counts {
+		other += n
+	}
+	t.add(append(cells, other)...)
+}
+
+// recorded returns what a check needs of a lab and the loads that ran there.
+// The loads must have different seeds, because operations are named by them.
+func recorded(l *lab.Lab, results ...*load.Result) check.Input {
+	var in check.Input
+	in.Entries, in.Dropped = l.Records().Entries()
+	for _, r := range results {
+		in.Operations = append(in.Operations, r.Operations...)
+	}
+	return in
+}
+
+// subseed returns a seed for one of several loads of an experiment, so that no
+// two of them name an operation alike.
+func (e Env) subseed(n int) uint64 {
+	const apart = 1000
+	return e.Seed*apart + uint64(n)
+}
+
+// between counts the operations that were due in a span, and returns the 99th
+// percentile of the latency of the completed ones, 0 for none.
+func between(operations []load.Operation, from, to time.Time) (completed, failed int, p99 time.Duration) {
+	var latencies []time.Duration
+	for _, o := range operations {
+		switch {
+		case o.Intended.Before(from) || o.Intended.After(to):
+		case o.Outcome == load.OutcomeOK:
+			latencies = append(latencies, o.Latency)
+		default:
+			failed++
+		}
+	}
+	if len(latencies) == 0 {
+		return 0, failed, 0
+	}
+	slices.Sort(latencies)
+	return len(latencies), failed, latencies[(len(latencies)-1)*99/100]
+}
+
+// loaded is the end of a load.
+type loaded struct {
+	result *load.Result
+	err    error
+}
+
+// startLoad runs a load beside other things. The channel gets its end.
+func startLoad(ctx context.Context, config load.Config) <-chan loaded {
+	ended := make(chan loaded, 1)
+	go func() {
+		result, err := load.Run(ctx, config)
+		ended <- loaded{result, err}
+	}()
+	return ended
+}
