node/internal/caller: a request of which a sending may have run is not refused with notRun

Cause: an idempotent request whose first sending ended with unknown was sent again, and the refusal of the second sending was passed on as notRun. The refusal is now unknown if any sending may have run, also for the two sendings of a hedged request.

--- a/bench/experiment/overload.go
+++ b/bench/experiment/overload.go
@@ -20,6 +20,10 @@
 	// overloadResends is the number of resends of callers, in both variants.
 	overloadResends = 3
 	overloadFlight  = 10_000
+	// overloadWarmRounds is the length of the first load, which the figures
+	// leave out, in service times for each slot. A node takes 8 rounds at each
+	// limit until a server counts as warm.
+	overloadWarmRounds = 10
 )
 
 // overloadFactors are the loads as multiples of the capacity.
@@ -64,6 +68,17 @@
 	}
 }
 
+// warm runs load until the nodes' limits have reached the slots.
+func (c overloadCase) warm(ctx context.Context, e Env, targets []string, run *overloadRun) error {
+	config := c.load(e, len(overloadFactors)+1, targets, 0.9*c.nominal(), true)
+	config.Duration = overloadWarmRounds * time.Duration(c.deployment.Upstreams[0].Server.Slots) * c.service
+	r, err := load.Run(ctx, config)
+	if err == nil {
+		run.all = append(run.all, r)
+	}
+	return err
+}
+
 // goodput is the rate of operations that were completed within their deadline.
 func goodput(e Env, r *load.Result) float64 {
 	return float64(r.Counts[load.OutcomeOK]) / e.length(overloadPhase-overloadSkip).Seconds()
@@ -114,6 +129,9 @@
 		var capacity float64
 		err := e.withLab(ctx, lab.Config{Deployment: c.deployment}, func(l *lab.Lab) error {
 			e.say("overload: %s, capacity", name)
+			if err := c.warm(ctx, e, l.Targets(), through); err != nil {
+				return err
+			}
 			r, err := load.Run(ctx, c.load(e, 0, l.Targets(), 1.2*c.nominal(), true))
 			if err != nil {
 				return err
--- a/node/internal/caller/choose.go
+++ b/node/internal/caller/choose.go
@@ -138,7 +138,10 @@
 		case r := <-ends:
 			running--
 			if r.refusal != nil {
-				last = r.refusal
+				// A sending that may have run decides what is known of both.
+				if last == nil || last.Outcome == outcome.OutcomeNotRun {
+					last = r.refusal
+				}
 				if running > 0 {
 					continue
 				}
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -123,6 +123,8 @@
 	body *slowBody
 	// tried has the nodes that this request was sent to without a key.
 	tried []uint64
+	// undecided is the last refusal of a sending that may have run.
+	undecided *outcome.Refusal
 }
 
 // ServeHTTP answers one request of a caller.
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -29,8 +29,21 @@
 	nextRetry
 )
 
-// run sends the request until it is answered or must be refused.
+// run sends the request until it is answered or must be refused. A request of
+// which any sending may have run is not refused with notRun: the refusal of the
+// last sending says nothing about the earlier ones.
 func (q *request) run() (*relay.Answer, *outcome.Refusal) {
+	answer, refusal := q.repeat()
+	if refusal != nil && refusal.Outcome == outcome.OutcomeNotRun && q.undecided != nil {
+		return nil, &outcome.Refusal{
+			Outcome: q.undecided.Outcome, Reason: q.undecided.Reason, RetryAfter: max(refusal.RetryAfter, q.undecided.RetryAfter),
+		}
+	}
+	return answer, refusal
+}
+
+// repeat sends the request until it is answered or may not be sent again.
+func (q *request) repeat() (*relay.Answer, *outcome.Refusal) {
 	u := q.h.upstream(q.upstream)
 	u.request()
 	var heldSince time.Time
@@ -43,6 +56,9 @@
 		if refusal == nil {
 			return answer, nil
 		}
+		if refusal.Outcome != outcome.OutcomeNotRun {
+			q.undecided = refusal
+		}
 		now := q.h.cfg.Clock.Now()
 		if heldSince.IsZero() {
 			heldSince = now
--- a/node/raw_test.go
+++ b/node/raw_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -226,3 +227,36 @@
 		t.Errorf("%d of the requests reached the backend server", n)
 	}
 }
+
+// TestRetryRefusalKeepsTheFirstSendingUndecided guards against a false notRun:
+// the first sending of an idempotent request runs and its answer is lost, and
+// the retry is refused without running.
+func TestRetryRefusalKeepsTheFirstSendingUndecided(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]int{}
+	_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		id := r.Header.Get(idHeader)
+		if id == "" {
+			return fine(c, "ok")
+		}
+		mu.Lock()
+		seen[id]++
+		first := seen[id] == 1
+		mu.Unlock()
+		if first {
+			return false
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nJujubeknot-Outcome: notRun\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	for i, n := range nodes {
+		id := fmt.Sprintf("hop%d", i+1)
+		a := send("GET", n.url+"/applications/k", map[string]string{idHeader: id}, nil)
+		mu.Lock()
+		sendings := seen[id]
+		mu.Unlock()
+		if sendings != 2 || a.refusal.Outcome != "unknown" {
+			t.Errorf("hop %d: %d sendings, outcome %q, want 2 and unknown", i+1, sendings, a.refusal.Outcome)
+		}
+	}
+}
