node/internal/caller: held requests share their tries towards a node that is not reached

Cause: each held request tried on its own, up to every 100 ms and at each table update. One request now tries for all, 5 ms apart at first and 50 ms at most; the others wait for it, for the next table update, or for the time of the next try.

--- a/bench/experiment/all.go
+++ b/bench/experiment/all.go
@@ -8,6 +8,7 @@
 		{"hotkeys", "Imbalance and churn of ownership when the hottest 10 keys change.", hotkeys},
 		{"overload", "Goodput at 3 times capacity.", overload},
 		{"recovery", "Time during which keys are unavailable.", recovery},
+		{"silent", "Time during which requests are not answered when connections between nodes become half-open.", silent},
 		{"straggler", "Tail latency while one of eight servers is slow.", straggler},
 		{"zone", "Service while an availability zone leaves and returns.", zone},
 	}
--- a/bench/experiment/cold.go
+++ b/bench/experiment/cold.go
@@ -16,7 +16,7 @@
 
 const (
 	coldServers = 7
-	coldRate    = 1400
+	coldRate    = 2100
 	// coldBefore, coldAfterKill and coldAfterChill are the lengths of the
 	// phases: all warm, one server started again, another one cold without a
 	// restart.
--- /dev/null
+++ b/bench/experiment/silent.go
@@ -0,0 +1,117 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gonum.org/v1/plot/plotter"
+
+	"github.com/jujubeknot/jujubeknot/bench/check"
+	"github.com/jujubeknot/jujubeknot/bench/faults"
+	"github.com/jujubeknot/jujubeknot/bench/lab"
+	"github.com/jujubeknot/jujubeknot/bench/load"
+)
+
+const (
+	silentRate   = 300
+	silentBefore = time.Second
+	silentAfter  = 6 * time.Second
+	// silentTimeout is that of callers, under the 5 s of the route.
+	silentTimeout = 4 * time.Second
+)
+
+// silentVariant says which bytes on the open connections are lost.
+type silentVariant struct {
+	name       string
+	directions []faults.Direction
+}
+
+var silentVariants = []silentVariant{
+	{"nothing", nil},
+	{"requests are lost", []faults.Direction{faults.DirectionUp}},
+	{"responses are lost", []faults.Direction{faults.DirectionDown}},
+	{"both are lost", []faults.Direction{faults.DirectionUp, faults.DirectionDown}},
+}
+
+// silent measures what half-open connections between nodes do to requests. Half
+// of them must not run twice. Callers resend nothing.
+func silent(ctx context.Context, e Env) (*Report, error) {
+	repetitions := e.times(4)
+	table := Table{
+		Title: fmt.Sprintf("Rahma, all connections between nodes become half-open while new ones work, %d requests/s, half of them non-idempotent, %d times; time until a key is answered again from 32 probes each 20 ms", silentRate, repetitions),
+		Columns: []string{
+			"on open connections", "median until answered again", "worst until answered again", "completed", "longest completed", "notRun", "unknown", "other",
+		},
+	}
+	verdicts := newVerdicts()
+	p := Plot{Name: "silent", Title: "Connections between nodes become half-open at 1 s", X: "time in s", Y: "99th percentile in ms"}
+	for _, v := range silentVariants {
+		err := e.withLab(ctx, lab.Config{Deployment: lab.Rahma(), PeerFaults: true}, func(l *lab.Lab) error {
+			var results []*load.Result
+			var pauses []time.Duration
+			for n := range repetitions {
+				e.say("silent: %s, %d", v.name, n+1)
+				r, pause, err := v.once(ctx, e, l, n)
+				if err != nil {
+					return err
+				}
+				results, pauses = append(results, r), append(pauses, pause)
+			}
+			v.row(&table, results, pauses)
+			verdicts.verdict(v.name, recorded(l, results...))
+			line := Line{Name: v.name}
+			for _, s := range check.Seconds(results[0].Operations, results[0].Start) {
+				line.Points = append(line.Points, plotter.XY{X: s.Offset.Seconds(), Y: float64(s.P99) / float64(time.Millisecond)})
+			}
+			p.Lines = append(p.Lines, line)
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", v.name, err)
+		}
+	}
+	return &Report{Tables: []Table{table, verdicts}, Plots: []Plot{p}}, nil
+}
+
+// once silences the connections once. It returns the longest time for which a
+// key was not answered.
+func (v silentVariant) once(ctx context.Context, e Env, l *lab.Lab, n int) (*load.Result, time.Duration, error) {
+	probe := l.StartProbe(lab.Probe{Path: "/applications/{key}/status", Keys: lab.KeysOfPartitions(recoveryKeys, recoveryPartitions)})
+	defer probe.Stop()
+	ended := startLoad(ctx, load.Config{
+		Seed: e.subseed(n), Targets: l.Targets(), Rate: silentRate, Duration: silentBefore + silentAfter,
+		Classes: []load.Class{
+			{Name: "status", Weight: 50, Path: "/applications/{key}/status", Timeout: silentTimeout},
+			{Name: "submission", Weight: 50, Method: "POST", Path: "/applications/{key}/submit", Bytes: 2 << 10, Timeout: silentTimeout},
+		},
+	})
+	time.Sleep(silentBefore)
+	from := time.Now()
+	l.SilencePeers(v.directions...)
+	r := <-ended
+	probe.Stop()
+	if r.err != nil {
+		return nil, 0, r.err
+	}
+	return r.result, probe.Unavailable(from, from.Add(silentAfter-time.Second))[0], nil
+}
+
+func (v silentVariant) row(t *Table, results []*load.Result, pauses []time.Duration) {
+	counts := map[load.Outcome]int{}
+	var longest time.Duration
+	for _, r := range results {
+		for _, o := range r.Operations {
+			counts[o.Outcome]++
+			if o.Outcome == load.OutcomeOK {
+				longest = max(longest, o.Latency)
+			}
+		}
+	}
+	other := -counts[load.OutcomeOK] - counts[load.OutcomeNotRun] - counts[load.OutcomeUnknown]
+	for _, n := range counts {
+		other += n
+	}
+	_, median, worst := spread(pauses)
+	t.add(v.name, median, worst, counts[load.OutcomeOK], longest, counts[load.OutcomeNotRun], counts[load.OutcomeUnknown], other)
+}
--- a/bench/lab/config.go
+++ b/bench/lab/config.go
@@ -28,6 +28,9 @@
 	// MovesInFlight and ChurnPerMinute are as in control's settings.
 	MovesInFlight  int
 	ChurnPerMinute float64
+	// PeerFaults passes connections between nodes through fault proxies, for
+	// SilencePeers.
+	PeerFaults bool
 	// Logger gets the log lines of all roles. The zero value drops them.
 	Logger zerolog.Logger
 	Seed   uint64
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -54,8 +54,10 @@
 	Backend  *backend.Server
 	config   backend.Config
 	node     *node.Node
-	stop     context.CancelFunc
-	ended    chan error
+	// peers is nil without Config.PeerFaults.
+	peers *peerListener
+	stop  context.CancelFunc
+	ended chan error
 }
 
 // Start starts all roles. It returns once they listen; use WaitReady to wait
@@ -182,10 +184,18 @@
 	for _, m := range l.members {
 		members = append(members, m.Peer)
 	}
-	n, err := node.New(node.Config{
+	config := node.Config{
 		Name: "node-" + s.Name, Region: "laboratory", AvailabilityZone: s.Zone, ControlMembers: members, NodeSecret: nodeSecret,
 		Callers: loopback, Peer: loopback, Backend: loopback, Operator: loopback, Log: l.config.Logger,
-	})
+	}
+	if l.config.PeerFaults {
+		var err error
+		if s.peers, err = newPeerListener(); err != nil {
+			return err
+		}
+		config.PeerListener = s.peers
+	}
+	n, err := node.New(config)
 	if err != nil {
 		return fmt.Errorf("start the node of %s: %w", s.Name, err)
 	}
@@ -210,6 +220,7 @@
 	b.Kill()
 	<-ended
 	b.Close()
+	l.servers[i].endPeers()
 }
 
 // StopServer ends the node of server i gracefully, then the server.
@@ -221,9 +232,16 @@
 	stop()
 	err := <-ended
 	b.Close()
+	l.servers[i].endPeers()
 	return err
 }
 
+func (s *Server) endPeers() {
+	if s.peers != nil {
+		s.peers.stop()
+	}
+}
+
 func (l *Lab) takeServer(i int) (*node.Node, context.CancelFunc, <-chan error, *backend.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -74,6 +74,8 @@
 type Handler struct {
 	cfg Config
 	ids idSource
+	// unreachable spares nodes that are gone one try for each held request.
+	unreachable Unreachable
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -125,6 +127,7 @@
 	tried []uint64
 	// undecided is the last refusal of a sending that may have run.
 	undecided *outcome.Refusal
+	held      held
 }
 
 // ServeHTTP answers one request of a caller.
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -18,6 +18,13 @@
 	maxPause   = 100 * time.Millisecond
 )
 
+// held says how long a request waits for a node that was not reached. Wait is 0
+// if it waits for something else.
+type held struct {
+	wait    time.Duration
+	reached <-chan struct{}
+}
+
 // next says what to do after a refusal.
 type next int
 
@@ -34,6 +41,9 @@
 // last sending says nothing about the earlier ones.
 func (q *request) run() (*relay.Answer, *outcome.Refusal) {
 	answer, refusal := q.repeat()
+	if refusal != nil && q.held.wait > 0 {
+		q.log(&q.call, nil, "", nil, refusal, q.started)
+	}
 	if refusal != nil && refusal.Outcome == outcome.OutcomeNotRun && q.undecided != nil {
 		return nil, &outcome.Refusal{
 			Outcome: q.undecided.Outcome, Reason: q.undecided.Reason, RetryAfter: max(refusal.RetryAfter, q.undecided.RetryAfter),
@@ -78,10 +88,15 @@
 				return nil, refusal
 			}
 			q.h.cfg.Metrics.Attempts.Add("hold", 1)
-			if !q.wait(changed, min(pause, left)) {
+			if q.held.wait > 0 {
+				left = min(left, q.held.wait)
+			} else {
+				left = min(left, pause)
+				pause = min(2*pause, maxPause)
+			}
+			if !q.wait(changed, left) {
 				return nil, relay.NotRun(outcome.ReasonCancelled)
 			}
-			pause = min(2*pause, maxPause)
 		}
 	}
 }
@@ -92,6 +107,7 @@
 	defer timer.Stop()
 	select {
 	case <-changed:
+	case <-q.held.reached:
 	case <-timer.C:
 	case <-q.r.Context().Done():
 		return false
@@ -132,6 +148,7 @@
 
 // once decides by a table and makes one sending.
 func (q *request) once(t *routing.Table, u *upstream) (*relay.Answer, *outcome.Refusal) {
+	q.held = held{}
 	identity := q.h.cfg.View.Identity()
 	if identity.Incarnation == 0 || !q.h.cfg.Clock.Now().Before(identity.Until) {
 		// Without a lease the rules that this node knows may be out of force.
@@ -141,17 +158,30 @@
 	if d.Upstream == nil || d.Upstream.Keyed != q.call.Keyed {
 		return q.refuse(outcome.ReasonNoRoute)
 	}
-	q.attempt++
 	if !q.call.Keyed {
+		q.attempt++
 		return q.choose(t, u, identity.Incarnation)
 	}
 	if d = t.Locate(d); d.Kind != routing.KindOwner {
 		return q.refuse(d.Reason)
 	}
+	// A request that cannot be sent again is not held, so it tries in any case.
+	if q.call.Body.Resendable() {
+		q.held.wait, q.held.reached = q.h.unreachable.Hold(q.h.cfg.Clock.Now(), d.Owner.GetIncarnation())
+	}
+	if q.held.wait > 0 {
+		return nil, relay.NotRun(outcome.ReasonUnreachable)
+	}
+	q.attempt++
 	c := q.sending()
 	c.Partition, c.Epoch = d.Partition, d.Assignment.Epoch
 	started := q.h.cfg.Clock.Now()
 	answer, refusal := q.send(q.r.Context(), c, d.Owner, identity.Incarnation)
+	if refusal == nil || refusal.Reason != outcome.ReasonUnreachable {
+		q.h.unreachable.Reached(d.Owner.GetIncarnation())
+	} else {
+		q.h.unreachable.Failed(q.h.cfg.Clock.Now(), d.Owner.GetIncarnation())
+	}
 	q.log(c, d.Owner, "owner", answer, refusal, started)
 	return answer, refusal
 }
