--- a/bench/experiment/all.go
+++ b/bench/experiment/all.go
@@ -10,6 +10,8 @@
 		{"recovery", "Time during which keys are unavailable.", recovery},
 		{"silent", "Time during which requests are not answered when connections between nodes become half-open.", silent},
 		{"straggler", "Tail latency while one of eight servers is slow.", straggler},
+		{"stream", "Memory of a node while 100 MB are uploaded and downloaded.", stream},
+		{"throughput", "Requests/s of one node on one core.", throughput},
 		{"zone", "Service while an availability zone leaves and returns.", zone},
 	}
 }
--- /dev/null
+++ b/bench/experiment/stream.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/check"
+)
+
+const (
+	streamBytes   = 100 << 20
+	streamTimeout = time.Minute
+	// streamIdle is the time for which nodes do nothing before the figure for
+	// an idle node is taken.
+	streamIdle  = 2 * time.Second
+	streamRules = `upstream files keyed partitions=256 slots=16 connections=110 # laboratory: large files
+route /files/ to files key=segment:2 timeout=60s # laboratory: large files
+`
+)
+
+// streamParallel are the numbers of transfers at a time.
+var streamParallel = []int{1, 4, 16}
+
+// stream measures the memory of nodes while large bodies pass two of them.
+func stream(ctx context.Context, e Env) (*Report, error) {
+	table := Table{
+		Title:   "Bodies of 100 MiB through two nodes, each a process with GOMAXPROCS=1; resident memory idle and at the peak of the transfers",
+		Columns: []string{"direction", "at a time", "complete", "failed", "time", "entry idle", "entry peak", "owner idle", "owner peak"},
+	}
+	verdicts := newVerdicts()
+	for _, direction := range []string{"upload", "download"} {
+		server := backend.Config{Upstream: "files", Slots: 16, ChecksFences: true}
+		if direction == "download" {
+			server.ResponseBytes = streamBytes
+		}
+		err := e.withProcesses(ctx, server, streamRules, func(s twoProcesses) error {
+			for _, n := range streamParallel {
+				e.say("stream: %s, %d at a time", direction, n)
+				if err := s.transfers(ctx, &table, direction, n); err != nil {
+					return err
+				}
+			}
+			var in check.Input
+			in.Entries, in.Dropped = s.records.Entries()
+			verdicts.verdict(direction, in)
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", direction, err)
+		}
+	}
+	return &Report{Tables: []Table{table, verdicts}}, nil
+}
+
+// transfers runs transfers at the same time and adds a row.
+func (s twoProcesses) transfers(ctx context.Context, t *Table, direction string, parallel int) error {
+	time.Sleep(streamIdle)
+	var figures []any
+	nodes := []*process{s.entry, s.owner}
+	var idle [2]int64
+	for i, n := range nodes {
+		var err error
+		if idle[i], _, err = n.memory(); err != nil {
+			return err
+		}
+		if err := n.resetPeak(); err != nil {
+			return err
+		}
+	}
+	start := time.Now()
+	failures := make(chan error, parallel)
+	var running sync.WaitGroup
+	for i := range parallel {
+		running.Go(func() {
+			if err := transfer(ctx, s.entry.callers, direction, fmt.Sprintf("%s-%d-%d", direction, parallel, i)); err != nil {
+				failures <- err
+			}
+		})
+	}
+	running.Wait()
+	took := time.Since(start)
+	for i, n := range nodes {
+		_, peak, err := n.memory()
+		if err != nil {
+			return err
+		}
+		figures = append(figures, mebibytes(idle[i]), mebibytes(peak))
+	}
+	failed := len(failures)
+	if failed > 0 {
+		t.Title += fmt.Sprintf("; first failure of %s, %d at a time: %v", direction, parallel, <-failures)
+	}
+	t.add(append([]any{direction, parallel, parallel - failed, failed, took}, figures...)...)
+	return nil
+}
+
+// transfer sends or fetches one body and checks that all of it arrived.
+func transfer(ctx context.Context, target, direction, operation string) error {
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	method, size := http.MethodGet, int64(0)
+	if direction == "upload" {
+		method, size = http.MethodPost, streamBytes
+	}
+	digest := xxhash.New()
+	body := io.TeeReader(io.LimitReader(pattern{}, size), digest)
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+target+"/files/"+operation, body)
+	if err != nil {
+		return fmt.Errorf("request: %w", err)
+	}
+	q.ContentLength = size
+	if size == 0 {
+		q.Body = http.NoBody
+	}
+	q.Header.Set(backend.HeaderOperation, operation)
+	q.Header.Set(backend.HeaderKey, operation)
+	q.Header.Set(backend.HeaderIdempotent, strconv.FormatBool(size == 0))
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return fmt.Errorf("transfer: %w", err)
+	}
+	defer r.Body.Close()
+	arrived, err := io.Copy(io.Discard, r.Body)
+	switch sum := strconv.FormatUint(digest.Sum64(), 16); {
+	case err != nil:
+		return fmt.Errorf("response: %w", err)
+	case r.StatusCode != http.StatusOK:
+		return errors.Errorf("status %d", r.StatusCode)
+	case size == 0 && arrived != streamBytes:
+		return errors.Errorf("%d bytes arrived, expected %d", arrived, streamBytes)
+	case r.Header.Get(backend.HeaderBodySum) != sum:
+		return errors.Errorf("the body that arrived has the sum %s, expected %s", r.Header.Get(backend.HeaderBodySum), sum)
+	}
+	return nil
+}
+
+// pattern is an endless body.
+type pattern struct{}
+
+// Read fills p with bytes that differ from their neighbours.
+func (pattern) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(i)
+	}
+	return len(p), nil
+}
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -21,7 +21,8 @@
 // Secrets of the lab. All roles run in one process and on loopback only.
 const (
 	memberSecret = "laboratory-member-secret"
-	nodeSecret   = "laboratory-node-secret"
+	// NodeSecret is what the control members ask nodes for.
+	NodeSecret = "laboratory-node-secret"
 )
 
 // Lab is a running system. Its methods are safe for concurrent use.
@@ -134,7 +135,7 @@
 	running, err := control.New(control.Config{
 		Name: fmt.Sprintf("control-%d", m.ID), MemberID: m.ID, GroupID: "laboratory", DataFolder: m.folder,
 		Region: "laboratory", AvailabilityZone: l.config.Deployment.Zones[i%len(l.config.Deployment.Zones)],
-		Members: initial, MemberSecret: memberSecret, NodeSecret: nodeSecret,
+		Members: initial, MemberSecret: memberSecret, NodeSecret: NodeSecret,
 		Peer: m.Peer, Operator: m.Operator, Lease: l.config.Lease, Logger: l.config.Logger, Policy: l.config.Policy,
 		Placement: placement.Config{MovesInFlight: l.config.MovesInFlight, ChurnPerMinute: l.config.ChurnPerMinute},
 	})
@@ -176,16 +177,13 @@
 
 // StartServer starts server i, which must not run, with a new node.
 func (l *Lab) StartServer(i int) error {
+	members := l.Members()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[i]
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	members := make([]netip.AddrPort, 0, len(l.members))
-	for _, m := range l.members {
-		members = append(members, m.Peer)
-	}
 	config := node.Config{
-		Name: "node-" + s.Name, Region: "laboratory", AvailabilityZone: s.Zone, ControlMembers: members, NodeSecret: nodeSecret,
+		Name: "node-" + s.Name, Region: "laboratory", AvailabilityZone: s.Zone, ControlMembers: members, NodeSecret: NodeSecret,
 		Callers: loopback, Peer: loopback, Backend: loopback, Operator: loopback, Log: l.config.Logger,
 	}
 	if l.config.PeerFaults {
@@ -277,6 +275,17 @@
 	return targets
 }
 
+// Members returns the addresses of the control members for nodes.
+func (l *Lab) Members() []netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := make([]netip.AddrPort, 0, len(l.members))
+	for _, m := range l.members {
+		members = append(members, m.Peer)
+	}
+	return members
+}
+
 // Servers returns the servers in the order of their numbers.
 func (l *Lab) Servers() []*Server { return l.servers }
 
--- a/bench/lab/operate.go
+++ b/bench/lab/operate.go
@@ -218,3 +218,21 @@
 		return len(status.Nodes) > 0, nil
 	})
 }
+
+// WaitNodes waits until a number of nodes have leases, for nodes that the lab
+// did not start.
+func (l *Lab) WaitNodes(ctx context.Context, count int) error {
+	return wait(ctx, fmt.Sprintf("leases of %d nodes", count), func(ctx context.Context) (bool, error) {
+		status, err := l.Status(ctx)
+		if err != nil {
+			return false, err
+		}
+		leased := 0
+		for _, n := range status.Nodes {
+			if n.LeaseLeftMs > 0 {
+				leased++
+			}
+		}
+		return leased >= count, nil
+	})
+}
