--- a/core/choice/choice_test.go
+++ b/core/choice/choice_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// drawCandidates also returns the number of those that are not cold.
+func drawCandidates(t *rapid.T) (candidates []choice.Candidate, warm int) {
+	candidates = make([]choice.Candidate, rapid.IntRange(0, 5).Draw(t, "candidates"))
+	for i := range candidates {
+		candidates[i] = choice.Candidate{
+			Incarnation:      uint64(i + 1),
+			AvailabilityZone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+			Cold:             rapid.IntRange(0, 3).Draw(t, "cold") == 0,
+		}
+		if !candidates[i].Cold {
+			warm++
+		}
+	}
+	return candidates, warm
+}
+
 // TestPickProperties guards against a choice that is not a candidate, against
 // more requests in flight at a cold server than its bound while others are
 // available, and against results that differ between two equal runs.
@@ -106,19 +122,8 @@
 		var sent []uint64
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(t *rapid.T) {
-				n := rapid.IntRange(0, 5).Draw(t, "candidates")
-				candidates := make([]choice.Candidate, n)
-				warm := 0
-				for i := range candidates {
-					candidates[i] = choice.Candidate{
-						Incarnation:      uint64(i + 1),
-						AvailabilityZone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
-						Cold:             rapid.IntRange(0, 3).Draw(t, "cold") == 0,
-					}
-					if !candidates[i].Cold {
-						warm++
-					}
-				}
+				candidates, warm := drawCandidates(t)
+				n := len(candidates)
 				c, reason, ok := a.Pick(now, candidates)
 				c2, reason2, ok2 := b.Pick(now, candidates)
 				if c != c2 || reason != reason2 || ok != ok2 {
