--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,13 +31,16 @@
 type backendServer struct {
 	name, upstream, bootID string
 	address                string
-	server                 *http.Server
+	// slots and connections to announce, 6 and 20 if 0.
+	slots, connections int
+	server             *http.Server
 
 	mu   sync.Mutex
 	runs map[string]int
 	// grants has the last expiry of each partition.
 	grants map[uint32]int64
-	// drains has the bodies of POST /v1/drain.
+	// drains has the values of POST /v1/drain.
+	drains  []bool
 	cancels []string
 	fences  map[string]uint64
 	// handle answers requests that are not the node's own calls.
@@ -74,6 +78,11 @@
 		_, _ = io.WriteString(w, `{"inFlight":0,"queued":0}`)
 		return
 	case "/v1/drain":
+		var d struct{ Drain bool }
+		_ = json.NewDecoder(r.Body).Decode(&d)
+		b.mu.Lock()
+		b.drains = append(b.drains, d.Drain)
+		b.mu.Unlock()
 		return
 	case "/v1/cancel":
 		var c struct {
@@ -118,8 +127,8 @@
 
 // announce announces the backend server at a node until the context ends.
 func (b *backendServer) announce(ctx context.Context, t testing.TB, to net.Addr, address string) {
-	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":6,"connections":20,"checksFences":true}`,
-		b.name, b.upstream, address, b.bootID)
+	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":%d,"connections":%d,"checksFences":true}`,
+		b.name, b.upstream, address, b.bootID, cmp.Or(b.slots, 6), cmp.Or(b.connections, 20))
 	post := func() {
 		r, err := http.Post("http://"+to.String()+"/v1/announce", "application/json", bytes.NewReader([]byte(body)))
 		if err != nil {
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -4,6 +4,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,10 +33,10 @@
 // Bounds on what callers send.
 const (
 	maxHeaderBytes = 64 << 10
-	// headerTimeout and bodyTimeout bound how long a slow sender may take for
-	// the header, and between two parts of the body.
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 10 * time.Second
+	// DefaultHeaderTimeout and DefaultBodyTimeout bound how long a slow sender
+	// may take for the header, and between two parts of the body.
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultBodyTimeout   = 10 * time.Second
 	// writeTimeout bounds how long a caller may take for a part of the answer.
 	writeTimeout = 30 * time.Second
 	idleTimeout  = 2 * time.Minute
@@ -49,7 +51,8 @@
 	Do(ctx context.Context, to *wirev1.Node, c *relay.Call) (*relay.Answer, *outcome.Refusal)
 }
 
-// Config has the parts of a Handler. All are required but Nested.
+// Config has the parts and settings of a Handler. The parts are required but
+// for Nested; the zero value of the settings means the default.
 type Config struct {
 	Log     zerolog.Logger
 	Clock   clock.Clock
@@ -62,6 +65,9 @@
 	// Nested reports whether an address is the backend server's, whose calls
 	// may state their depth. Loopback addresses always may.
 	Nested func(netip.Addr) bool
+	// HeaderTimeout and BodyTimeout are described at their defaults.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
 }
 
 // Handler serves callers. It is safe for concurrent use.
@@ -81,6 +87,8 @@
 	if cfg.Nested == nil {
 		cfg.Nested = func(netip.Addr) bool { return false }
 	}
+	cfg.HeaderTimeout = cmp.Or(cfg.HeaderTimeout, DefaultHeaderTimeout)
+	cfg.BodyTimeout = cmp.Or(cfg.BodyTimeout, DefaultBodyTimeout)
 	return &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstream{}}
 }
 
@@ -91,7 +99,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: h, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: h.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow,
 			MaxReceiveBufferPerConnection: 4 * streamWindow,
@@ -111,6 +119,8 @@
 	upstream *rules.Upstream
 	started  time.Time
 	attempt  int
+	// body is nil if the request has none.
+	body *slowBody
 	// tried has the nodes that this request was sent to without a key.
 	tried []uint64
 }
@@ -123,6 +133,7 @@
 	q.call.ID = h.ids.next()
 	answer, refusal := q.serve()
 	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	q.closeUnlessRead()
 	if refusal != nil {
 		refusal.RequestID = q.call.ID
 		relay.WriteRefusal(w, refusal)
@@ -255,12 +266,13 @@
 	if limit == 0 {
 		limit = rules.DefaultMaxBody
 	}
+	q.body = &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control, timeout: q.h.cfg.BodyTimeout}
 	if r.ContentLength > limit {
 		return relay.NotRun(outcome.ReasonBodyTooLarge)
 	}
-	source := &slowBody{r: http.MaxBytesReader(q.w, r.Body, limit), control: q.control}
 	abort := func() { _ = q.control.SetReadDeadline(time.Unix(1, 0)) }
-	b, err := relay.ReadBody(source, r.ContentLength, abort)
+	q.body.length = r.ContentLength
+	b, err := relay.ReadBody(q.body, r.ContentLength, abort)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -283,10 +295,33 @@
 type slowBody struct {
 	r       io.Reader
 	control *http.ResponseController
+	timeout time.Duration
+	// length as announced, -1 if unknown.
+	length int64
+	read   int64
+	ended  atomic.Bool
 }
 
 // Read reads a part of the body.
 func (b *slowBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return b.r.Read(p)
+	_ = b.control.SetReadDeadline(time.Now().Add(b.timeout))
+	n, err := b.r.Read(p)
+	b.read += int64(n)
+	if err == io.EOF || err == nil && b.read == b.length {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// closeUnlessRead makes an HTTP/1.1 connection end after the answer if the
+// body was not read to its end. net/http would otherwise take the rest of the
+// body for the next request, because full duplex keeps it from looking, and
+// without full duplex it would wait for a slow sender before the answer.
+func (q *request) closeUnlessRead() {
+	if q.r.ProtoMajor != 1 || q.r.ContentLength == 0 || q.body != nil && q.body.ended.Load() {
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	_ = q.control.EnableFullDuplex()
+	_ = q.control.SetReadDeadline(time.Now().Add(q.h.cfg.BodyTimeout))
 }
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// ErrAbandoned as the cause of the end of Run's context keeps Run from
+// returning the lease, as if the process had been lost.
+var ErrAbandoned = errors.New("session abandoned")
+
 // Run keeps the node registered until the context ends, then returns the
 // lease.
 func (s *Session) Run(ctx context.Context) {
@@ -132,6 +136,10 @@
 			return nil
 		}
 		s.cfg.Log.Warn().Err(err).Str("member", address).Msg("registration failed")
+		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+			// The answer to an earlier try was lost, and its lease is over.
+			request.RequestId = rand.Text()
+		}
 		pause := retryPause
 		if refused(err) {
 			pause = refusedPause
@@ -224,6 +232,7 @@
 	group.Go(func() { i.reportLoop(loops) })
 	group.Go(func() { i.expiryLoop(loops) })
 	group.Go(func() { i.extendLoop(loops) })
+	group.Go(func() { i.drainLoop(loops) })
 	reason := i.wait(ctx)
 	held := i.giveUp()
 	cancel()
@@ -233,10 +242,14 @@
 	s.cfg.View.SetIdentity(view.Identity{})
 	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer done()
+	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned)
+	if abandoned {
+		done()
+	}
 	s.cfg.Owner.EndTerm(closing)
 	group.Wait()
 	s.cfg.Log.Warn().Uint64("incarnation", i.number).Str("reason", reason).Bool("returned", held).Msg("lease ended")
-	if held {
+	if held && !abandoned {
 		i.deregister(context.WithoutCancel(ctx))
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
@@ -47,6 +49,9 @@
 	metrics *metrics.Set
 	started time.Time
 
+	killed   chan struct{}
+	killOnce sync.Once
+
 	listeners [4]net.Listener
 	servers   [4]*http.Server
 }
@@ -65,7 +70,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
-	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New())}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New()), killed: make(chan struct{})}
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -123,12 +128,17 @@
 	callers := caller.New(caller.Config{
 		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
+		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
 	n.servers = [4]*http.Server{
 		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
 		placeOperator: figures.Server(),
 	}
+	for _, s := range n.servers {
+		// What net/http reports is about single connections.
+		s.ErrorLog = stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+	}
 }
 
 // Addresses returns where the node listens.
@@ -157,12 +167,19 @@
 	}
 }
 
+// Kill ends Run as the loss of the process would: connections are closed at
+// once, nothing is drained, and the lease is not returned. It is for
+// laboratories that run several nodes in one process.
+func (n *Node) Kill() {
+	n.killOnce.Do(func() { close(n.killed) })
+}
+
 // Run serves until the context ends, then drains: control moves the partitions
 // away, requests end, and the lease is returned. It returns nil after a
 // graceful stop and an error if a listener failed. It must be called once.
 func (n *Node) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
 	var group sync.WaitGroup
 	group.Go(func() { n.backend.Run(work) })
 	group.Go(func() { n.session.Run(work) })
@@ -177,10 +194,13 @@
 	var err error
 	select {
 	case err = <-failed:
+	case <-n.killed:
+		n.Close()
+		stop(controlclient.ErrAbandoned)
 	case <-ctx.Done():
 		n.drain()
 	}
-	stop()
+	stop(nil)
 	n.Close()
 	group.Wait()
 	n.owner.Wait()
