core/choice, node: at most once for own ids on upstreams without keys

A resend with the caller's own id went to another node when the node set of the upstream had changed, and that node's request table did not know it: a non-idempotent upload could run twice. The chosen node now remembers the node sets of the resend window and refuses with unknown the ids that had another home in it, unless the caller states a first attempt.

--- a/core/outcome/requests.go
+++ b/core/outcome/requests.go
@@ -88,6 +88,8 @@
 	// Attempt is 1 where the caller states that this is the first sending, and
 	// 0 where the caller states nothing.
 	Attempt int
+	// Unsure is true where another node may have got earlier sendings.
+	Unsure bool
 }
 
 func (r BeginRequest) sending() string {
@@ -238,7 +240,7 @@
 
 func (r *Requests) beginNew(now time.Time, request BeginRequest) BeginAnswer {
 	id := partitionID{request.Upstream, request.Partition}
-	if request.CallersOwn && request.Attempt != 1 && r.inUnknownWindow(now, id) {
+	if request.CallersOwn && request.Attempt != 1 && (request.Unsure || r.inUnknownWindow(now, id)) {
 		return refuse(request.ID, OutcomeUnknown, ReasonResendUndecided)
 	}
 	if r.full() {
--- /dev/null
+++ b/core/outcome/unsure_test.go
@@ -0,0 +1,31 @@
+package outcome_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+)
+
+// TestUnsureResendDoesNotRun guards against a second run of a request whose
+// first sending may have reached another node of an upstream without keys.
+func TestUnsureResendDoesNotRun(t *testing.T) {
+	now := time.Unix(1, 0)
+	r := outcome.NewRequests(outcome.RequestsConfig{})
+	begin := func(id string, attempt int) outcome.BeginAnswer {
+		return r.Begin(now, outcome.BeginRequest{ID: id, Upstream: "documents", CallersOwn: true, Attempt: attempt, Unsure: true})
+	}
+	for _, attempt := range []int{0, 2} {
+		a := begin("resent", attempt)
+		if a.Verdict != outcome.BeginRefuse || a.Refusal.Outcome != outcome.OutcomeUnknown || a.Refusal.Reason != outcome.ReasonResendUndecided {
+			t.Errorf("attempt %d: %v %v, want a refusal that says unknown", attempt, a.Verdict, a.Refusal)
+		}
+	}
+	if a := begin("first", 1); a.Verdict != outcome.BeginRun {
+		t.Errorf("stated first attempt: %v, want run", a.Verdict)
+	}
+	r.Finish(now, "first", outcome.Response{Status: 201, Complete: true})
+	if a := begin("first", 2); a.Verdict != outcome.BeginReplay {
+		t.Errorf("resend of a known id: %v, want replay", a.Verdict)
+	}
+}
--- a/node/internal/caller/choose.go
+++ b/node/internal/caller/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/choice"
@@ -60,24 +59,10 @@
 }
 
 // chooseByID sends each sending of a request with the caller's own id to the
-// same node, whose request table then knows it: the one with the highest hash
-// of id and incarnation.
+// same node, whose request table then knows it.
 func (q *request) chooseByID(t *routing.Table, u *upstream, candidates []choice.Candidate, self uint64) (*relay.Answer, *outcome.Refusal) {
-	var best choice.Candidate
-	var highest uint64
-	for _, c := range candidates {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(q.call.ID))
-		var b [8]byte
-		for i := range b {
-			b[i] = byte(c.Incarnation >> (8 * i))
-		}
-		_, _ = h.Write(b[:])
-		if sum := h.Sum64(); best.Incarnation == 0 || sum > highest {
-			best, highest = c, sum
-		}
-	}
-	if best.Incarnation == 0 {
+	best, ok := choice.Home(q.call.ID, candidates)
+	if !ok {
 		return q.refuse(outcome.ReasonNoServer)
 	}
 	u.sent(q.h.cfg.Clock.Now(), best.Incarnation)
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/jujubeknot/jujubeknot/core/choice"
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
@@ -45,6 +46,8 @@
 	moved map[movedKey]bool
 	// unkeyed counts calls without a key since the last load report.
 	unkeyed uint64
+	// homes are those of the backend server's upstream if it is not keyed.
+	homes choice.Homes
 }
 
 // New returns a server that owns nothing. It panics if a part is missing.
@@ -227,7 +230,7 @@
 // begin enters the call in the request table. Both results are nil if the call
 // must run now.
 func (r *run) begin(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
-	b := r.s.requests.begin(ctx, r.s.cfg.Clock.Now(), r.call)
+	b := r.s.requests.begin(ctx, r.s.cfg.Clock.Now(), r.call, r.s.unsure(r.call))
 	switch b.Verdict {
 	case outcome.BeginRun:
 		r.begun = true
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jujubeknot/jujubeknot/core/choice"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
@@ -115,6 +116,7 @@
 	now := s.cfg.Clock.Now()
 	var fresh []*partition
 	s.mu.Lock()
+	s.homes.Changed(now, t.Serving(s.cfg.Backend.Announced().GetUpstream()), t.Limits().ResendWindow)
 	kept := make(map[PartitionID]*partition, len(s.partitions))
 	t.Owned(self, func(upstream string, number uint32, a routing.Assignment) {
 		id := PartitionID{upstream, number}
@@ -156,12 +158,27 @@
 	s.requests.taken(now, id, known)
 }
 
+// unsure reports whether another node may have got earlier sendings of a call
+// without a key that has the caller's own id, because the nodes of the upstream
+// have changed within the resend window.
+func (s *Server) unsure(c *relay.Call) bool {
+	if c.Keyed || !c.CallerID {
+		return false
+	}
+	self := s.cfg.View.Identity().Incarnation
+	window := s.cfg.View.Table().Limits().ResendWindow
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.homes.Always(s.cfg.Clock.Now(), c.ID, self, window)
+}
+
 // BeginTerm starts a lease after a registration. Nothing of an earlier term is
 // used again.
 func (s *Server) BeginTerm() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clear()
+	s.homes = choice.Homes{}
 	s.term = newTerm()
 }
 
--- a/node/internal/owner/requests.go
+++ b/node/internal/owner/requests.go
@@ -25,10 +25,12 @@
 
 // begin enters a call in the table. If another sending of it runs, begin waits
 // for its end or for the context.
-func (r *requests) begin(ctx context.Context, now time.Time, c *relay.Call) outcome.BeginAnswer {
+// Unsure is true where another node may have got earlier sendings.
+func (r *requests) begin(ctx context.Context, now time.Time, c *relay.Call, unsure bool) outcome.BeginAnswer {
 	r.mu.Lock()
 	answer := r.table.Begin(now, outcome.BeginRequest{
 		ID: c.ID, Sending: c.Sending, Upstream: c.Upstream, Partition: c.Partition, CallersOwn: c.CallerID, Attempt: c.Attempt,
+		Unsure: unsure,
 	})
 	if answer.Verdict != outcome.BeginWait {
 		r.mu.Unlock()
