--- a/core/raft/fuzz_test.go
+++ b/core/raft/fuzz_test.go
@@ -9,9 +9,9 @@
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-// FuzzReceive guards against messages from the network that end the process,
-// leave a gap in the log, or take back what was committed.
-func FuzzReceive(f *testing.F) {
+// addSeeds adds one request for each kind of message that changes state.
+func addSeeds(f *testing.F, members []*wirev1.Member) {
+	f.Helper()
 	add := func(messages ...*wirev1.RaftMessage) {
 		data, err := proto.Marshal(&wirev1.StepRequest{Messages: messages})
 		if err != nil {
@@ -20,11 +20,6 @@
 		f.Add(data)
 	}
 	entry := &wirev1.Entry{Index: 2, Term: 2, Data: []byte("x")}
-	members := []*wirev1.Member{{Id: 1, Address: "m1", Folder: 101}, {Id: 2, Address: "m2", Folder: 102}}
-	bootstrap, err := raft.Bootstrap(members)
-	if err != nil {
-		f.Fatal(err)
-	}
 	snapshot := &wirev1.Snapshot{Index: 9, Term: 2, Membership: &wirev1.Membership{Members: members}, Data: []byte("s")}
 	message := func(kind wirev1.RaftMessage_Kind, change func(*wirev1.RaftMessage)) *wirev1.RaftMessage {
 		m := &wirev1.RaftMessage{Kind: kind, From: 2, To: 1, Term: 2, Folder: 102}
@@ -42,6 +37,17 @@
 		message(wirev1.RaftMessage_KIND_APPEND_RESPONSE, func(m *wirev1.RaftMessage) { m.Reject, m.LogIndex = true, 1 }))
 	add(message(wirev1.RaftMessage_KIND_VOTE, func(m *wirev1.RaftMessage) { m.Term, m.LogIndex = 9, 9 }),
 		message(wirev1.RaftMessage_KIND_TIMEOUT_NOW, func(*wirev1.RaftMessage) {}))
+}
+
+// FuzzReceive guards against messages from the network that end the process,
+// leave a gap in the log, or take back what was committed.
+func FuzzReceive(f *testing.F) {
+	members := []*wirev1.Member{{Id: 1, Address: "m1", Folder: 101}, {Id: 2, Address: "m2", Folder: 102}}
+	bootstrap, err := raft.Bootstrap(members)
+	if err != nil {
+		f.Fatal(err)
+	}
+	addSeeds(f, members)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		request := &wirev1.StepRequest{}
 		if proto.Unmarshal(data, request) != nil {
