control/internal/replica: no own address as the leader's during a transfer

A proposal during a hand-over was answered with this member's own address, which sends the caller in a circle. The address is now empty until the next leader is known.

--- a/control/internal/disk/fuzz_test.go
+++ b/control/internal/disk/fuzz_test.go
@@ -22,17 +22,8 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	first, last, snapshot := "", "", ""
-	for _, name := range names {
-		switch {
-		case name[0] == 's':
-			snapshot = name
-		case name[0] == 'l' && first == "":
-			first = name
-		case name[0] == 'l':
-			last = name
-		}
-	}
+	// Names are sorted: identity, segments, snapshot.
+	first, last, snapshot := names[1], names[len(names)-2], names[len(names)-1]
 	id := read("identity")
 	f.Add(id, read(first), read(last), read(snapshot), true)
 	f.Add(id, read(first), read(last)[:30], read(snapshot), true)
@@ -55,10 +46,7 @@
 			t.Fatalf("inspect: %v", err)
 		}
 		d, before, err := disk.Open(files, disk.Options{})
-		if err != nil {
-			return
-		}
-		if before.Identity == nil || !before.Identity.Formed {
+		if err != nil || before.Identity == nil || !before.Identity.Formed {
 			return
 		}
 		if err := d.Persist(raft.Persist{Hard: &before.Stored.Hard}); err != nil {
--- a/control/internal/replica/effects.go
+++ b/control/internal/replica/effects.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jujubeknot/jujubeknot/core/cluster"
@@ -136,7 +137,7 @@
 		delete(l.joins, id)
 		for _, q := range requests {
 			if m == nil {
-				q.answered <- answer{err: fmt.Errorf("member %d was removed before it became a voter", id)}
+				q.answered <- answer{err: errors.Errorf("member %d was removed before it became a voter", id)}
 				continue
 			}
 			q.answered <- answer{members: membership.Members}
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -266,7 +266,10 @@
 // rejected returns the error for a request that the log did not take.
 func (l *loop) rejected(reason raft.Reason, leader uint64) error {
 	switch reason {
-	case raft.ReasonNotLeader, raft.ReasonTransferring:
+	case raft.ReasonTransferring:
+		// The address would be this member's own.
+		return &NotLeaderError{}
+	case raft.ReasonNotLeader:
 		return &NotLeaderError{Address: findMember(l.member.Membership(), leader).GetAddress()}
 	case raft.ReasonBusy:
 		return ErrBusy
