node/internal/backend: a full queue of an unreachable server is unreachable

While a killed backend server had not been given up yet, its queue filled and callers got queueFull, which entry nodes do not hold.

--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -50,6 +50,11 @@
 	}
 	ticket, refusal := s.guard.enter(ctx, call, gate.Halt, gate.HaltReason)
 	if refusal != nil {
+		if refusal.Reason == outcome.ReasonQueueFull && s.unreachable.Load() {
+			// The queue is full because nothing answers: entry nodes hold such
+			// calls until the partition has another owner.
+			refusal.Reason = outcome.ReasonUnreachable
+		}
 		return nil, refusal
 	}
 	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.Clock.Now()}
@@ -88,6 +93,7 @@
 	}
 	// Calls that come meanwhile would only queue up for a server that is not
 	// there.
+	a.s.unreachable.Store(true)
 	a.s.refusedUntil.Store(a.s.cfg.Clock.Now().Add(refusedPause).UnixNano())
 	a.s.guard.leave(a.ticket, admission.ResultRefused, 0)
 	a.s.log.Debug().Err(err).Msg("backend server refused a connection")
@@ -121,6 +127,7 @@
 		return nil, a.failed(ctx, err)
 	}
 	a.s.heard(x.response.Header.Get(headers.BootID))
+	a.s.unreachable.Store(false)
 	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.Name() {
 		return nil, a.failed(ctx, errCrossed)
 	}
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -56,6 +56,8 @@
 	// refusedUntil is when a refused connection stops to count, in nanoseconds
 	// by the clock.
 	refusedUntil atomic.Int64
+	// unreachable is true from a refused connection to the next response.
+	unreachable atomic.Bool
 	// cancels are request ids that the backend server is told to cancel.
 	cancels chan string
 
