node/internal/caller: a barred sending is repeated outside of the retry budget

A barred sending has put no load on a backend server, so the repetition takes nothing from the budget; the bound on attempts holds. bench/experiment: cold, zone and silent report the reasons of what was not completed.

--- a/bench/experiment/cold.go
+++ b/bench/experiment/cold.go
@@ -156,7 +156,7 @@
 	table := Table{
 		Title: fmt.Sprintf("%d servers, 6 slots, 2 while cold, exponential 10 ms, %d requests/s; a cold server fails over after 30 requests above its capacity within 1 s", coldServers, coldRate),
 		Columns: []string{
-			"variant", "server", "above its capacity", "crashes", "time until it carries its share", "99th percentile", "completed", "not completed",
+			"variant", "server", "above its capacity", "crashes", "time until it carries its share", "99th percentile", "completed", "not completed", "reasons",
 		},
 	}
 	verdicts := newVerdicts()
@@ -229,8 +229,8 @@
 			starts[x.Server][i]++
 		}
 	}
-	completed, failed, p99 := between(in.Operations, v.from, v.to)
-	t.add(name, v.what, above, crashes, carries(starts, v.server, windows), p99, completed, failed)
+	seen := between(in.Operations, v.from, v.to)
+	t.add(name, v.what, above, crashes, carries(starts, v.server, windows), seen.p99, seen.completed, seen.failed, seen.reasons)
 }
 
 // carries returns the time from which a server gets its share in each window.
--- a/bench/experiment/silent.go
+++ b/bench/experiment/silent.go
@@ -39,9 +39,9 @@
 func silent(ctx context.Context, e Env) (*Report, error) {
 	repetitions := e.times(4)
 	table := Table{
-		Title: fmt.Sprintf("Rahma, all connections between nodes become half-open while new ones work, %d requests/s, half of them non-idempotent, %d times; time until a key is answered again from 32 probes each 20 ms", silentRate, repetitions),
+		Title: fmt.Sprintf("Rahma, all connections between nodes become half-open while new ones work, %d requests/s, half of them non-idempotent, %d times; time until a key is answered again by the next node asked, from 32 probes each 20 ms", silentRate, repetitions),
 		Columns: []string{
-			"on open connections", "median until answered again", "worst until answered again", "completed", "longest completed", "notRun", "unknown", "other",
+			"on open connections", "median until answered again", "worst until answered again", "longest until a held request was answered", "completed", "not completed", "reasons",
 		},
 	}
 	verdicts := newVerdicts()
@@ -98,20 +98,13 @@
 }
 
 func (v silentVariant) row(t *Table, results []*load.Result, pauses []time.Duration) {
-	counts := map[load.Outcome]int{}
 	var longest time.Duration
+	var operations []load.Operation
 	for _, r := range results {
-		for _, o := range r.Operations {
-			counts[o.Outcome]++
-			if o.Outcome == load.OutcomeOK {
-				longest = max(longest, o.Latency)
-			}
-		}
-	}
-	other := -counts[load.OutcomeOK] - counts[load.OutcomeNotRun] - counts[load.OutcomeUnknown]
-	for _, n := range counts {
-		other += n
+		operations = append(operations, r.Operations...)
+		longest = max(longest, time.Duration(r.Latency(load.OutcomeOK).Max()))
 	}
+	seen := between(operations, results[0].Start, time.Now())
 	_, median, worst := spread(pauses)
-	t.add(v.name, median, worst, counts[load.OutcomeOK], longest, counts[load.OutcomeNotRun], counts[load.OutcomeUnknown], other)
+	t.add(v.name, median, worst, longest, seen.completed, seen.failed, seen.reasons)
 }
--- a/bench/experiment/verdict.go
+++ b/bench/experiment/verdict.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/bench/check"
@@ -68,24 +71,49 @@
 	return e.Seed*apart + uint64(n)
 }
 
-// between counts the operations that were due in a span, and returns the 99th
-// percentile of the latency of the completed ones, 0 for none.
-func between(operations []load.Operation, from, to time.Time) (completed, failed int, p99 time.Duration) {
+// span is what callers saw of the operations that were due in a span of time.
+type span struct {
+	completed, failed int
+	// p99 is the 99th percentile of the latency of the completed ones, 0 for
+	// none.
+	p99 time.Duration
+	// reasons says how often each failure happened.
+	reasons string
+}
+
+// between looks at the operations that were due between two times.
+func between(operations []load.Operation, from, to time.Time) span {
+	var s span
 	var latencies []time.Duration
+	reasons := map[string]int{}
 	for _, o := range operations {
 		switch {
 		case o.Intended.Before(from) || o.Intended.After(to):
 		case o.Outcome == load.OutcomeOK:
 			latencies = append(latencies, o.Latency)
 		default:
-			failed++
+			s.failed++
+			reasons[failure(o)]++
 		}
 	}
-	if len(latencies) == 0 {
-		return 0, failed, 0
+	if s.completed = len(latencies); s.completed > 0 {
+		slices.Sort(latencies)
+		s.p99 = latencies[(len(latencies)-1)*99/100]
+	}
+	var parts []string
+	for _, r := range slices.Sorted(maps.Keys(reasons)) {
+		parts = append(parts, fmt.Sprintf("%s %d", r, reasons[r]))
+	}
+	s.reasons = strings.Join(parts, ", ")
+	return s
+}
+
+// failure names the outcome and, for a refusal, its reason.
+func failure(o load.Operation) string {
+	if n := len(o.Attempts); n > 0 && (o.Outcome == load.OutcomeNotRun || o.Outcome == load.OutcomeUnknown) {
+		return string(o.Outcome) + " " + o.Attempts[n-1].Reason
 	}
-	slices.Sort(latencies)
-	return len(latencies), failed, latencies[(len(latencies)-1)*99/100]
+	return string(o.Outcome)
 }
 
 // loaded is the end of a load.
--- a/bench/experiment/zone.go
+++ b/bench/experiment/zone.go
@@ -59,7 +59,7 @@
 		Title: fmt.Sprintf("One availability zone out for %.0f s and back, %d requests/s without resends by callers, probes of 32 keys each 20 ms; even is a max/mean of requests per server under %.2f in windows of %.0f s",
 			zoneOut.Seconds(), zoneRate, hotTarget, zoneWindow.Seconds()),
 		Columns: []string{
-			"deployment", "phase", "completed", "not completed", "99th percentile", "longest pause of a key", "last new work in the zone", "even after",
+			"deployment", "phase", "completed", "not completed", "reasons", "99th percentile", "longest pause of a key", "last new work in the zone", "even after",
 		},
 	}
 	verdicts := newVerdicts()
@@ -129,7 +129,7 @@
 		from, to time.Time
 	}{{"before", start, times.out}, {"out", times.out, times.asked}, {"back", times.asked, times.end}}
 	for _, phase := range phases {
-		completed, failed, p99 := between(in.Operations, phase.from, phase.to)
+		seen := between(in.Operations, phase.from, phase.to)
 		last, even := "", ""
 		switch phase.name {
 		case "out":
@@ -137,7 +137,7 @@
 		case "back":
 			even = evenAfter(in.Entries, c.deployment.Upstreams[0], times)
 		}
-		t.add(c.deployment.Name, phase.name, completed, failed, p99, probe.Unavailable(phase.from, phase.to.Add(-time.Second))[0], last, even)
+		t.add(c.deployment.Name, phase.name, seen.completed, seen.failed, seen.reasons, seen.p99, probe.Unavailable(phase.from, phase.to.Add(-time.Second))[0], last, even)
 	}
 }
 
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -34,6 +34,11 @@
 	nextHold
 	// nextRetry sends again at once, under the retry budget.
 	nextRetry
+	// nextRepeat sends again at once. The budget bounds what retries add to the
+	// load of backend servers, and a sending that was barred has added nothing:
+	// half-open connections left 187 of 2,100 requests unserved that the budget
+	// kept from being repeated.
+	nextRepeat
 )
 
 // run sends the request until it is answered or must be refused. A request of
@@ -73,11 +78,11 @@
 		if heldSince.IsZero() {
 			heldSince = now
 		}
-		switch q.after(refusal) {
+		switch next := q.after(refusal); next {
 		case nextStop:
 			return nil, refusal
-		case nextRetry:
-			if q.attempt >= attempts(q.upstream) || !u.retry() {
+		case nextRetry, nextRepeat:
+			if q.attempt >= attempts(q.upstream) || next == nextRetry && !u.retry() {
 				return nil, refusal
 			}
 			q.h.cfg.Metrics.Attempts.Add("retry", 1)
@@ -137,7 +142,7 @@
 		}
 		return nextRetry
 	case outcome.ReasonBarred:
-		return nextRetry
+		return nextRepeat
 	case outcome.ReasonShed, outcome.ReasonCold, outcome.ReasonQueueFull, outcome.ReasonQueueTimeout:
 		if !q.call.Keyed {
 			return nextRetry
--- a/node/peer_test.go
+++ b/node/peer_test.go
@@ -74,7 +74,9 @@
 		runs   int
 	}{
 		"sent again": {testRules, 200, 1},
-		"given up":   {testRules + "retry applications attempts=1 # test: no second try\n", 503, 0},
+		// A barred sending costs nothing of the retry budget.
+		"no budget": {testRules + "retry applications budget=0% attempts=3 # test: no retries\n", 200, 1},
+		"given up":  {testRules + "retry applications attempts=1 # test: no second try\n", 503, 0},
 	} {
 		p := startPair(t, c.rules)
 		p.proxy.cut()
