node/internal/backend: the slot of a cancelled request is kept until the backend server has heard of the cancellation

The slot is now given back with the answer to POST /v1/cancel, after 100 ms at the latest. The new test failed without the change: the second request arrived while the server was full.

--- /dev/null
+++ b/node/internal/backend/cancel_test.go
@@ -0,0 +1,86 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
+// TestCancelledRequestKeepsItsSlot guards against a backend server that gets
+// more requests than it has slots, because the slot of a cancelled request is
+// given to the next one before the backend server knows of the cancellation.
+func TestCancelledRequestKeepsItsSlot(t *testing.T) {
+	arrived, cancelled, first := make(chan string, 4), make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch id := r.Header.Get(headers.RequestID); {
+		case r.URL.Path == "/v1/cancel":
+			<-cancelled
+			arrived <- "cancel"
+		case strings.HasPrefix(r.URL.Path, "/v1/"):
+			_, _ = io.WriteString(w, `{"bootId":"boot"}`)
+		default:
+			arrived <- id
+			if id == "first" {
+				<-first
+			}
+		}
+	}))
+	defer server.Close()
+	defer close(first)
+	s := backend.New(backend.Config{Clock: boottime.Clock{}, CancelHold: time.Hour})
+	announcement := fmt.Sprintf(`{"name":"server","upstream":"files","address":%q,"bootId":"boot","slots":1,"connections":10}`, server.Listener.Addr())
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/announce", strings.NewReader(announcement)))
+	if w.Code != http.StatusOK {
+		t.Fatalf("announcement: %d %s", w.Code, w.Body)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.Run(ctx)
+
+	do := func(ctx context.Context, id string) *outcome.Refusal {
+		call := &relay.Call{ID: id, Sending: id, Idempotent: true, Method: "GET", URI: "/", Host: "h", Deadline: boottime.Clock{}.Now().Add(time.Hour), Body: &relay.Body{}}
+		a, refusal := s.Do(ctx, call, backend.Gate{Before: func() (backend.Term, *outcome.Refusal) { return backend.Term{}, nil }})
+		if a != nil {
+			_ = a.Body.Close()
+		}
+		return refusal
+	}
+	leaving, leave := context.WithCancel(ctx)
+	go func() {
+		if id := <-arrived; id != "first" {
+			t.Errorf("%s arrived, want first", id)
+		}
+		leave()
+	}()
+	if r := do(leaving, "first"); r == nil {
+		t.Fatal("the cancelled request was answered")
+	}
+	ended := make(chan *outcome.Refusal, 1)
+	go func() { ended <- do(ctx, "second") }()
+	for s.Stats().Queued == 0 {
+		select {
+		case id := <-arrived:
+			t.Fatalf("%s arrived while the server was full", id)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	close(cancelled)
+	if id := <-arrived; id != "cancel" {
+		t.Errorf("%s arrived first, want the cancellation", id)
+	}
+	if r := <-ended; r != nil {
+		t.Errorf("the second request was refused: %+v", r)
+	}
+}
--- a/node/internal/backend/control.go
+++ b/node/internal/backend/control.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -151,13 +152,25 @@
 	s.mu.Unlock()
 }
 
+// cancellation is a request that the backend server is told to cancel.
+type cancellation struct {
+	id string
+	// heard is called once, after the backend server has answered or
+	// Config.CancelHold.
+	heard func()
+}
+
 // cancelLater tells the backend server to cancel a request, without waiting.
 // Under a flood of failures ids are dropped: the closed connection and the
 // deadline then have to do.
-func (s *Server) cancelLater(id string) {
+func (s *Server) cancelLater(id string, heard func()) {
+	var once sync.Once
+	c := cancellation{id: id, heard: func() { once.Do(heard) }}
 	select {
-	case s.cancels <- id:
+	case s.cancels <- c:
+		time.AfterFunc(s.cfg.CancelHold, c.heard)
 	default:
+		c.heard()
 	}
 }
 
@@ -166,10 +179,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-s.cancels:
-			if _, err := s.control(ctx, http.MethodPost, "/v1/cancel", map[string]string{"requestId": id}, nil); err != nil {
-				s.log.Debug().Err(err).Str("requestId", id).Msg("cancel did not reach the backend server")
+		case c := <-s.cancels:
+			if _, err := s.control(ctx, http.MethodPost, "/v1/cancel", map[string]string{"requestId": c.id}, nil); err != nil {
+				s.log.Debug().Err(err).Str("requestId", c.id).Msg("cancel did not reach the backend server")
 			}
+			c.heard()
 		}
 	}
 }
--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -204,11 +204,10 @@
 	case a.x.response != nil, errors.Is(err, errFraming), errors.Is(err, errHeaderTooLarge), errors.Is(err, io.ErrUnexpectedEOF):
 		refusal.Reason = outcome.ReasonAnswerIncomplete
 	}
-	if a.end(kind, false) && a.x.sendErr != nil {
+	if a.cancel(kind) && a.x.sendErr != nil {
 		refusal.Reason = outcome.ReasonCancelled
 	}
 	a.s.log.Debug().Err(err).Str("requestId", a.call.Name()).Str("reason", string(refusal.Reason)).Msg("request to backend server failed")
-	a.s.cancelLater(a.call.Name())
 	return refusal
 }
 
@@ -217,27 +216,46 @@
 func (a *attempt) end(kind admission.ResultKind, complete bool) (ended bool) {
 	a.once.Do(func() {
 		ended = true
-		x := &a.x
-		early := x.finishBody()
-		untouched := x.release()
-		reusable := complete && untouched && !early && x.c.br.Buffered() == 0 && (x.response == nil || !x.response.Close)
-		if reusable {
-			_ = x.c.nc.SetDeadline(time.Time{})
-		}
-		a.s.pool.put(x.c, reusable)
+		a.release(complete)
 		a.s.guard.leave(a.ticket, kind, a.s.cfg.Clock.Now().Sub(a.started))
 	})
 	return ended
 }
 
+// cancel ends an attempt that the backend server may still be working on, and
+// tells it to stop. The slot is given back once the backend server has heard
+// it: before, the next request could meet a server that was still full. It
+// reports whether this call ended the attempt.
+func (a *attempt) cancel(kind admission.ResultKind) (ended bool) {
+	a.once.Do(func() {
+		ended = true
+		a.release(false)
+		took := a.s.cfg.Clock.Now().Sub(a.started)
+		a.s.cancelLater(a.call.Name(), func() { a.s.guard.leave(a.ticket, kind, took) })
+	})
+	return ended
+}
+
+// release gives the connection back.
+func (a *attempt) release(complete bool) {
+	x := &a.x
+	early := x.finishBody()
+	untouched := x.release()
+	reusable := complete && untouched && !early && x.c.br.Buffered() == 0 && (x.response == nil || !x.response.Close)
+	if reusable {
+		_ = x.c.nc.SetDeadline(time.Time{})
+	}
+	a.s.pool.put(x.c, reusable)
+}
+
 // Read reads the body of the response. The end of the body frees slot and
 // connection.
 func (a *attempt) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if err == io.EOF {
 		a.end(admission.ResultOK, true)
-	} else if err != nil && a.end(admission.ResultFailed, false) {
-		a.s.cancelLater(a.call.Name())
+	} else if err != nil {
+		a.cancel(admission.ResultFailed)
 	}
 	return n, err
 }
@@ -245,8 +263,6 @@
 // Close ends the attempt. If the body was not read to its end, the backend
 // server is told to cancel the request.
 func (a *attempt) Close() error {
-	if a.end(admission.ResultCancelled, false) {
-		a.s.cancelLater(a.call.Name())
-	}
+	a.cancel(admission.ResultCancelled)
 	return nil
 }
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -27,6 +27,10 @@
 	// node gives up its lease. Announcements come every second, health
 	// answers every DefaultHealthInterval.
 	DefaultLostAfter = time.Second
+	// DefaultCancelHold bounds the time for which the slot of a cancelled
+	// request is kept. A backend server that does not answer for longer says
+	// nothing about its slots.
+	DefaultCancelHold = 100 * time.Millisecond
 )
 
 // warmSpare is the number of connections kept open beyond the slots, for
@@ -41,6 +45,7 @@
 	HealthInterval time.Duration
 	ConnectTimeout time.Duration
 	LostAfter      time.Duration
+	CancelHold     time.Duration
 	// Changed is called without locks held after the backend server appeared,
 	// restarted, changed its announcement, or was lost. It must not block.
 	Changed func()
@@ -58,8 +63,8 @@
 	refusedUntil atomic.Int64
 	// unreachable is true from a refused connection to the next response.
 	unreachable atomic.Bool
-	// cancels are request ids that the backend server is told to cancel.
-	cancels chan string
+	// cancels are requests that the backend server is told to cancel.
+	cancels chan cancellation
 
 	mu        sync.Mutex
 	announced *wirev1.BackendServer
@@ -87,11 +92,14 @@
 	if cfg.LostAfter == 0 {
 		cfg.LostAfter = DefaultLostAfter
 	}
+	if cfg.CancelHold == 0 {
+		cfg.CancelHold = DefaultCancelHold
+	}
 	if cfg.Changed == nil {
 		cfg.Changed = func() {}
 	}
 	return &Server{
-		cfg: cfg, log: cfg.Log, pool: pool{timeout: cfg.ConnectTimeout}, cancels: make(chan string, 256),
+		cfg: cfg, log: cfg.Log, pool: pool{timeout: cfg.ConnectTimeout}, cancels: make(chan cancellation, 256),
 		guard: newGuard(cfg.Clock, admission.Config{}),
 		client: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true},
