wire, node, control: goroutines report their end to their owner; one clock package

Node and control started their parts with wait groups, so a part that ended early went unnoticed, and the boot time clock stood in both programs.

--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/jujubeknot/jujubeknot/control/internal/boottime"
 	"github.com/jujubeknot/jujubeknot/control/internal/disk"
 	"github.com/jujubeknot/jujubeknot/control/internal/leader"
 	"github.com/jujubeknot/jujubeknot/control/internal/nodes"
@@ -26,6 +25,8 @@
 	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/core/placement"
 	"github.com/jujubeknot/jujubeknot/core/settings"
+	"github.com/jujubeknot/jujubeknot/wire/boottime"
+	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -137,36 +138,34 @@
 	defer stopLeader()
 	peer := m.server(m.peerHandler())
 	operators := m.server(m.operatorHandler())
-	failed := make(chan error, 2)
-	logEnded := make(chan error, 1)
-	var group sync.WaitGroup
-	group.Go(func() { failed <- wrap("members and nodes", peer.Serve(m.peer)) })
-	group.Go(func() { failed <- wrap("operators", operators.Serve(m.operator)) })
-	group.Go(func() { logEnded <- wrap("replicated log", m.log.Run(logContext)) })
-	group.Go(func() { m.leader.Run(leaderContext) })
+	servers, log := tasks.New(3), tasks.New(1)
+	servers.Go(leaderContext, "leader", tasks.Quiet(m.leader.Run))
+	servers.Go(leaderContext, "members and nodes", func(context.Context) error { return peer.Serve(m.peer) })
+	servers.Go(leaderContext, "operators", func(context.Context) error { return operators.Serve(m.operator) })
+	log.Go(logContext, "replicated log", m.log.Run)
 	m.config.Logger.Info().Stringer("peer", m.peer.Addr()).Stringer("operator", m.operator.Addr()).
 		Uint64("memberId", m.config.MemberID).Str("groupId", m.config.GroupID).Msg("member started")
 	var err error
 	select {
-	case err = <-failed:
+	case end := <-servers.Ends():
+		err = wrap(end.Name, servers.Took(end))
 		stopLog(nil)
-		err = cmp.Or(err, <-logEnded)
-	case err = <-logEnded:
+	case end := <-log.Ends():
+		err = wrap(end.Name, log.Took(end))
 	case <-m.killed:
 		_ = peer.Close()
 		_ = operators.Close()
 		stopLog(replica.ErrAbandoned)
-		err = <-logEnded
 	case <-ctx.Done():
 		// The log hands leadership over before it ends, so that nodes need
 		// not wait for an election. Watch streams end with it.
 		stopLog(nil)
-		err = <-logEnded
 	}
+	err = cmp.Or(err, wrap("replicated log", log.Wait()))
 	stopLeader()
 	shutDown(peer)
 	shutDown(operators)
-	group.Wait()
+	err = cmp.Or(err, wrap("servers", servers.Wait()))
 	m.config.Logger.Info().Err(err).Msg("member stopped")
 	return err
 }
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
@@ -226,13 +227,13 @@
 // one, or the context ends. In the end nothing of the incarnation is in use.
 func (i *incarnation) run(ctx context.Context) {
 	loops, cancel := context.WithCancel(ctx)
-	var group sync.WaitGroup
-	group.Go(func() { i.renewLoop(loops) })
-	group.Go(func() { i.watchLoop(loops) })
-	group.Go(func() { i.reportLoop(loops) })
-	group.Go(func() { i.expiryLoop(loops) })
-	group.Go(func() { i.extendLoop(loops) })
-	group.Go(func() { i.drainLoop(loops) })
+	running := tasks.New(6)
+	running.Go(loops, "renew", tasks.Quiet(i.renewLoop))
+	running.Go(loops, "watch", tasks.Quiet(i.watchLoop))
+	running.Go(loops, "report", tasks.Quiet(i.reportLoop))
+	running.Go(loops, "expiry", tasks.Quiet(i.expiryLoop))
+	running.Go(loops, "extend", tasks.Quiet(i.extendLoop))
+	running.Go(loops, "drain", tasks.Quiet(i.drainLoop))
 	reason := i.wait(ctx)
 	held := i.giveUp()
 	cancel()
@@ -247,7 +248,8 @@
 		done()
 	}
 	s.cfg.Owner.EndTerm(closing)
-	group.Wait()
+	// None of the loops returns an error.
+	_ = running.Wait()
 	s.cfg.Log.Warn().Uint64("incarnation", i.number).Str("reason", reason).Bool("returned", held).Msg("lease ended")
 	if held && !abandoned {
 		i.deregister(context.WithoutCancel(ctx))
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	stdlog "log"
@@ -18,7 +19,6 @@
 
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
-	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
 	"github.com/jujubeknot/jujubeknot/node/internal/caller"
 	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
@@ -26,6 +26,8 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/peer"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/wire/boottime"
+	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -180,20 +182,21 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
-	var group sync.WaitGroup
-	group.Go(func() { n.backend.Run(work) })
-	group.Go(func() { n.session.Run(work) })
-	failed := make(chan error, len(n.servers))
+	parts := tasks.New(2 + len(n.servers))
+	parts.Go(work, "backend server", tasks.Quiet(n.backend.Run))
+	parts.Go(work, "control session", tasks.Quiet(n.session.Run))
 	for i, s := range n.servers {
-		group.Go(func() {
+		parts.Go(work, "listener", func(context.Context) error {
 			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				failed <- fmt.Errorf("serving at %s: %w", n.listeners[i].Addr(), err)
+				return fmt.Errorf("serving at %s: %w", n.listeners[i].Addr(), err)
 			}
+			return nil
 		})
 	}
 	var err error
 	select {
-	case err = <-failed:
+	case end := <-parts.Ends():
+		err = parts.Took(end)
 	case <-n.killed:
 		n.Close()
 		stop(controlclient.ErrAbandoned)
@@ -202,7 +205,7 @@
 	}
 	stop(nil)
 	n.Close()
-	group.Wait()
+	err = cmp.Or(err, parts.Wait())
 	n.owner.Wait()
 	n.peers.Close()
 	return err
--- a/node/vars.go
+++ b/node/vars.go
@@ -5,8 +5,8 @@
 	"runtime"
 
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
-	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+	"github.com/jujubeknot/jujubeknot/wire/boottime"
 )
 
 // vars are the figures on the operator port.
--- /dev/null
+++ b/wire/tasks/tasks.go
@@ -0,0 +1,65 @@
+// Package tasks runs goroutines that take a context and report their end on a
+// channel that their owner reads.
+package tasks
+
+import "context"
+
+// End is the end of one task.
+type End struct {
+	// Name is the name given to Go.
+	Name string
+	// Err is what the task returned.
+	Err error
+}
+
+// Group is a set of tasks with one owner. Use New. Only the owner's goroutine
+// may call its methods.
+type Group struct {
+	ends    chan End
+	running int
+}
+
+// New returns an empty group. Capacity bounds the tasks whose ends were not
+// taken, so that none of them ever blocks.
+func New(capacity int) *Group {
+	return &Group{ends: make(chan End, capacity)}
+}
+
+// Go starts a task. It panics if the group is full.
+func (g *Group) Go(ctx context.Context, name string, run func(context.Context) error) {
+	if g.running == cap(g.ends) {
+		panic("tasks: the group is full")
+	}
+	g.running++
+	go func() { g.ends <- End{name, run(ctx)} }()
+}
+
+// Ends returns the channel that has one End for each task. An owner that takes
+// one passes it to Took.
+func (g *Group) Ends() <-chan End { return g.ends }
+
+// Took notes that the owner took an End, and returns its error.
+func (g *Group) Took(e End) error {
+	g.running--
+	return e.Err
+}
+
+// Wait returns when all tasks whose ends were not taken have ended, with the
+// first error among them.
+func (g *Group) Wait() error {
+	var first error
+	for ; g.running > 0; g.running-- {
+		if e := <-g.ends; e.Err != nil && first == nil {
+			first = e.Err
+		}
+	}
+	return first
+}
+
+// Quiet makes a task of a function that cannot fail.
+func Quiet(run func(context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	}
+}
