--- a/bench/cmd/jujubeknot-bench/main.go
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -28,6 +28,10 @@
 	Demo    demoCommand    `command:"demo" description:"run all roles in one process and check the promises"`
 	Backend backendCommand `command:"backend" description:"run one stand-in backend server"`
 	Load    loadCommand    `command:"load" description:"send load to nodes"`
+
+	Nodes    nodesCommand    `command:"nodes" hidden:"true" description:"run many idle nodes in one process"`
+	StandIns standInsCommand `command:"stand-ins" hidden:"true" description:"run the minimal backend servers of idle nodes"`
+	Slope    slopeCommand    `command:"slope" hidden:"true" description:"measure control members and idle nodes; see tools/measure-control"`
 }
 
 // runner is a command that can be cancelled.
--- /dev/null
+++ b/bench/fleet/standin.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Figures of the stand-ins.
+const (
+	announceEvery   = time.Second
+	announceTimeout = time.Second
+	standInSlots    = 6
+	standInConns    = 110
+)
+
+// StandIns announces a backend server to each of count ports from a first one
+// on until the context ends. The stand-ins answer health, load and grants and
+// run no requests.
+func StandIns(ctx context.Context, count int, firstPort uint16, upstream string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for the stand-ins: %w", err)
+	}
+	// All stand-ins share one listener: nodes tell them apart by announcement.
+	server := &http.Server{Handler: standIn(), ReadHeaderTimeout: time.Minute}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(l) }()
+	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			body, err := json.Marshal(map[string]any{
+				"name": fmt.Sprintf("%s-%d", upstream, i), "upstream": upstream, "address": l.Addr().String(), "bootId": bootID,
+				"slots": standInSlots, "connections": standInConns, "checksFences": true,
+			})
+			if err != nil {
+				panic(err)
+			}
+			announce(ctx, client, fmt.Sprintf("http://127.0.0.1:%d/v1/announce", int(firstPort)+i), body)
+		})
+	}
+	group.Wait()
+	err = server.Close()
+	<-ended
+	return err
+}
+
+// bootID of all stand-ins, which never restart.
+const bootID = "fleet-1"
+
+// announce repeats an announcement. A node that does not run hears a later one.
+func announce(ctx context.Context, client *http.Client, url string, body []byte) {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for {
+		if q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body)); err == nil {
+			q.Header.Set("Content-Type", "application/json")
+			if r, err := client.Do(q); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_ = r.Body.Close()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func standIn() http.Handler {
+	answer := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Jujubeknot-Boot-Id", bootID)
+			_, _ = io.WriteString(w, text)
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/health", answer(`{"bootId":"`+bootID+`","healthy":true,"cold":false}`))
+	mux.HandleFunc("GET /v1/load", answer(`{"inFlight":0,"queued":0}`))
+	mux.HandleFunc("POST /v1/grant", answer(`{"taken":0}`))
+	mux.HandleFunc("POST /v1/drain", answer(`{"drain":true}`))
+	mux.HandleFunc("POST /v1/cancel", answer(`{"cancelled":false}`))
+	return mux
+}
