bench/experiment, tools: nodes of single-node experiments are started by a script

The experiments throughput and stream started jujubeknot-node as a child process; no program of the project may start another. tools/measure-node now starts the control member and the two nodes and passes their process ids.

--- a/bench/cmd/jujubeknot-bench/run.go
+++ b/bench/cmd/jujubeknot-bench/run.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/bench/experiment"
@@ -17,7 +20,11 @@
 	JSON  string  `long:"json" value-name:"FILE" description:"write the report as JSON"`
 	Plots string  `long:"plots" value-name:"FOLDER" description:"write the plots as SVG"`
 	Log   string  `long:"log" value-name:"FILE" description:"write the log lines of all roles to a file"`
-	Names struct {
+	// Set by tools/measure-node.
+	Operator string `long:"operator" value-name:"ADDRESS" description:"operators' address of a control member that runs" hidden:"yes"`
+	Entry    string `long:"entry" value-name:"PID,CALLERS" description:"entry node that runs" hidden:"yes"`
+	Owner    string `long:"owner" value-name:"PID,CALLERS,BACKEND" description:"owner's node that runs" hidden:"yes"`
+	Names    struct {
 		Name string `positional-arg-name:"EXPERIMENT"`
 	} `positional-args:"yes"`
 }
@@ -38,7 +45,17 @@
 		return err
 	}
 	defer done()
-	report, err := x.Run(ctx, experiment.Env{Seed: c.Seed, Scale: c.Scale, Progress: os.Stderr, Logger: logger})
+	env := experiment.Env{Seed: c.Seed, Scale: c.Scale, Progress: os.Stderr, Logger: logger}
+	if c.Operator != "" {
+		env.Processes.Operator = c.Operator
+		if env.Processes.Entry, err = parseProcess(c.Entry); err != nil {
+			return fmt.Errorf("--entry: %w", err)
+		}
+		if env.Processes.Owner, err = parseProcess(c.Owner); err != nil {
+			return fmt.Errorf("--owner: %w", err)
+		}
+	}
+	report, err := x.Run(ctx, env)
 	if err != nil {
 		return err
 	}
@@ -68,3 +85,21 @@
 	}
 	return zerolog.New(file).With().Timestamp().Logger(), func() { _ = file.Close() }, nil
 }
+
+// parseProcess reads a process id, the address for callers and, where there is
+// one, that for backend servers.
+func parseProcess(text string) (*experiment.Process, error) {
+	parts := strings.Split(text, ",")
+	if len(parts) < 2 {
+		return nil, errors.Errorf("found %q, expected a process id and addresses, separated by commas", text)
+	}
+	pid, err := strconv.Atoi(parts[0])
+	if err != nil {
+		return nil, fmt.Errorf("process id: %w", err)
+	}
+	p := &experiment.Process{PID: pid, Callers: parts[1]}
+	if len(parts) > 2 {
+		p.Announce = parts[2]
+	}
+	return p, nil
+}
--- a/bench/experiment/experiment.go
+++ b/bench/experiment/experiment.go
@@ -30,6 +30,8 @@
 	Progress io.Writer
 	// Logger gets the log lines of all roles. The zero value drops them.
 	Logger zerolog.Logger
+	// Processes are set for experiments on single nodes.
+	Processes Processes
 }
 
 // length returns a length at the scale.
--- a/bench/experiment/process.go
+++ b/bench/experiment/process.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -20,74 +17,25 @@
 // clockTicks is the unit of processor times in /proc, a constant of Linux.
 const clockTicks = 100
 
-// process is a node that runs as a process of its own, so that its processor
-// time and memory are those of one node.
-type process struct {
-	command *exec.Cmd
-	output  *os.File
-	// callers and announce are its addresses.
-	callers, announce string
+// Process is a node that runs as a process of its own, so that its processor
+// time and memory are those of one node. A script starts it.
+type Process struct {
+	PID int
+	// Callers and Announce are its addresses for callers and backend servers.
+	Callers, Announce string
 }
 
-// startProcess starts the program jujubeknot-node that lies beside this one,
-// with one processor.
-func startProcess(folder, name string, l *lab.Lab) (*process, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return nil, fmt.Errorf("find the programs: %w", err)
-	}
-	addresses, err := freeAddresses(4)
-	if err != nil {
-		return nil, err
-	}
-	var members []string
-	for _, m := range l.Members() {
-		members = append(members, m.String())
-	}
-	settings := fmt.Sprintf("[node]\nname = %s\navailabilityZone = one\ncontrolMembers = %s\nnodeSecret = %s\n[listen]\ncallers = %s\npeer = %s\nbackend = %s\noperator = %s\n",
-		name, strings.Join(members, ", "), lab.NodeSecret, addresses[0], addresses[1], addresses[2], addresses[3])
-	file := filepath.Join(folder, name+".ini")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
-	}
-	output, err := os.Create(filepath.Join(folder, name+".log"))
-	if err != nil {
-		return nil, fmt.Errorf("open the log: %w", err)
-	}
-	p := &process{output: output, callers: addresses[0], announce: addresses[2]}
-	p.command = exec.Command(filepath.Join(filepath.Dir(self), "jujubeknot-node"), "--config", file)
-	p.command.Stdout, p.command.Stderr = output, output
-	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
-	if err := p.command.Start(); err != nil {
-		_ = output.Close()
-		return nil, fmt.Errorf("start jujubeknot-node, which make build writes beside this program: %w", err)
-	}
-	return p, nil
-}
-
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
-func (p *process) end() {
-	// The process is of no use any more, whatever its state.
-	_ = p.command.Process.Kill()
-	_ = p.command.Wait()
-	_ = p.output.Close()
+// Processes are what an experiment on single nodes runs on.
+type Processes struct {
+	// Operator is the address for operators of the control member.
+	Operator string
+	// Entry has no backend server, Owner gets one.
+	Entry, Owner *Process
 }
 
 // processorTime returns the processor time that the process has used.
-func (p *process) processorTime() (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+func (p *Process) processorTime() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID))
 	if err != nil {
 		return 0, fmt.Errorf("processor time: %w", err)
 	}
@@ -110,8 +58,8 @@
 }
 
 // memory returns resident memory in bytes, now and at its peak.
-func (p *process) memory() (now, peak int64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+func (p *Process) memory() (now, peak int64, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID))
 	if err != nil {
 		return 0, 0, fmt.Errorf("memory: %w", err)
 	}
@@ -134,8 +82,8 @@
 }
 
 // resetPeak makes the peak of resident memory begin anew.
-func (p *process) resetPeak() error {
-	if err := os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", p.command.Process.Pid), []byte("5"), 0); err != nil {
+func (p *Process) resetPeak() error {
+	if err := os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", p.PID), []byte("5"), 0); err != nil {
 		return fmt.Errorf("reset the peak of memory: %w", err)
 	}
 	return nil
@@ -144,36 +92,21 @@
 // mebibytes formats a size.
 func mebibytes(n int64) string { return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20)) }
 
-// twoProcesses is an entry node without a backend server and an owner's node
-// with one, each a process.
-type twoProcesses struct {
-	entry, owner *process
+// nodes are an entry node without a backend server and an owner's node with
+// one.
+type nodes struct {
+	entry, owner *Process
 	records      *backend.Recorder
 }
 
 // withProcesses runs a function with two nodes that serve.
-func (e Env) withProcesses(ctx context.Context, server backend.Config, rules string, run func(twoProcesses) error) error {
-	deployment := lab.Deployment{Name: "processes", Zones: []string{"one"}, Upstreams: []lab.Upstream{{Name: server.Upstream, Keyed: true}}, Rules: rules}
-	folder, err := os.MkdirTemp("", "jujubeknot-experiment-")
-	if err != nil {
-		return fmt.Errorf("make a folder: %w", err)
-	}
-	defer os.RemoveAll(folder)
-	l, err := lab.Start(lab.Config{Deployment: deployment, Folder: folder, Members: 1, Seed: e.Seed, Logger: e.Logger})
-	if err != nil {
-		return err
-	}
-	defer l.Close()
-	s := twoProcesses{records: backend.NewRecorder(0)}
-	if s.entry, err = startProcess(folder, "entry", l); err != nil {
-		return err
-	}
-	defer s.entry.end()
-	if s.owner, err = startProcess(folder, "owner", l); err != nil {
-		return err
+func (e Env) withProcesses(ctx context.Context, server backend.Config, rules string, run func(nodes) error) error {
+	if e.Processes.Entry == nil || e.Processes.Owner == nil || e.Processes.Operator == "" {
+		return errors.New("this experiment needs nodes as processes: run it with tools/measure-node")
 	}
-	defer s.owner.end()
-	server.Name, server.Zone, server.Announce, server.Seed, server.Records = "server", "one", s.owner.announce, e.Seed, s.records
+	l := lab.Attach(rules, e.Processes.Operator)
+	s := nodes{records: backend.NewRecorder(0), entry: e.Processes.Entry, owner: e.Processes.Owner}
+	server.Name, server.Zone, server.Announce, server.Seed, server.Records = "server", "one", s.owner.Announce, e.Seed, s.records
 	b := backend.New(server)
 	if err := b.Start(); err != nil {
 		return err
--- a/bench/experiment/stream.go
+++ b/bench/experiment/stream.go
@@ -42,7 +42,7 @@
 		if direction == "download" {
 			server.ResponseBytes = streamBytes
 		}
-		err := e.withProcesses(ctx, server, streamRules, func(s twoProcesses) error {
+		err := e.withProcesses(ctx, server, streamRules, func(s nodes) error {
 			for _, n := range streamParallel {
 				e.say("stream: %s, %d at a time", direction, n)
 				if err := s.transfers(ctx, &table, direction, n); err != nil {
@@ -62,12 +62,12 @@
 }
 
 // transfers runs transfers at the same time and adds a row.
-func (s twoProcesses) transfers(ctx context.Context, t *Table, direction string, parallel int) error {
+func (s nodes) transfers(ctx context.Context, t *Table, direction string, parallel int) error {
 	time.Sleep(streamIdle)
 	var figures []any
-	nodes := []*process{s.entry, s.owner}
+	both := []*Process{s.entry, s.owner}
 	var idle [2]int64
-	for i, n := range nodes {
+	for i, n := range both {
 		var err error
 		if idle[i], _, err = n.memory(); err != nil {
 			return err
@@ -81,14 +81,14 @@
 	var running sync.WaitGroup
 	for i := range parallel {
 		running.Go(func() {
-			if err := transfer(ctx, s.entry.callers, direction, fmt.Sprintf("%s-%d-%d", direction, parallel, i)); err != nil {
+			if err := transfer(ctx, s.entry.Callers, direction, fmt.Sprintf("%s-%d-%d", direction, parallel, i)); err != nil {
 				failures <- err
 			}
 		})
 	}
 	running.Wait()
 	took := time.Since(start)
-	for i, n := range nodes {
+	for i, n := range both {
 		_, peak, err := n.memory()
 		if err != nil {
 			return err
--- a/bench/experiment/throughput.go
+++ b/bench/experiment/throughput.go
@@ -35,21 +35,21 @@
 		Upstream: "files", Slots: throughputSlots, Connections: 200, ConnectionCost: -1, ChecksFences: true,
 		Service: backend.Service{Shape: backend.ShapeConstant, Mean: time.Millisecond},
 	}
-	err := e.withProcesses(ctx, server, throughputRules, func(s twoProcesses) error {
+	err := e.withProcesses(ctx, server, throughputRules, func(s nodes) error {
 		in := check.Input{}
 		for i, rate := range throughputRates {
 			for j, path := range []string{"entry node", "owner's node"} {
 				e.say("throughput: %s, %.0f requests/s", path, rate)
-				nodes := []*process{s.entry, s.owner}[j:]
-				r, used, err := measured(ctx, nodes, load.Config{
-					Seed: e.subseed(2*i + j), Targets: []string{nodes[0].callers}, Rate: rate, Duration: e.length(throughputPhase),
+				asked := []*Process{s.entry, s.owner}[j:]
+				r, used, err := measured(ctx, asked, load.Config{
+					Seed: e.subseed(2*i + j), Targets: []string{asked[0].Callers}, Rate: rate, Duration: e.length(throughputPhase),
 					Hot: load.HotSet{Keys: load.DefaultKeys, Share: 1}, Classes: []load.Class{{Name: "read", Weight: 1, Path: "/files/{key}"}},
 				})
 				if err != nil {
 					return err
 				}
 				in.Operations = append(in.Operations, r.Operations...)
-				for k, n := range nodes {
+				for k, n := range asked {
 					now, _, err := n.memory()
 					if err != nil {
 						return err
@@ -72,7 +72,7 @@
 }
 
 // measured runs a load and returns the processor time that nodes used for it.
-func measured(ctx context.Context, nodes []*process, config load.Config) (*load.Result, []time.Duration, error) {
+func measured(ctx context.Context, nodes []*Process, config load.Config) (*load.Result, []time.Duration, error) {
 	used := make([]time.Duration, len(nodes))
 	for i, n := range nodes {
 		before, err := n.processorTime()
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -29,6 +29,8 @@
 type Lab struct {
 	config  Config
 	records *backend.Recorder
+	// attached are operators' addresses of members that others run.
+	attached []string
 
 	mu      sync.Mutex
 	members []*Member
@@ -79,6 +81,12 @@
 	return l, nil
 }
 
+// Attach returns a Lab without roles of its own that operates a system through
+// the operators' address of its only control member.
+func Attach(rules, operator string) *Lab {
+	return &Lab{attached: []string{operator}, rules: rulesFile{text: rules}, records: backend.NewRecorder(0)}
+}
+
 func (l *Lab) start() error {
 	for i := range l.config.Members {
 		m := &Member{ID: uint64(i + 1), folder: filepath.Join(l.config.Folder, fmt.Sprintf("control-%d", i+1))}
--- a/bench/lab/operate.go
+++ b/bench/lab/operate.go
@@ -59,7 +59,7 @@
 func (l *Lab) operatorAddresses() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var addresses []string
+	addresses := slices.Clone(l.attached)
 	for _, m := range l.members {
 		if m.running != nil {
 			addresses = append(addresses, m.Operator.String())
