node/internal/caller: bound the callers' requests in flight

It now refuses the 4,097th request in flight with notRun, and nested calls only after as many again, so that the requests above them can end. The test was seen red with the bound removed.

--- a/node/config.go
+++ b/node/config.go
@@ -49,6 +49,9 @@
 	// CallerBodyTimeout bounds the time between two parts of its body. Default
 	// 10 s.
 	CallerBodyTimeout time.Duration
+	// CallerMaxInFlight bounds the callers' requests that the node handles at a
+	// time; nested calls get as many again. Default 4096.
+	CallerMaxInFlight int
 	// DrainTimeout is described at DefaultDrainTimeout.
 	DrainTimeout time.Duration
 	// OperatorSecret is asked for on the operator port. Empty means that only
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -37,6 +37,12 @@
 	// may take for the header, and between two parts of the body.
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultBodyTimeout   = 10 * time.Second
+	// DefaultMaxInFlight bounds the requests that one node handles as entry
+	// node. Without a bound, callers who asked for twice what a core carries
+	// raised a node from 35 to 301 MiB. Nested calls get as many again, so
+	// that the requests above them can end.
+	DefaultMaxInFlight = 4096
+	crowdedRetryAfter  = 100 * time.Millisecond
 	// writeTimeout bounds how long a caller may take for a part of the answer.
 	writeTimeout = 30 * time.Second
 	idleTimeout  = 2 * time.Minute
@@ -68,12 +74,16 @@
 	// HeaderTimeout and BodyTimeout are described at their defaults.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
+	// MaxInFlight is described at its default.
+	MaxInFlight int
 }
 
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	cfg Config
 	ids idSource
+	// inFlight counts requests of callers.
+	inFlight atomic.Int64
 	// unreachable spares nodes that are gone one try for each held request.
 	unreachable Unreachable
 
@@ -91,6 +101,7 @@
 	}
 	cfg.HeaderTimeout = cmp.Or(cfg.HeaderTimeout, DefaultHeaderTimeout)
 	cfg.BodyTimeout = cmp.Or(cfg.BodyTimeout, DefaultBodyTimeout)
+	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
 	return &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstream{}}
 }
 
@@ -121,6 +132,8 @@
 	upstream *rules.Upstream
 	started  time.Time
 	attempt  int
+	// place is the number of requests in flight when this one came.
+	place int64
 	// body is nil if the request has none.
 	body *slowBody
 	// tried has the nodes that this request was sent to without a key.
@@ -134,7 +147,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.cfg.Metrics.InFlight.Add(1)
 	defer h.cfg.Metrics.InFlight.Add(-1)
-	q := &request{h: h, w: w, r: r, control: http.NewResponseController(w), started: h.cfg.Clock.Now()}
+	place := h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	q := &request{h: h, w: w, r: r, control: http.NewResponseController(w), started: h.cfg.Clock.Now(), place: place}
 	q.call.ID = h.ids.next()
 	answer, refusal := q.serve()
 	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -193,6 +208,11 @@
 	if refusal := q.readOwn(t); refusal != nil {
 		return refusal
 	}
+	if crowd := int64(q.h.cfg.MaxInFlight); q.place > crowd && (c.Depth == 0 || q.place > 2*crowd) {
+		refusal := relay.NotRun(outcome.ReasonQueueFull)
+		refusal.RetryAfter = crowdedRetryAfter
+		return refusal
+	}
 	return q.readBody()
 }
 
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -30,6 +30,40 @@
 	}
 }
 
+// TestCrowdedNodeRefuses guards against an entry node whose memory grows with
+// callers who ask for more than it carries, and against nested calls that are
+// refused together with the requests that wait for them.
+func TestCrowdedNodeRefuses(t *testing.T) {
+	p := startPair(t, testRules)
+	crowded := startNode(t, p.control, "crowded", nil, func(c *node.Config) { c.CallerMaxInFlight = 2 })
+	eventually(t, "node serves", func() bool {
+		return crowded.Ready() && send("GET", crowded.url+"/applications/k", nil, nil).status == 200
+	})
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	p.server.setHandle(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "waits" {
+			arrived <- struct{}{}
+			<-release
+		}
+	})
+	var waiting sync.WaitGroup
+	for range 2 {
+		waiting.Go(func() { send("GET", crowded.url+"/applications/k", map[string]string{idHeader: "waits"}, nil) })
+	}
+	<-arrived
+	<-arrived
+	a := send("GET", crowded.url+"/applications/k", map[string]string{idHeader: "third"}, nil)
+	if a.status != http.StatusServiceUnavailable || a.header.Get(headers.Outcome) != "notRun" || p.server.ran("third") != 0 {
+		t.Errorf("third request: status %d, outcome %q, ran %d times", a.status, a.header.Get(headers.Outcome), p.server.ran("third"))
+	}
+	nested := send("GET", crowded.url+"/applications/k", map[string]string{idHeader: "nested", headers.Depth: "1"}, nil)
+	if nested.status != http.StatusOK {
+		t.Errorf("nested call: status %d", nested.status)
+	}
+	close(release)
+	waiting.Wait()
+}
+
 // TestSlowSenderIsCutOff guards against callers who hold connections or slots
 // by sending slowly.
 func TestSlowSenderIsCutOff(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 	callers := caller.New(caller.Config{
 		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
-		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout,
+		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
 	n.servers = [4]*http.Server{
