bench: profile control members in the laboratory

At 150 idle nodes 16% of the leader's samples are compress/flate.(*compressor).reset: responses of a few bytes are compressed.

--- a/bench/cmd/jujubeknot-bench/control_commands.go
+++ b/bench/cmd/jujubeknot-bench/control_commands.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -15,6 +17,7 @@
 
 	"github.com/jujubeknot/jujubeknot/bench/fleet"
 	"github.com/jujubeknot/jujubeknot/bench/slope"
+	"github.com/jujubeknot/jujubeknot/control"
 	"github.com/jujubeknot/jujubeknot/node"
 )
 
@@ -103,3 +106,56 @@
 		Restarts: c.Restarts, Out: os.Stdout,
 	})
 }
+
+type memberCommand struct {
+	command
+	Config  string        `long:"config" required:"true" description:"settings file of a control member"`
+	Profile string        `long:"profile" required:"true" value-name:"FILE" description:"write a processor profile, begun after the delay"`
+	Delay   time.Duration `long:"profile-delay" default:"10s" description:"time from the start to the profile"`
+	Length  time.Duration `long:"profile-length" default:"20s" description:"length of the profile"`
+}
+
+func (c *memberCommand) run(ctx context.Context) error {
+	data, err := os.ReadFile(c.Config)
+	if err != nil {
+		return fmt.Errorf("read the settings: %w", err)
+	}
+	settings, err := control.LoadSettings(c.Config, data)
+	if err != nil {
+		return err
+	}
+	config, err := settings.Config()
+	if err != nil {
+		return err
+	}
+	member, err := control.New(config)
+	if err != nil {
+		return err
+	}
+	profiled := make(chan error, 1)
+	go func() { profiled <- c.profile(ctx) }()
+	return stderrors.Join(member.Run(ctx), <-profiled)
+}
+
+// profile writes a processor profile, shorter if the context ends before.
+func (c *memberCommand) profile(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(c.Delay):
+	}
+	file, err := os.Create(c.Profile)
+	if err != nil {
+		return fmt.Errorf("profile: %w", err)
+	}
+	defer file.Close()
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return fmt.Errorf("profile: %w", err)
+	}
+	defer pprof.StopCPUProfile()
+	select {
+	case <-ctx.Done():
+	case <-time.After(c.Length):
+	}
+	return nil
+}
--- a/bench/cmd/jujubeknot-bench/main.go
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -31,6 +31,7 @@
 
 	Nodes    nodesCommand    `command:"nodes" hidden:"true" description:"run many idle nodes in one process"`
 	StandIns standInsCommand `command:"stand-ins" hidden:"true" description:"run the minimal backend servers of idle nodes"`
+	Member   memberCommand   `command:"member" hidden:"true" description:"run a control member and profile it"`
 	Slope    slopeCommand    `command:"slope" hidden:"true" description:"measure control members and idle nodes; see tools/measure-control"`
 }
 
