--- a/bench/experiment/silent.go
+++ b/bench/experiment/silent.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	silentRate   = 300
+	silentRate = 300
+	// silentWarm is the time before the first repetition, in which the nodes'
+	// limits reach the slots.
+	silentWarm   = 5 * time.Second
 	silentBefore = time.Second
 	silentAfter  = 6 * time.Second
 	// silentTimeout is that of callers, under the 5 s of the route.
@@ -48,6 +51,10 @@
 	p := Plot{Name: "silent", Title: "Connections between nodes become half-open at 1 s", X: "time in s", Y: "99th percentile in ms"}
 	for _, v := range silentVariants {
 		err := e.withLab(ctx, lab.Config{Deployment: lab.Rahma(), PeerFaults: true}, func(l *lab.Lab) error {
+			warm, err := load.Run(ctx, v.load(e, repetitions, l.Targets(), silentWarm))
+			if err != nil {
+				return err
+			}
 			var results []*load.Result
 			var pauses []time.Duration
 			for n := range repetitions {
@@ -59,7 +66,7 @@
 				results, pauses = append(results, r), append(pauses, pause)
 			}
 			v.row(&table, results, pauses)
-			verdicts.verdict(v.name, recorded(l, results...))
+			verdicts.verdict(v.name, recorded(l, append(results, warm)...))
 			line := Line{Name: v.name}
 			for _, s := range check.Seconds(results[0].Operations, results[0].Start) {
 				line.Points = append(line.Points, plotter.XY{X: s.Offset.Seconds(), Y: float64(s.P99) / float64(time.Millisecond)})
@@ -74,18 +81,22 @@
 	return &Report{Tables: []Table{table, verdicts}, Plots: []Plot{p}}, nil
 }
 
+func (v silentVariant) load(e Env, n int, targets []string, duration time.Duration) load.Config {
+	return load.Config{
+		Seed: e.subseed(n), Targets: targets, Rate: silentRate, Duration: duration,
+		Classes: []load.Class{
+			{Name: "status", Weight: 50, Path: "/applications/{key}/status", Timeout: silentTimeout},
+			{Name: "submission", Weight: 50, Method: "POST", Path: "/applications/{key}/submit", Bytes: 2 << 10, Timeout: silentTimeout},
+		},
+	}
+}
+
 // once silences the connections once. It returns the longest time for which a
 // key was not answered.
 func (v silentVariant) once(ctx context.Context, e Env, l *lab.Lab, n int) (*load.Result, time.Duration, error) {
 	probe := l.StartProbe(lab.Probe{Path: "/applications/{key}/status", Keys: lab.KeysOfPartitions(recoveryKeys, recoveryPartitions)})
 	defer probe.Stop()
-	ended := startLoad(ctx, load.Config{
-		Seed: e.subseed(n), Targets: l.Targets(), Rate: silentRate, Duration: silentBefore + silentAfter,
-		Classes: []load.Class{
-			{Name: "status", Weight: 50, Path: "/applications/{key}/status", Timeout: silentTimeout},
-			{Name: "submission", Weight: 50, Method: "POST", Path: "/applications/{key}/submit", Bytes: 2 << 10, Timeout: silentTimeout},
-		},
-	})
+	ended := startLoad(ctx, v.load(e, n, l.Targets(), silentBefore+silentAfter))
 	time.Sleep(silentBefore)
 	from := time.Now()
 	l.SilencePeers(v.directions...)
--- a/bench/experiment/stream.go
+++ b/bench/experiment/stream.go
@@ -14,6 +14,7 @@
 
 	"github.com/jujubeknot/jujubeknot/bench/backend"
 	"github.com/jujubeknot/jujubeknot/bench/check"
+	"github.com/jujubeknot/jujubeknot/bench/load"
 )
 
 const (
@@ -43,13 +44,15 @@
 			server.ResponseBytes = streamBytes
 		}
 		err := e.withProcesses(ctx, server, streamRules, func(s nodes) error {
+			var in check.Input
 			for _, n := range streamParallel {
 				e.say("stream: %s, %d at a time", direction, n)
-				if err := s.transfers(ctx, &table, direction, n); err != nil {
+				operations, err := s.transfers(ctx, &table, direction, n)
+				if err != nil {
 					return err
 				}
+				in.Operations = append(in.Operations, operations...)
 			}
-			var in check.Input
 			in.Entries, in.Dropped = s.records.Entries()
 			verdicts.verdict(direction, in)
 			return nil
@@ -70,14 +73,15 @@
 	for i, n := range both {
 		var err error
 		if idle[i], _, err = n.memory(); err != nil {
-			return err
+			return nil, err
 		}
 		if err := n.resetPeak(); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	start := time.Now()
 	failures := make(chan error, parallel)
+	operations := make([]load.Operation, parallel)
 	var running sync.WaitGroup
 	for i := range parallel {
 		running.Go(func() {
@@ -91,7 +95,7 @@
 	for i, n := range both {
 		_, peak, err := n.memory()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		figures = append(figures, mebibytes(idle[i]), mebibytes(peak))
 	}
@@ -100,7 +104,7 @@
 		t.Title += fmt.Sprintf("; first failure of %s, %d at a time: %v", direction, parallel, <-failures)
 	}
 	t.add(append([]any{direction, parallel, parallel - failed, failed, took}, figures...)...)
-	return nil
+	return operations, nil
 }
 
 // transfer sends or fetches one body and checks that all of it arrived.
@@ -122,6 +126,7 @@
 		q.Body = http.NoBody
 	}
 	q.Header.Set(backend.HeaderOperation, operation)
+	q.Header.Set(backend.HeaderAttempt, "1")
 	q.Header.Set(backend.HeaderKey, operation)
 	q.Header.Set(backend.HeaderIdempotent, strconv.FormatBool(size == 0))
 	r, err := http.DefaultClient.Do(q)
--- a/bench/experiment/throughput.go
+++ b/bench/experiment/throughput.go
@@ -55,7 +55,7 @@
 						return err
 					}
 					per := used[k] / time.Duration(max(len(r.Operations), 1))
-					table.add(path, rate, fmt.Sprintf("%.0f", float64(r.Counts[load.OutcomeOK])/e.length(throughputPhase).Seconds()), notCompleted(r),
+					table.add(path, fmt.Sprintf("%.0f", rate), fmt.Sprintf("%.0f", float64(r.Counts[load.OutcomeOK])/e.length(throughputPhase).Seconds()), notCompleted(r),
 						quantile(r.Latency(load.OutcomeOK), 99), []string{"entry", "owner"}[j+k], fmt.Sprintf("%.1f us", float64(per)/float64(time.Microsecond)),
 						fmt.Sprintf("%.0f", float64(time.Second)/float64(max(per, 1))), mebibytes(now))
 				}
--- a/bench/experiment/zone.go
+++ b/bench/experiment/zone.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	zoneRate   = 600
+	zoneRate = 600
+	// zoneWarm is the time before the figures, in which the nodes' limits reach
+	// the slots: without it trials counted refusals with the reason cold.
+	zoneWarm   = 3 * time.Second
 	zoneBefore = 5 * time.Second
 	zoneOut    = 15 * time.Second
 	zoneBack   = 60 * time.Second
@@ -67,6 +70,10 @@
 	for _, c := range zoneCases() {
 		err := e.withLab(ctx, lab.Config{Deployment: c.deployment}, func(l *lab.Lab) error {
 			e.say("zone: %s", c.deployment.Name)
+			warm, err := load.Run(ctx, c.load(e, 1, l.Targets(), zoneWarm))
+			if err != nil {
+				return err
+			}
 			probe := l.StartProbe(lab.Probe{Path: c.probe, Keys: lab.KeysOfPartitions(recoveryKeys, recoveryPartitions)})
 			defer probe.Stop()
 			result, times, err := c.run(ctx, e, l)
@@ -75,7 +82,7 @@
 			}
 			probe.Stop()
 			out := check.Out{Zone: l.Servers()[0].Zone, From: times.out, To: times.asked, Grace: zoneGrace}
-			in := recorded(l, result)
+			in := recorded(l, warm, result)
 			in.Outs = []check.Out{out}
 			c.rows(&table, in, result.Start, times, out, probe)
 			verdicts.verdict(c.deployment.Name, in)
@@ -93,12 +100,17 @@
 	return &Report{Tables: []Table{table, verdicts}, Plots: []Plot{p}}, nil
 }
 
-func (c zoneCase) run(ctx context.Context, e Env, l *lab.Lab) (*load.Result, zoneTimes, error) {
+// load is the mix of the users, mostly spread evenly over the keys.
+func (c zoneCase) load(e Env, n int, targets []string, duration time.Duration) load.Config {
 	const keys = 5000
-	ended := startLoad(ctx, load.Config{
-		Seed: e.subseed(0), Targets: l.Targets(), Rate: zoneRate, Duration: e.length(zoneBefore + zoneOut + zoneBack),
+	return load.Config{
+		Seed: e.subseed(n), Targets: targets, Rate: zoneRate, Duration: duration,
 		Keys: keys, Hot: load.HotSet{Keys: keys, Share: 0.8}, Classes: c.classes,
-	})
+	}
+}
+
+func (c zoneCase) run(ctx context.Context, e Env, l *lab.Lab) (*load.Result, zoneTimes, error) {
+	ended := startLoad(ctx, c.load(e, 0, l.Targets(), e.length(zoneBefore+zoneOut+zoneBack)))
 	times, err := c.change(ctx, e, l)
 	r := <-ended
 	times.end = time.Now()
--- a/node/internal/backend/cancel_test.go
+++ b/node/internal/backend/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +18,21 @@
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
+// startServer runs the node's side of a backend server with one slot, which
+// holds slots of cancelled requests until the backend server has answered.
+func startServer(ctx context.Context, t *testing.T, address net.Addr) *backend.Server {
+	t.Helper()
+	s := backend.New(backend.Config{Clock: boottime.Clock{}, CancelHold: time.Hour})
+	announcement := fmt.Sprintf(`{"name":"server","upstream":"files","address":%q,"bootId":"boot","slots":1,"connections":10}`, address)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/announce", strings.NewReader(announcement)))
+	if w.Code != http.StatusOK {
+		t.Fatalf("announcement: %d %s", w.Code, w.Body)
+	}
+	go s.Run(ctx)
+	return s
+}
+
 // TestCancelledRequestKeepsItsSlot guards against a backend server that gets
 // more requests than it has slots, because the slot of a cancelled request is
 // given to the next one before the backend server knows of the cancellation.
@@ -38,17 +54,9 @@
 	}))
 	defer server.Close()
 	defer close(first)
-	s := backend.New(backend.Config{Clock: boottime.Clock{}, CancelHold: time.Hour})
-	announcement := fmt.Sprintf(`{"name":"server","upstream":"files","address":%q,"bootId":"boot","slots":1,"connections":10}`, server.Listener.Addr())
-	w := httptest.NewRecorder()
-	s.Handler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/announce", strings.NewReader(announcement)))
-	if w.Code != http.StatusOK {
-		t.Fatalf("announcement: %d %s", w.Code, w.Body)
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go s.Run(ctx)
-
+	s := startServer(ctx, t, server.Listener.Addr())
 	do := func(ctx context.Context, id string) *outcome.Refusal {
 		call := &relay.Call{ID: id, Sending: id, Idempotent: true, Method: "GET", URI: "/", Host: "h", Deadline: boottime.Clock{}.Now().Add(time.Hour), Body: &relay.Body{}}
 		a, refusal := s.Do(ctx, call, backend.Gate{Before: func() (backend.Term, *outcome.Refusal) { return backend.Term{}, nil }})
