--- a/bench/experiment/stream.go
+++ b/bench/experiment/stream.go
@@ -64,8 +64,9 @@
 	return &Report{Tables: []Table{table, verdicts}}, nil
 }
 
-// transfers runs transfers at the same time and adds a row.
-func (s nodes) transfers(ctx context.Context, t *Table, direction string, parallel int) error {
+// transfers runs transfers at the same time, adds a row, and returns what
+// callers saw.
+func (s nodes) transfers(ctx context.Context, t *Table, direction string, parallel int) ([]load.Operation, error) {
 	time.Sleep(streamIdle)
 	var figures []any
 	both := []*Process{s.entry, s.owner}
--- a/node/internal/backend/cancel_test.go
+++ b/node/internal/backend/cancel_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
-	"github.com/jujubeknot/jujubeknot/node/internal/boottime"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/wire/boottime"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
