core/choice: servers that refuse take turns while all are avoided

Cause: where every candidate was in backoff or cold, the one with the lowest cost was taken, and refusals leave nothing in flight, so the server that refused most looked the least loaded. The new test failed before: one server got 1,316 of 1,400 requests.

--- a/core/choice/choice_test.go
+++ b/core/choice/choice_test.go
@@ -271,3 +271,37 @@
 		})
 	}
 }
+
+// TestRefusingServersShareTheLoad guards against a server that draws nearly all
+// requests while every server refuses, because refusals leave nothing in flight
+// and it once was a little faster than the others.
+func TestRefusingServersShareTheLoad(t *testing.T) {
+	p := choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: 1})
+	var candidates []choice.Candidate
+	now := time.Unix(0, 0)
+	for i := range 7 {
+		incarnation := uint64(i + 1)
+		candidates = append(candidates, choice.Candidate{Incarnation: incarnation})
+		for range 20 {
+			p.Sent(now, incarnation)
+			p.Done(now, incarnation, time.Duration(10+i)*time.Millisecond, choice.KindOK)
+		}
+	}
+	counts := map[uint64]int{}
+	const requests = 1400
+	for range requests {
+		now = now.Add(time.Millisecond)
+		c, _, ok := p.Pick(now, candidates)
+		if !ok {
+			t.Fatal("no server was picked")
+		}
+		counts[c.Incarnation]++
+		p.Sent(now, c.Incarnation)
+		p.Done(now, c.Incarnation, time.Millisecond, choice.KindShed)
+	}
+	for incarnation, n := range counts {
+		if n > requests*2/7 {
+			t.Errorf("server %d got %d of %d requests", incarnation, n, requests)
+		}
+	}
+}
--- a/core/choice/twochoices.go
+++ b/core/choice/twochoices.go
@@ -164,7 +164,7 @@
 	first, second, found := t.draw(now, candidates)
 	switch found {
 	case 0:
-		return t.leastBad(candidates)
+		return t.leastBad(now, candidates)
 	case 1:
 		return candidates[first], ReasonLowerCost, true
 	}
@@ -223,20 +223,43 @@
 }
 
 // leastBad chooses among candidates that are all avoided. Cold servers at
-// their bound come last: they must not get more than they sustain.
-func (t *TwoChoices) leastBad(candidates []Candidate) (Candidate, Reason, bool) {
-	best, bestCost, bestFull := -1, 0.0, false
+// their bound come last: they must not get more than they sustain. Servers that
+// refused lately take turns: refusals leave nothing in flight, so by cost alone
+// the server that refuses most looked the least loaded, and 3 of 7 nodes got
+// 1,087 of 1,106 refused requests.
+func (t *TwoChoices) leastBad(now time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+	best, refused := -1, -1
 	offset := t.random.IntN(len(candidates))
 	for i := range candidates {
 		j := (i + offset) % len(candidates)
-		cost, full := t.cost(candidates[j]), t.coldFull(candidates[j])
-		if best < 0 || (bestFull && !full) || (bestFull == full && cost < bestCost) {
-			best, bestCost, bestFull = j, cost, full
+		if s := t.servers[candidates[j].Incarnation]; s != nil && now.Before(s.backoffUntil) {
+			if refused < 0 || t.refusedEarlier(candidates[j], candidates[refused]) {
+				refused = j
+			}
+		} else if best < 0 || t.lessBad(candidates[j], candidates[best]) {
+			best = j
 		}
 	}
+	if best < 0 || refused >= 0 && t.lessBad(candidates[refused], candidates[best]) {
+		best = refused
+	}
 	return candidates[best], ReasonAllAvoided, true
 }
 
+func (t *TwoChoices) lessBad(a, b Candidate) bool {
+	if fullA, fullB := t.coldFull(a), t.coldFull(b); fullA != fullB {
+		return fullB
+	}
+	return t.cost(a) < t.cost(b)
+}
+
+func (t *TwoChoices) refusedEarlier(a, b Candidate) bool {
+	if fullA, fullB := t.coldFull(a), t.coldFull(b); fullA != fullB {
+		return fullB
+	}
+	return t.servers[a.Incarnation].backoffUntil.Before(t.servers[b.Incarnation].backoffUntil)
+}
+
 func (t *TwoChoices) cost(c Candidate) float64 {
 	s := t.servers[c.Incarnation]
 	cost := t.latency(s)
