--- a/bench/backend/record.go
+++ b/bench/backend/record.go
@@ -1,6 +1,12 @@
 package backend
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -76,6 +82,10 @@
 	entries []Entry
 	runs    uint64
 	dropped int
+	// stream takes each entry as a line of JSON, nil for none. failed is the
+	// first error of a write.
+	stream io.Writer
+	failed error
 }
 
 // NewRecorder returns a Recorder for at most bound entries, 0 means
@@ -87,9 +97,70 @@
 	return &Recorder{max: bound}
 }
 
+// Stream makes the Recorder write each further entry to a writer instead of
+// keeping it, one line of JSON and one write each, so that nothing is lost when
+// the process is killed. Err returns the first failure.
+func (r *Recorder) Stream(w io.Writer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stream = w
+}
+
+// Err returns the first error of writing to the stream.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// ReadStream returns the entries that a Recorder of one process wrote. Runs are
+// numbered anew from first+1 on, so that those of several processes differ.
+// Runs that have not ended are stopped at the time of the last entry: the
+// process was killed, and would have written another entry otherwise.
+func ReadStream(reader io.Reader, first uint64) ([]Entry, error) {
+	var entries []Entry
+	open := map[uint64]Entry{}
+	for decoder := json.NewDecoder(reader); ; {
+		var e Entry
+		err := decoder.Decode(&e)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, fmt.Errorf("entry %d of the records: %w", len(entries)+1, err)
+		}
+		if e.Run != 0 {
+			e.Run += first
+		}
+		switch e.Kind {
+		case EntryStart:
+			open[e.Run] = e
+		case EntryEnd, EntryStopped:
+			delete(open, e.Run)
+		}
+		entries = append(entries, e)
+	}
+	for _, run := range slices.Sorted(maps.Keys(open)) {
+		e := open[run]
+		e.Kind, e.At = EntryStopped, entries[len(entries)-1].At
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
 func (r *Recorder) add(e Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stream != nil {
+		line, err := json.Marshal(e)
+		if err == nil {
+			_, err = r.stream.Write(append(line, '\n'))
+		}
+		if r.failed == nil && err != nil {
+			r.failed = fmt.Errorf("write a record: %w", err)
+		}
+		return
+	}
 	if len(r.entries) >= r.max {
 		r.dropped++
 		return
--- a/bench/cmd/jujubeknot-bench/commands.go
+++ b/bench/cmd/jujubeknot-bench/commands.go
@@ -47,10 +47,22 @@
 	Connections  int           `long:"connections" default:"110" description:"connections at a time"`
 	Service      time.Duration `long:"service" default:"5ms" description:"mean service time"`
 	ChecksFences bool          `long:"checks-fences" description:"refuse old fencing tokens"`
+	Seed         uint64        `long:"seed" default:"1" description:"seed of service times, and part of the boot id"`
+	Records      string        `long:"records" value-name:"FILE" description:"write what ran to a file, line by line"`
 }
 
 func (c *backendCommand) run(ctx context.Context) error {
+	records := backend.NewRecorder(0)
+	if c.Records != "" {
+		file, err := os.Create(c.Records)
+		if err != nil {
+			return fmt.Errorf("records: %w", err)
+		}
+		defer file.Close()
+		records.Stream(file)
+	}
 	s := backend.New(backend.Config{
+		Seed: c.Seed, Records: records,
 		Name: c.Name, Upstream: c.Upstream, Zone: c.Zone, Listen: c.Listen, Announce: c.Announce, Node: c.Node,
 		Slots: c.Slots, Connections: c.Connections, ChecksFences: c.ChecksFences,
 		Service: backend.Service{Mean: c.Service},
@@ -66,7 +78,7 @@
 	if err := s.Leave(leaving); err != nil {
 		return fmt.Errorf("leave: %w", err)
 	}
-	return nil
+	return records.Err()
 }
 
 // leaveTimeout bounds the time that a backend server waits for its node.
--- a/bench/cmd/jujubeknot-bench/main.go
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -32,6 +32,7 @@
 	Nodes    nodesCommand    `command:"nodes" hidden:"true" description:"run many idle nodes in one process"`
 	StandIns standInsCommand `command:"stand-ins" hidden:"true" description:"run the minimal backend servers of idle nodes"`
 	Member   memberCommand   `command:"member" hidden:"true" description:"run a control member and profile it"`
+	Probe    probeCommand    `command:"probe" hidden:"true" description:"probe keys while a script makes events happen; see tools/measure-recovery"`
 	Slope    slopeCommand    `command:"slope" hidden:"true" description:"measure control members and idle nodes; see tools/measure-control"`
 }
 
--- a/bench/lab/probe.go
+++ b/bench/lab/probe.go
@@ -13,8 +13,12 @@
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
 )
 
-// Probe configures a Prober. Path is required.
+// Probe configures a Prober. Path is required, and Targets for StartProbe
+// without a Lab.
 type Probe struct {
+	// Targets returns the callers' addresses of the nodes to ask.
+	Targets func() []string
+
 	// Path has the placeholder {key}.
 	Path string
 	Keys []string
@@ -27,7 +31,6 @@
 // Prober reads each of a few keys again and again, each time at the next node,
 // and learns from it how long a key was not served.
 type Prober struct {
-	lab    *Lab
 	config Probe
 	stop   context.CancelFunc
 	group  sync.WaitGroup
@@ -57,8 +60,14 @@
 	return keys
 }
 
-// StartProbe starts a Prober. Stop ends it.
+// StartProbe starts a Prober that asks the nodes of the lab. Stop ends it.
 func (l *Lab) StartProbe(p Probe) *Prober {
+	p.Targets = l.Targets
+	return StartProbe(p)
+}
+
+// StartProbe starts a Prober. Stop ends it.
+func StartProbe(p Probe) *Prober {
 	if p.Interval == 0 {
 		p.Interval = 20 * time.Millisecond
 	}
@@ -66,7 +75,7 @@
 		p.Timeout = 500 * time.Millisecond
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &Prober{lab: l, config: p, stop: stop, seen: map[string][]probed{}}
+	r := &Prober{config: p, stop: stop, seen: map[string][]probed{}}
 	client := &http.Client{Timeout: p.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	for i, key := range p.Keys {
 		r.group.Go(func() {
@@ -89,7 +98,7 @@
 // caller would do: the next one is asked.
 func (r *Prober) probe(client *http.Client, key string, turn int) {
 	result := probed{sent: time.Now()}
-	targets := r.lab.Targets()
+	targets := r.config.Targets()
 	for try := range targets {
 		target := targets[(turn+try)%len(targets)]
 		response, err := client.Get("http://" + target + strings.ReplaceAll(r.config.Path, "{key}", key))
