--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -14,7 +14,7 @@
 	DefaultMovesPerServer = 32
 	DefaultChurnPerMinute = 0.05
 	DefaultStartAbove     = 1.20
-	DefaultStopBelow      = 1.10
+	DefaultStopBelow      = 1.15
 	// DefaultColdRate is 2 requests/s for each slot: a cold server starts with
 	// 1 request in flight, which at 50 ms each is 20 requests/s.
 	DefaultColdRate = 2
--- /dev/null
+++ b/core/placement/threshold_bench_test.go
@@ -0,0 +1,61 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/placement"
+)
+
+// BenchmarkThresholds compares one threshold with two that differ for the
+// start and the stop of balancing, on loads that wander: each second, 3 of 1,024
+// partitions become hot or stop to be. Only the metrics count, not the time.
+func BenchmarkThresholds(b *testing.B) {
+	const seconds = 1800
+	for _, c := range []placement.Config{
+		{StartAbove: 1.10, StopBelow: 1.10},
+		{StartAbove: 1.15, StopBelow: 1.15},
+		{StartAbove: 1.20, StopBelow: 1.20},
+		{StartAbove: 1.20, StopBelow: 1.17},
+		{StartAbove: 1.20, StopBelow: 1.15},
+		{StartAbove: 1.20, StopBelow: 1.10},
+	} {
+		b.Run(fmt.Sprintf("start=%.2f/stop=%.2f", c.StartAbove, c.StopBelow), func(b *testing.B) {
+			for b.Loop() {
+				moved, over, mean := 0.0, 0, 0.0
+				const seeds = 10
+				for seed := range uint64(seeds) {
+					random := rand.New(rand.NewPCG(seed, 2))
+					v, now := evenView(8, 1024, 1), time.Unix(0, 0)
+					policy, err := placement.NewPolicy("", seed)
+					if err != nil {
+						b.Fatal(err)
+					}
+					planner := placement.NewPlanner(c, policy)
+					runPolicy(planner, &v, &now, 10)
+					for range seconds {
+						for range 3 {
+							p := &v.Partitions[random.IntN(len(v.Partitions))]
+							p.Load = 0.5 + random.Float64()
+							if random.IntN(40) == 0 {
+								p.Load = 40
+							}
+						}
+						moved += runPolicy(planner, &v, &now, 1)
+						r := ratio(&v)
+						mean += r
+						if r > 1.25 {
+							over++
+						}
+					}
+				}
+				b.ReportMetric(100*moved/seeds/(seconds/60), "moved-%/min")
+				b.ReportMetric(mean/seeds/seconds, "mean-max/mean")
+				b.ReportMetric(100*float64(over)/seeds/seconds, "over1.25-%")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
