--- a/bench/slope/group.go
+++ b/bench/slope/group.go
@@ -122,6 +122,12 @@
 			return errors.Errorf("%d nodes of %d, %d partitions without an owner, %d moves", len(s.GetNodes()), nodes,
 				s.GetUnassignedPartitions(), s.GetMovesInFlight())
 		}
+		for _, n := range s.GetNodes() {
+			// A node registers anew once its backend server has announced itself.
+			if n.GetNode().GetBackendServer().GetName() == "" {
+				return errors.Errorf("%s has no backend server", n.GetNode().GetName())
+			}
+		}
 		return inForce(s, revision)
 	})
 }
