control: encode and compress each update once for all watch streams

Each stream encoded and compressed the same delta anew: 40% of the leader's samples when 60 of 300 nodes were lost. Streams at the same index now share one message, and a codec and a compressor keep the latest 8 encoded ones.

--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -93,6 +93,7 @@
 	revisions map[uint64]time.Time
 	rules     parsedRules
 	sinks     map[uint64]*Sink
+	changes   changes
 }
 
 // parsedRules caches the rules of the current revision.
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubeknot/jujubeknot/core/cluster"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -96,7 +97,7 @@
 		// term were queued on it, those of the old one are void.
 		s.term = l.term
 	}
-	change := state.Since(s.index)
+	change := l.since(state, s.index)
 	if !s.started && change == nil {
 		// The first message also tells the node that the stream works.
 		change = &wirev1.Update{Index: state.Index()}
@@ -106,7 +107,11 @@
 		return nil, nil
 	}
 	update := &wirev1.Update{Index: state.Index(), Releases: orders}
-	if change != nil {
+	switch {
+	case change != nil && len(orders) == 0 && !s.concerned(change):
+		// The same message for all streams, so that it is encoded once.
+		update = change
+	case change != nil:
 		update = &wirev1.Update{
 			Index: change.GetIndex(), Snapshot: change.GetSnapshot(), Nodes: change.GetNodes(), RemovedNodes: change.GetRemovedNodes(),
 			Assignments: change.GetAssignments(), Rules: change.GetRules(), Releases: orders,
@@ -117,6 +122,34 @@
 	return update, nil
 }
 
+// concerned reports whether an update has planned assignments to the node.
+func (s *Sink) concerned(update *wirev1.Update) bool {
+	return slices.ContainsFunc(update.GetAssignments(), func(a *wirev1.Assignment) bool {
+		return a.GetOwner() == s.incarnation && a.GetPlanned()
+	})
+}
+
+// since returns what changed in a state after an index. Streams at the same
+// index get the same message. The lock is held.
+func (l *Leader) since(state *cluster.State, index uint64) *wirev1.Update {
+	if l.changes.state != state {
+		l.changes = changes{state, map[uint64]*wirev1.Update{}}
+	}
+	update, known := l.changes.since[index]
+	if !known {
+		update = state.Since(index)
+		l.changes.since[index] = update
+	}
+	return update
+}
+
+// changes are the updates that streams need to reach a state, by the index
+// that they have.
+type changes struct {
+	state *cluster.State
+	since map[uint64]*wirev1.Update
+}
+
 func (s *Sink) takeOrders() []*wirev1.Release {
 	orders := s.orders
 	s.orders = nil
--- /dev/null
+++ b/control/internal/nodes/export_test.go
@@ -0,0 +1,4 @@
+package nodes
+
+// Sharing is for tests.
+var Sharing = sharing
--- a/control/internal/nodes/nodes.go
+++ b/control/internal/nodes/nodes.go
@@ -24,7 +24,7 @@
 // secret as bearer token.
 func Handler(l *leader.Leader, log replica.Log, secret string) (string, http.Handler) {
 	path, handler := wirev1connect.NewControlHandler(&Server{l, log}, connect.WithReadMaxBytes(rpc.MaxMessageBytes),
-		connect.WithCompressMinBytes(rpc.CompressMinBytes))
+		connect.WithCompressMinBytes(rpc.CompressMinBytes), sharing())
 	return path, rpc.RequireSecret(secret, handler)
 }
 
