bench, core/rules: one reader of process usage, and no calls that nobody makes

Processor time and memory were read from /proc in bench/experiment and in bench/slope; bench/procfs now serves both. 3 methods of the lab and 2 functions of core/rules had no caller and are gone.

--- a/bench/experiment/process.go
+++ b/bench/experiment/process.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,9 +11,6 @@
 	"github.com/jujubeknot/jujubeknot/bench/lab"
 )
 
-// clockTicks is the unit of processor times in /proc, a constant of Linux.
-const clockTicks = 100
-
 // Process is a node that runs as a process of its own, so that its processor
 // time and memory are those of one node. A script starts it.
 type Process struct {
@@ -33,54 +27,6 @@
 	Entry, Owner *Process
 }
 
-// processorTime returns the processor time that the process has used.
-func (p *Process) processorTime() (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID))
-	if err != nil {
-		return 0, fmt.Errorf("processor time: %w", err)
-	}
-	// The second field, the name, may have spaces; user and system time are
-	// the 12th and 13th after it.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0, errors.Errorf("processor time: %d fields in %q", len(fields), data)
-	}
-	ticks := int64(0)
-	for _, f := range fields[11:13] {
-		n, err := strconv.ParseInt(f, 10, 64)
-		if err != nil {
-			return 0, fmt.Errorf("processor time: %w", err)
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * time.Second / clockTicks, nil
-}
-
-// memory returns resident memory in bytes, now and at its peak.
-func (p *Process) memory() (now, peak int64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID))
-	if err != nil {
-		return 0, 0, fmt.Errorf("memory: %w", err)
-	}
-	for _, line := range strings.Split(string(data), "\n") {
-		name, value, _ := strings.Cut(line, ":")
-		if name != "VmRSS" && name != "VmHWM" {
-			continue
-		}
-		kib, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-		if err != nil {
-			return 0, 0, fmt.Errorf("memory: %w", err)
-		}
-		if name == "VmRSS" {
-			now = kib << 10
-		} else {
-			peak = kib << 10
-		}
-	}
-	return now, peak, nil
-}
-
 // resetPeak makes the peak of resident memory begin anew.
 func (p *Process) resetPeak() error {
 	if err := os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", p.PID), []byte("5"), 0); err != nil {
@@ -90,7 +36,7 @@
 }
 
 // mebibytes formats a size.
-func mebibytes(n int64) string { return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20)) }
+func mebibytes(n uint64) string { return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20)) }
 
 // nodes are an entry node without a backend server and an owner's node with
 // one.
--- a/bench/experiment/stream.go
+++ b/bench/experiment/stream.go
@@ -15,6 +15,7 @@
 	"github.com/jujubeknot/jujubeknot/bench/backend"
 	"github.com/jujubeknot/jujubeknot/bench/check"
 	"github.com/jujubeknot/jujubeknot/bench/load"
+	"github.com/jujubeknot/jujubeknot/bench/procfs"
 )
 
 const (
@@ -70,10 +71,10 @@
 	time.Sleep(streamIdle)
 	var figures []any
 	both := []*Process{s.entry, s.owner}
-	var idle [2]int64
+	var idle [2]procfs.Usage
 	for i, n := range both {
 		var err error
-		if idle[i], _, err = n.memory(); err != nil {
+		if idle[i], err = procfs.Look(n.PID); err != nil {
 			return nil, err
 		}
 		if err := n.resetPeak(); err != nil {
@@ -94,11 +95,11 @@
 	running.Wait()
 	took := time.Since(start)
 	for i, n := range both {
-		_, peak, err := n.memory()
+		busy, err := procfs.Look(n.PID)
 		if err != nil {
 			return nil, err
 		}
-		figures = append(figures, mebibytes(idle[i]), mebibytes(peak))
+		figures = append(figures, mebibytes(idle[i].Resident), mebibytes(busy.Peak))
 	}
 	failed := len(failures)
 	if failed > 0 {
--- a/bench/experiment/throughput.go
+++ b/bench/experiment/throughput.go
@@ -9,6 +9,7 @@
 	"github.com/jujubeknot/jujubeknot/bench/backend"
 	"github.com/jujubeknot/jujubeknot/bench/check"
 	"github.com/jujubeknot/jujubeknot/bench/load"
+	"github.com/jujubeknot/jujubeknot/bench/procfs"
 )
 
 const (
@@ -91,13 +92,13 @@
 	t.add(p.name, fmt.Sprintf("%.0f", rate), fmt.Sprintf("%.0f", float64(r.Counts[load.OutcomeOK])/measured.Seconds()), notCompleted(r),
 		quantile(h, 50), quantile(h, 99), "", "", "", "")
 	for i, n := range p.nodes {
-		now, _, err := n.memory()
+		now, err := procfs.Look(n.PID)
 		if err != nil {
 			return err
 		}
 		per := used[i] / time.Duration(max(len(r.Operations), 1))
 		t.add(p.name, fmt.Sprintf("%.0f", rate), "", "", "", "", p.roles[i], fmt.Sprintf("%.1f us", float64(per)/float64(time.Microsecond)),
-			fmt.Sprintf("%.0f", float64(time.Second)/float64(max(per, 1))), mebibytes(now))
+			fmt.Sprintf("%.0f", float64(time.Second)/float64(max(per, 1))), mebibytes(now.Resident))
 	}
 	return nil
 }
@@ -106,22 +107,22 @@
 func measured(ctx context.Context, nodes []*Process, config load.Config) (*load.Result, []time.Duration, error) {
 	used := make([]time.Duration, len(nodes))
 	for i, n := range nodes {
-		before, err := n.processorTime()
+		before, err := procfs.Look(n.PID)
 		if err != nil {
 			return nil, nil, err
 		}
-		used[i] = -before
+		used[i] = -before.Processor
 	}
 	r, err := load.Run(ctx, config)
 	if err != nil {
 		return nil, nil, err
 	}
 	for i, n := range nodes {
-		after, err := n.processorTime()
+		after, err := procfs.Look(n.PID)
 		if err != nil {
 			return nil, nil, err
 		}
-		used[i] += after
+		used[i] += after.Processor
 	}
 	return r, used, nil
 }
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -21,8 +21,7 @@
 // Secrets of the lab. All roles run in one process and on loopback only.
 const (
 	memberSecret = "laboratory-member-secret"
-	// NodeSecret is what the control members ask nodes for.
-	NodeSecret = "laboratory-node-secret"
+	nodeSecret   = "laboratory-node-secret"
 )
 
 // Lab is a running system. Its methods are safe for concurrent use.
@@ -143,7 +142,7 @@
 	running, err := control.New(control.Config{
 		Name: fmt.Sprintf("control-%d", m.ID), MemberID: m.ID, GroupID: "laboratory", DataFolder: m.folder,
 		Region: "laboratory", AvailabilityZone: l.config.Deployment.Zones[i%len(l.config.Deployment.Zones)],
-		Members: initial, MemberSecret: memberSecret, NodeSecret: NodeSecret,
+		Members: initial, MemberSecret: memberSecret, NodeSecret: nodeSecret,
 		Peer: m.Peer, Operator: m.Operator, Lease: l.config.Lease, Logger: l.config.Logger, Policy: l.config.Policy,
 		Placement: placement.Config{MovesInFlight: l.config.MovesInFlight, ChurnPerMinute: l.config.ChurnPerMinute},
 	})
@@ -169,20 +168,6 @@
 	}
 }
 
-// StopMember ends control member i gracefully.
-func (l *Lab) StopMember(i int) error {
-	l.mu.Lock()
-	m := l.members[i]
-	running, stop, ended := m.running, m.stop, m.ended
-	m.running = nil
-	l.mu.Unlock()
-	if running == nil {
-		return nil
-	}
-	stop()
-	return <-ended
-}
-
 // StartServer starts server i, which must not run, with a new node.
 func (l *Lab) StartServer(i int) error {
 	members := l.Members()
@@ -191,7 +176,7 @@
 	s := l.servers[i]
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	config := node.Config{
-		Name: "node-" + s.Name, Region: "laboratory", AvailabilityZone: s.Zone, ControlMembers: members, NodeSecret: NodeSecret,
+		Name: "node-" + s.Name, Region: "laboratory", AvailabilityZone: s.Zone, ControlMembers: members, NodeSecret: nodeSecret,
 		Callers: loopback, Peer: loopback, Backend: loopback, Operator: loopback, Log: l.config.Logger,
 	}
 	if l.config.PeerFaults {
--- a/bench/lab/operate.go
+++ b/bench/lab/operate.go
@@ -22,8 +22,6 @@
 type rulesFile struct {
 	text string
 	out  []string
-	// extra lines that an experiment adds.
-	extra []string
 }
 
 // String returns the text of the whole file.
@@ -33,9 +31,6 @@
 	for _, zone := range f.out {
 		fmt.Fprintf(&b, "zone %s out # laboratory: taken out by the experiment\n", zone)
 	}
-	for _, line := range f.extra {
-		b.WriteString(line + "\n")
-	}
 	return b.String()
 }
 
@@ -84,22 +79,6 @@
 	return status, nil
 }
 
-// Explain returns what the leader knows of the owner of a key.
-func (l *Lab) Explain(ctx context.Context, upstream, key string) (*wirev1.ExplainResponse, error) {
-	var explained *wirev1.ExplainResponse
-	err := l.eachMember(ctx, func(ctx context.Context, c wirev1connect.OperatorClient) error {
-		response, err := c.Explain(ctx, connect.NewRequest(&wirev1.ExplainRequest{Upstream: upstream, Key: key}))
-		if err == nil {
-			explained = response.Msg
-		}
-		return err
-	})
-	if err != nil {
-		return nil, fmt.Errorf("explain key %s: %w", key, err)
-	}
-	return explained, nil
-}
-
 // Leader returns the number of the member that leads.
 func (l *Lab) Leader(ctx context.Context) (int, error) {
 	leader := -1
@@ -163,15 +142,6 @@
 	return l.ApplyRules(ctx)
 }
 
-// SetRules replaces the rules that the deployment began with, without zone
-// rules, and waits until they are accepted.
-func (l *Lab) SetRules(ctx context.Context, text string, extra ...string) (uint64, error) {
-	l.mu.Lock()
-	l.rules.text, l.rules.extra = text, extra
-	l.mu.Unlock()
-	return l.ApplyRules(ctx)
-}
-
 // WaitInForce waits until each node that runs has a rules revision.
 func (l *Lab) WaitInForce(ctx context.Context, revision uint64) error {
 	return wait(ctx, fmt.Sprintf("revision %d everywhere", revision), func(ctx context.Context) (bool, error) {
--- a/bench/slope/events.go
+++ b/bench/slope/events.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/bench/procfs"
 )
 
 // lossShare is the share of nodes that an availability zone has: one of five.
@@ -42,7 +44,7 @@
 	if err != nil {
 		return 0, rate{}, err
 	}
-	before, err := look(pids[0])
+	before, err := procfs.Look(pids[0])
 	if err != nil {
 		return 0, rate{}, err
 	}
@@ -52,11 +54,11 @@
 	if err := r.settle(ctx, nodes); err != nil {
 		return 0, rate{}, err
 	}
-	after, err := look(pids[0])
+	after, err := procfs.Look(pids[0])
 	if err != nil {
 		return 0, rate{}, err
 	}
-	return after.at.Sub(before.at), between(before, after), nil
+	return after.At.Sub(before.At), between(before, after), nil
 }
 
 // losses kills an availability zone of the fleet again and again.
--- a/bench/slope/slope.go
+++ b/bench/slope/slope.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+
+	"github.com/jujubeknot/jujubeknot/bench/procfs"
 )
 
 // settleTimeout bounds each wait for a settled group.
@@ -135,11 +137,11 @@
 	return names, pids, nil
 }
 
-func lookAll(pids []int) ([]usage, error) {
-	all := make([]usage, len(pids))
+func lookAll(pids []int) ([]procfs.Usage, error) {
+	all := make([]procfs.Usage, len(pids))
 	for i, pid := range pids {
 		var err error
-		if all[i], err = look(pid); err != nil {
+		if all[i], err = procfs.Look(pid); err != nil {
 			return nil, err
 		}
 	}
@@ -191,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	before, err := look(pids[0])
+	before, err := procfs.Look(pids[0])
 	if err != nil {
 		return err
 	}
@@ -209,7 +211,7 @@
 		}
 		times = append(times, time.Since(from))
 	}
-	after, err := look(pids[0])
+	after, err := procfs.Look(pids[0])
 	if err != nil {
 		return err
 	}
@@ -221,7 +223,7 @@
 	r.spread("apply to in force everywhere", times)
 	r.say("a change: rules text %d B, log and snapshots of the leader %+d B, leader cpu %.1f ms and out %d B (status questions included)",
 		len(rulesText(r.Lines, r.Partitions, r.variant)), (grown-size)/int64(r.Changes),
-		1000*u.cores*after.at.Sub(before.at).Seconds()/float64(r.Changes), u.outByte/uint64(r.Changes))
+		1000*u.cores*after.At.Sub(before.At).Seconds()/float64(r.Changes), u.outByte/uint64(r.Changes))
 	return nil
 }
 
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -32,12 +32,6 @@
 	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastInFlight"}
 )
 
-// KeyedPolicies returns the placement policies, the default first.
-func KeyedPolicies() []string { return slices.Clone(keyedPolicies) }
-
-// UnkeyedPolicies returns the selection policies, the default first.
-func UnkeyedPolicies() []string { return slices.Clone(unkeyedPolicies) }
-
 func (p *parser) upstream(c *cursor) {
 	name, ok := c.name("an upstream")
 	if !ok {
