core/lease, core/raft, control/replica, bench, ctl: defaults by cmp.Or

Cause: the same three lines for each setting that is 0, 21 times in five files, four of which had the same shape.

--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -4,6 +4,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -55,12 +56,8 @@
 
 // Run runs the demo and returns an error if a promise was broken.
 func Run(ctx context.Context, config Config) error {
-	if config.Rate == 0 {
-		config.Rate = DefaultRate
-	}
-	if config.Phase == 0 {
-		config.Phase = DefaultPhase
-	}
+	config.Rate = cmp.Or(config.Rate, DefaultRate)
+	config.Phase = cmp.Or(config.Phase, DefaultPhase)
 	folder, err := os.MkdirTemp("", "jujubeknot-demo-")
 	if err != nil {
 		return fmt.Errorf("make a data folder: %w", err)
--- a/control/internal/replica/config.go
+++ b/control/internal/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,21 +61,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.SnapshotEntries == 0 {
-		c.SnapshotEntries = DefaultSnapshotEntries
-	}
-	if c.SnapshotBytes == 0 {
-		c.SnapshotBytes = DefaultSnapshotBytes
-	}
-	if c.KeepEntries == 0 {
-		c.KeepEntries = DefaultKeepEntries
-	}
-	if c.ConfirmInterval == 0 {
-		c.ConfirmInterval = DefaultConfirmInterval
-	}
-	if c.StopTimeout == 0 {
-		c.StopTimeout = DefaultStopTimeout
-	}
+	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
+	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
+	c.KeepEntries = cmp.Or(c.KeepEntries, DefaultKeepEntries)
+	c.ConfirmInterval = cmp.Or(c.ConfirmInterval, DefaultConfirmInterval)
+	c.StopTimeout = cmp.Or(c.StopTimeout, DefaultStopTimeout)
 	return c
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -6,7 +6,10 @@
 // messages are late, lost or repeated.
 package lease
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the configuration.
 const (
@@ -28,18 +31,10 @@
 
 // WithDefaults returns the configuration with defaults in place of zeros.
 func (c Config) WithDefaults() Config {
-	if c.Duration == 0 {
-		c.Duration = DefaultDuration
-	}
-	if c.RenewInterval == 0 {
-		c.RenewInterval = DefaultRenewInterval
-	}
-	if c.Margin == 0 {
-		c.Margin = DefaultMargin
-	}
-	if c.DriftPercent == 0 {
-		c.DriftPercent = DefaultDriftPercent
-	}
+	c.Duration = cmp.Or(c.Duration, DefaultDuration)
+	c.RenewInterval = cmp.Or(c.RenewInterval, DefaultRenewInterval)
+	c.Margin = cmp.Or(c.Margin, DefaultMargin)
+	c.DriftPercent = cmp.Or(c.DriftPercent, DefaultDriftPercent)
 	return c
 }
 
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -74,27 +75,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.ShortestElection == 0 {
-		c.ShortestElection = DefaultShortestElection
-	}
-	if c.LongestElection == 0 {
-		c.LongestElection = 2 * c.ShortestElection
-	}
-	if c.Heartbeat == 0 {
-		c.Heartbeat = c.ShortestElection / 4
-	}
-	if c.SnapshotRetry == 0 {
-		c.SnapshotRetry = DefaultSnapshotRetry
-	}
-	if c.MaxMessageBytes == 0 {
-		c.MaxMessageBytes = DefaultMaxMessageBytes
-	}
-	if c.MaxInFlight == 0 {
-		c.MaxInFlight = DefaultMaxInFlight
-	}
-	if c.MaxUncommittedBytes == 0 {
-		c.MaxUncommittedBytes = DefaultMaxUncommittedBytes
-	}
+	c.ShortestElection = cmp.Or(c.ShortestElection, DefaultShortestElection)
+	c.LongestElection = cmp.Or(c.LongestElection, 2*c.ShortestElection)
+	c.Heartbeat = cmp.Or(c.Heartbeat, c.ShortestElection/4)
+	c.SnapshotRetry = cmp.Or(c.SnapshotRetry, DefaultSnapshotRetry)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.MaxUncommittedBytes = cmp.Or(c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	return c
 }
 
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -4,6 +4,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -72,15 +73,9 @@
 	if len(c.Addresses) == 0 {
 		panic("operator: no address")
 	}
-	if c.Timeout == 0 {
-		c.Timeout = DefaultTimeout
-	}
-	if c.AttemptTimeout == 0 {
-		c.AttemptTimeout = DefaultAttemptTimeout
-	}
-	if c.Pause == 0 {
-		c.Pause = DefaultPause
-	}
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.AttemptTimeout = cmp.Or(c.AttemptTimeout, DefaultAttemptTimeout)
+	c.Pause = cmp.Or(c.Pause, DefaultPause)
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{}).DialContext
 	}
