node, node/internal/certificate: TLS for callers

Cause: callers reach the nodes directly, since there is no tier of VMs in front, and had only HTTP in the clear, also for signatures and deposits.

The listener without TLS stays for nested calls of the backend server and can be bound to loopback.

Cost per request with TLS is not measured. Between the system's own processes there is still no TLS.

--- a/node/cmd/jujubeknot-node/settings.go
+++ b/node/cmd/jujubeknot-node/settings.go
@@ -23,11 +23,17 @@
 		NodeSecret       string           `ini:"nodeSecret" check:"required|min=16|secret" help:"secret that control asks nodes for"`
 	} `ini:"node"`
 	Listen struct {
-		Callers  netip.AddrPort `ini:"callers" check:"required" help:"address for callers"`
-		Peer     netip.AddrPort `ini:"peer" check:"required" help:"address for other nodes"`
-		Backend  netip.AddrPort `ini:"backend" check:"required" help:"address for the backend server's announcements"`
-		Operator netip.AddrPort `ini:"operator" check:"required" help:"address for operators"`
+		Callers netip.AddrPort `ini:"callers" check:"required" help:"address for callers"`
+		// CallersTLS is optional.
+		CallersTLS netip.AddrPort `ini:"callersTls" help:"further address for callers, with TLS"`
+		Peer       netip.AddrPort `ini:"peer" check:"required" help:"address for other nodes"`
+		Backend    netip.AddrPort `ini:"backend" check:"required" help:"address for the backend server's announcements"`
+		Operator   netip.AddrPort `ini:"operator" check:"required" help:"address for operators"`
 	} `ini:"listen"`
+	TLS struct {
+		CertificateFile string `ini:"certificateFile" help:"certificate for callersTls and those that signed it (PEM)"`
+		KeyFile         string `ini:"keyFile" help:"key of the certificate (PEM)"`
+	} `ini:"tls"`
 	Backend struct {
 		HealthInterval time.Duration `ini:"healthInterval" default:"250ms" check:"min=10ms|max=10s" help:"time between health questions"`
 		ConnectTimeout time.Duration `ini:"connectTimeout" default:"500ms" check:"min=1ms|max=10s" help:"bound on a new connection to the backend server"`
@@ -63,6 +69,10 @@
 		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret,
 		Callers: s.Listen.Callers, Peer: s.Listen.Peer, Backend: s.Listen.Backend, Operator: s.Listen.Operator,
 		HealthInterval: s.Backend.HealthInterval, ConnectTimeout: s.Backend.ConnectTimeout, DrainTimeout: s.Stop.DrainTimeout,
+		CallersTLS: s.Listen.CallersTLS, CertificateFile: s.TLS.CertificateFile, KeyFile: s.TLS.KeyFile,
+	}
+	if err := s.checkTLS(file); err != nil {
+		return cfg, s.Log, err
 	}
 	if s.Listen.Peer.Addr().IsUnspecified() {
 		return cfg, s.Log, errors.Errorf("%s: listen.peer: found %s, expected an address that other nodes can connect to", file, s.Listen.Peer)
@@ -75,6 +85,19 @@
 	return cfg, s.Log, nil
 }
 
+// checkTLS refuses a part of what TLS for callers needs.
+func (s *fileSettings) checkTLS(file string) error {
+	given := s.TLS.CertificateFile != "" && s.TLS.KeyFile != ""
+	none := s.TLS.CertificateFile == "" && s.TLS.KeyFile == ""
+	switch {
+	case s.Listen.CallersTLS.IsValid() && !given:
+		return errors.Errorf("%s: tls: expected certificateFile and keyFile because listen.callersTls is set", file)
+	case !s.Listen.CallersTLS.IsValid() && !none:
+		return errors.Errorf("%s: listen.callersTls: found nothing, expected an address because the section tls is set", file)
+	}
+	return nil
+}
+
 func readSecret(file, secretFile string) (string, error) {
 	if secretFile == "" {
 		return "", errors.Errorf("%s: operator.secretFile: found nothing, expected a file name because operator.access is secret", file)
--- a/node/config.go
+++ b/node/config.go
@@ -34,6 +34,11 @@
 	// Port 0 means any free port. The peer address is what other nodes connect
 	// to, so it must not be unspecified.
 	Callers, Peer, Backend, Operator netip.AddrPort
+	// CallersTLS is a further address for callers, with TLS. Not set means none;
+	// otherwise CertificateFile and KeyFile are required. They hold PEM and are
+	// read again when they change.
+	CallersTLS               netip.AddrPort
+	CertificateFile, KeyFile string
 	// Listeners that the node takes over and closes.
 	CallersListener, PeerListener, BackendListener, OperatorListener net.Listener
 
@@ -73,6 +78,8 @@
 		return errors.New("node secret is missing")
 	case c.PeerListener == nil && (!c.Peer.IsValid() || c.Peer.Addr().IsUnspecified()):
 		return errors.New("peer address must be one that other nodes can connect to")
+	case c.CallersTLS.IsValid() && (c.CertificateFile == "" || c.KeyFile == ""):
+		return errors.New("TLS for callers needs the files of a certificate and its key")
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/caller"
+	"github.com/jujubeknot/jujubeknot/node/internal/certificate"
 	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
@@ -37,6 +38,8 @@
 // Addresses are where a node listens.
 type Addresses struct {
 	Callers, Peer, Backend, Operator net.Addr
+	// CallersTLS is nil where callers have no TLS.
+	CallersTLS net.Addr
 }
 
 // Node is one node. Use New. Several can run in one process.
@@ -54,8 +57,12 @@
 	killed   chan struct{}
 	killOnce sync.Once
 
-	listeners [4]net.Listener
-	servers   [4]*http.Server
+	// certificates is nil without TLS for callers.
+	certificates *certificate.Files
+
+	// listeners and servers have nil at places that the settings leave out.
+	listeners [places]net.Listener
+	servers   [places]*http.Server
 }
 
 // Places of listeners and servers.
@@ -64,6 +71,8 @@
 	placePeer
 	placeBackend
 	placeOperator
+	placeCallersTLS
+	places
 )
 
 // New checks the settings and opens the listeners, so that the addresses are
@@ -73,6 +82,13 @@
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
 	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New()), killed: make(chan struct{})}
+	if cfg.CallersTLS.IsValid() {
+		files, err := certificate.Load(certificate.Config{CertificateFile: cfg.CertificateFile, KeyFile: cfg.KeyFile, Log: cfg.Log})
+		if err != nil {
+			return nil, fmt.Errorf("TLS for callers: %w", err)
+		}
+		n.certificates = files
+	}
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -91,11 +107,16 @@
 		placePeer:     {"peer", n.cfg.Peer, n.cfg.PeerListener},
 		placeBackend:  {"backend", n.cfg.Backend, n.cfg.BackendListener},
 		placeOperator: {"operator", n.cfg.Operator, n.cfg.OperatorListener},
+
+		placeCallersTLS: {"callers with TLS", n.cfg.CallersTLS, nil},
 	}
 	for i, g := range given {
 		if n.listeners[i] = g.listener; g.listener != nil {
 			continue
 		}
+		if i == placeCallersTLS && n.certificates == nil {
+			continue
+		}
 		if !g.address.IsValid() {
 			return errors.Errorf("settings of the node: the %s address is missing", g.what)
 		}
@@ -134,11 +155,20 @@
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
-	n.servers = [4]*http.Server{
+	n.servers = [places]*http.Server{
 		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
 		placeOperator: figures.Server(),
 	}
+	if n.certificates != nil {
+		s := callers.Server()
+		s.Protocols.SetHTTP2(true)
+		s.TLSConfig = n.certificates.TLS()
+		n.servers[placeCallersTLS] = s
+	}
 	for _, s := range n.servers {
+		if s == nil {
+			continue
+		}
 		// What net/http reports is about single connections.
 		s.ErrorLog = stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
 	}
@@ -146,10 +176,14 @@
 
 // Addresses returns where the node listens.
 func (n *Node) Addresses() Addresses {
-	return Addresses{
+	a := Addresses{
 		Callers: n.listeners[placeCallers].Addr(), Peer: n.listeners[placePeer].Addr(),
 		Backend: n.listeners[placeBackend].Addr(), Operator: n.listeners[placeOperator].Addr(),
 	}
+	if l := n.listeners[placeCallersTLS]; l != nil {
+		a.CallersTLS = l.Addr()
+	}
+	return a
 }
 
 // Ready reports whether the node is registered, has a lease and a table.
@@ -183,14 +217,24 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
-	parts := tasks.New(4 + len(n.servers))
+	parts := tasks.New(5 + len(n.servers))
 	parts.Go(work, "backend server", tasks.Quiet(n.backend.Run))
 	parts.Go(work, "control session", tasks.Quiet(n.session.Run))
 	parts.Go(work, "connections to nodes", tasks.Quiet(n.peers.Run))
 	parts.Go(work, "connections from nodes", tasks.Quiet(n.peer.Run))
+	if n.certificates != nil {
+		parts.Go(work, "certificate", tasks.Quiet(n.certificates.Run))
+	}
 	for i, s := range n.servers {
+		if s == nil {
+			continue
+		}
+		serve := s.Serve
+		if s.TLSConfig != nil {
+			serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+		}
 		parts.Go(work, "listener", func(context.Context) error {
-			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("serving at %s: %w", n.listeners[i].Addr(), err)
 			}
 			return nil
@@ -223,7 +267,10 @@
 	n.waitMoved()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
-	for _, place := range []int{placeCallers, placePeer, placeBackend} {
+	for _, place := range []int{placeCallers, placeCallersTLS, placePeer, placeBackend} {
+		if n.servers[place] == nil {
+			continue
+		}
 		if err := n.servers[place].Shutdown(ctx); err != nil {
 			n.cfg.Log.Warn().Err(err).Str("listener", n.listeners[place].Addr().String()).Msg("requests were cut off at the end of the drain timeout")
 		}
--- a/node/vars.go
+++ b/node/vars.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"runtime"
+	"time"
 
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
@@ -29,6 +30,8 @@
 	Goroutines       int             `json:"goroutines"`
 	HeapBytes        uint64          `json:"heapBytes"`
 	AvailabilityZone string          `json:"availabilityZone"`
+	// CertificateEnds is left out where callers have no TLS.
+	CertificateEnds string `json:"certificateEnds,omitempty"`
 }
 
 type leaseVars struct {
@@ -48,6 +51,9 @@
 		Lease: leaseVars{Incarnation: i.Incarnation, Valid: n.view.Leased(now), LeftMs: max(i.Until.Sub(now).Milliseconds(), 0)},
 	}
 	v.RequestIDs, v.RequestIDBytes = n.owner.RequestIDs()
+	if n.certificates != nil {
+		v.CertificateEnds = n.certificates.Expires().UTC().Format(time.RFC3339)
+	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	v.HeapBytes = m.HeapAlloc
