control, ctl: name the leader's operator address to operators

Cause: a member that does not lead named the leader's address for members and nodes, where no operator call is served, so a client that knew one member's address could not follow the hint.

Members send their operator address with each Step request, as header Jujubeknot-Member-Operator; a member that listens on all addresses names the IP address of its peer listener. Settings were ruled out as the source: the list of members there is that of the first start and is not kept up to date. ctl asks the named address first, takes its refusals as final unless they concern access, and reports why the leader was not reached rather than which member does not lead.

TestReach: a client with the address of one follower now reaches the leader.

--- a/control/control.go
+++ b/control/control.go
@@ -90,7 +90,7 @@
 		_ = m.peer.Close()
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
-	if m.log, err = openLog(config); err != nil {
+	if m.log, err = openLog(config, operatorAddress(config, m.operator.Addr())); err != nil {
 		_ = m.peer.Close()
 		_ = m.operator.Close()
 		return nil, err
@@ -102,7 +102,20 @@
 	return m, nil
 }
 
-func openLog(config Config) (*replica.Replica, error) {
+// operatorAddress returns the address that other members name to operators.
+// One that listens on all addresses is reached at that for members.
+func operatorAddress(config Config, listener net.Addr) string {
+	address, err := netip.ParseAddrPort(listener.String())
+	if err != nil {
+		return ""
+	}
+	if address.Addr().IsUnspecified() {
+		address = netip.AddrPortFrom(config.Peer.Addr(), address.Port())
+	}
+	return address.String()
+}
+
+func openLog(config Config, operator string) (*replica.Replica, error) {
 	files, err := disk.Folder(config.DataFolder)
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
@@ -112,7 +125,8 @@
 		initial = append(initial, &wirev1.Member{Id: m.ID, Address: m.Address.String()})
 	}
 	log, err := replica.New(replica.Config{
-		GroupID: config.GroupID, MemberID: config.MemberID, Address: config.Peer.String(), Secret: config.MemberSecret,
+		GroupID: config.GroupID, MemberID: config.MemberID, Address: config.Peer.String(),
+		Operator: operator, Secret: config.MemberSecret,
 		Files: files, Clock: config.Clock, Initial: initial, Logger: config.Logger,
 	})
 	if err != nil {
--- /dev/null
+++ b/control/export_test.go
@@ -0,0 +1,4 @@
+package control
+
+// OperatorAddress is exported for tests.
+var OperatorAddress = operatorAddress
--- a/control/internal/member/handler.go
+++ b/control/internal/member/handler.go
@@ -66,6 +66,9 @@
 	}
 	if len(request.Msg.Messages) > 0 {
 		s.transport.learn(request.Msg.Messages[0].From, request.Msg.Address)
+		// Before the messages are handled, so that a member that learns of a new
+		// leader can name its operator address at once.
+		s.transport.learnOperator(request.Msg.Messages[0].From, request.Header().Get(headers.MemberOperator))
 		s.transport.config.Receive(request.Msg.Messages)
 	}
 	return connect.NewResponse(&wirev1.StepResponse{}), nil
--- a/control/internal/member/peer.go
+++ b/control/internal/member/peer.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
@@ -116,6 +117,9 @@
 	config := &p.transport.config
 	call := connect.NewRequest(&wirev1.StepRequest{GroupId: config.GroupID, Address: config.Address, Messages: batch})
 	p.transport.authorize(call.Header())
+	if config.Operator != "" {
+		call.Header().Set(headers.MemberOperator, config.Operator)
+	}
 	_, err := p.client.Step(ctx, call)
 	p.report(err)
 	return err == nil
--- a/control/internal/member/transport.go
+++ b/control/internal/member/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	// maxLearned bounds the addresses kept of members that are not in the
 	// membership.
 	maxLearned = 16
+	// maxOperators bounds the operator addresses kept: the members of a group
+	// and those that are not in its membership yet.
+	maxOperators = 16
 )
 
 // Config of a Transport. GroupID, Secret, Address and Receive are required.
@@ -47,7 +51,10 @@
 	Secret string
 	// Address at which other members reach this one.
 	Address string
-	Logger  zerolog.Logger
+	// Operator is the address at which operators reach this member. Other
+	// members name it to operators while this member leads.
+	Operator string
+	Logger   zerolog.Logger
 	// Receive takes messages of other members. It must not block for long.
 	Receive func([]*wirev1.RaftMessage)
 	// Form answers a member that has no log yet.
@@ -69,6 +76,8 @@
 	// learned has the addresses of senders outside the membership.
 	learned map[uint64]string
 	members map[uint64]string
+	// operators has the operator addresses that members sent.
+	operators map[uint64]string
 }
 
 // New returns a Transport without peers. Close ends it.
@@ -85,7 +94,7 @@
 	return &Transport{
 		config: config, context: ctx, stop: cancel,
 		client: &http.Client{Transport: newRoundTripper()},
-		peers:  map[uint64]*peer{}, learned: map[uint64]string{}, members: map[uint64]string{},
+		peers:  map[uint64]*peer{}, learned: map[uint64]string{}, members: map[uint64]string{}, operators: map[uint64]string{},
 	}, nil
 }
 
@@ -108,6 +117,11 @@
 		t.members[m.Id] = m.Address
 		delete(t.learned, m.Id)
 	}
+	for id := range t.operators {
+		if t.members[id] == "" {
+			delete(t.operators, id)
+		}
+	}
 	for id, p := range t.peers {
 		if address := t.address(id); address != p.address {
 			p.cancel()
@@ -139,6 +153,27 @@
 	}
 }
 
+// learnOperator notes where operators reach a sender. A member of an earlier
+// version does not say it.
+func (t *Transport) learnOperator(id uint64, text string) {
+	if address, err := netip.ParseAddrPort(text); err != nil || !address.IsValid() {
+		text = ""
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if _, known := t.operators[id]; known || len(t.operators) < maxOperators {
+		t.operators[id] = text
+	}
+}
+
+// OperatorAddress returns the address at which operators reach a member, empty
+// if the member has not named one.
+func (t *Transport) OperatorAddress(id uint64) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.operators[id]
+}
+
 // Send queues a message. It is dropped where the member's address is unknown
 // or too many messages wait.
 func (t *Transport) Send(message *wirev1.RaftMessage) {
--- a/control/internal/replica/config.go
+++ b/control/internal/replica/config.go
@@ -36,9 +36,12 @@
 	MemberID uint64
 	// Address at which other members reach this one.
 	Address string
-	Secret  string
-	Files   disk.FS
-	Clock   clock.Clock
+	// Operator is the address at which operators reach this member, empty if
+	// there is none.
+	Operator string
+	Secret   string
+	Files    disk.FS
+	Clock    clock.Clock
 	// Initial lists the members with which the group is first formed, with ids
 	// and addresses. A member that is not listed waits until it is added.
 	Initial []*wirev1.Member
--- a/control/internal/replica/effects.go
+++ b/control/internal/replica/effects.go
@@ -173,7 +173,7 @@
 	before := l.Leadership()
 	now := Leadership{
 		Leading: e.Role == raft.RoleLeader, Term: e.Term, Leader: e.Leader,
-		Address: findMember(l.member.Membership(), e.Leader).GetAddress(),
+		Address: findMember(l.member.Membership(), e.Leader).GetAddress(), Operator: l.transport.OperatorAddress(e.Leader),
 	}
 	if now.Leading {
 		now.Since = l.config.Clock.Now()
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -273,7 +273,9 @@
 		// The address would be this member's own.
 		return &NotLeaderError{}
 	case raft.ReasonNotLeader:
-		return &NotLeaderError{Address: findMember(l.member.Membership(), leader).GetAddress()}
+		return &NotLeaderError{
+			Address: findMember(l.member.Membership(), leader).GetAddress(), Operator: l.transport.OperatorAddress(leader),
+		}
 	case raft.ReasonBusy:
 		return ErrBusy
 	}
--- a/control/internal/replica/replica.go
+++ b/control/internal/replica/replica.go
@@ -52,12 +52,18 @@
 	Leader uint64
 	// Address of the leader, empty if unknown.
 	Address string
+	// Operator is the address at which operators reach the leader, empty if
+	// unknown.
+	Operator string
 }
 
 // NotLeaderError is returned where only the leader can answer.
 type NotLeaderError struct {
 	// Address of the leader, empty if unknown.
 	Address string
+	// Operator is the address at which operators reach the leader, empty if
+	// unknown.
+	Operator string
 }
 
 // Error names the leader's address.
--- a/control/internal/replica/replica_test.go
+++ b/control/internal/replica/replica_test.go
@@ -48,6 +48,8 @@
 
 func (w *wire) SetMembers([]*wirev1.Member) {}
 
+func (w *wire) OperatorAddress(uint64) string { return "" }
+
 func (w *wire) Close() {}
 
 func (w *wire) Form(_ context.Context, address string, q *wirev1.FormRequest) (*wirev1.FormResponse, error) {
--- a/control/internal/replica/run.go
+++ b/control/internal/replica/run.go
@@ -33,6 +33,9 @@
 type Transport interface {
 	Send(message *wirev1.RaftMessage)
 	SetMembers(members []*wirev1.Member)
+	// OperatorAddress returns the address at which operators reach a member,
+	// empty if unknown.
+	OperatorAddress(id uint64) string
 	Form(ctx context.Context, address string, request *wirev1.FormRequest) (*wirev1.FormResponse, error)
 	Close()
 }
@@ -106,7 +109,7 @@
 		return nil
 	}
 	transport, err := member.New(member.Config{
-		GroupID: r.config.GroupID, Secret: r.config.Secret, Address: r.config.Address,
+		GroupID: r.config.GroupID, Secret: r.config.Secret, Address: r.config.Address, Operator: r.config.Operator,
 		Logger: r.logger, Receive: r.Receive, Form: r.AnswerForm,
 	})
 	if err != nil {
--- a/control/internal/rpc/rpc.go
+++ b/control/internal/rpc/rpc.go
@@ -21,8 +21,9 @@
 
 // Keys of error metadata.
 const (
-	// MetaLeader has the address of the leader's listener for members and
-	// nodes, empty if no leader is known.
+	// MetaLeader has the address of the leader, empty if none is known: for
+	// nodes that of the listener for members and nodes, for operators that of
+	// the listener for operators.
 	MetaLeader = "Jujubeknot-Leader"
 	// MetaHolder has the address of the node that holds a claimed backend
 	// server name.
@@ -69,6 +70,16 @@
 	}
 }
 
+// OperatorError returns the error that operators get. It names the leader by
+// its address for operators.
+func OperatorError(err error) error {
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return Error(&replica.NotLeaderError{Address: notLeader.Operator})
+	}
+	return Error(err)
+}
+
 // RequireSecret admits requests that carry a secret as bearer token. It
 // panics if the secret is empty, which would admit everyone.
 func RequireSecret(secret string, next http.Handler) http.Handler {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -258,6 +258,12 @@
 		t.leader = netip.MustParseAddrPort("10.0.0.3:7102")
 		t.run("apply @a.rules" + all)
 		t.note("asked %v", t.asked)
+		t.note("one member is known, and another one leads")
+		t.asked = nil
+		t.run("members list --control=10.0.0.2:7102")
+		started := time.Now()
+		t.run("drain app-9 --control=10.0.0.2:7102")
+		t.note("asked %v, took %s", t.asked, time.Since(started))
 		t.note("members name the leader's other listener")
 		t.asked, t.hint = nil, "10.0.0.3:7101"
 		t.run("members list" + all)
@@ -265,7 +271,7 @@
 		t.run("members list --timeout 1s --control=10.0.0.1:7102 --control=10.0.0.2:7102")
 		t.hint = ""
 		t.silent["10.0.0.1:7102"], t.absent["10.0.0.2:7102"] = true, true
-		started := time.Now()
+		started = time.Now()
 		t.run("members list" + all)
 		t.note("took %s", time.Since(started))
 		t.note("no leader for two seconds")
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -21,7 +21,7 @@
 )
 
 // LeaderKey is the key of the error metadata in which a member that does not
-// lead names the leader's address.
+// lead names the leader's operator address.
 const LeaderKey = "Jujubeknot-Leader"
 
 // Defaults of Config.
@@ -177,10 +177,12 @@
 				return response, nil
 			}
 			f := classify(err, connected)
-			last = fmt.Errorf("%s: %w", address, err)
-			configured := slices.Contains(c.config.Addresses, address)
+			if last == nil || !f.notLeader {
+				// Why the leader was not reached says more than who does not lead.
+				last = fmt.Errorf("%s: %w", address, err)
+			}
 			switch {
-			case f.kind == failureRefused && configured:
+			case f.kind == failureRefused && (slices.Contains(c.config.Addresses, address) || !f.access):
 				return nil, &RefusedError{Address: address, cause: err}
 			case f.kind == failureLost:
 				sent = true
@@ -188,7 +190,7 @@
 					return nil, &UnknownError{cause: last}
 				}
 			}
-			queue = follow(f.leader, queue, tried, c.config.Addresses)
+			queue = follow(f.leader, queue, tried)
 		}
 		select {
 		case <-ctx.Done():
@@ -205,18 +207,12 @@
 }
 
 // follow returns the queue with the address that a member named as the
-// leader's. One that is not configured comes last: it can be a listener that
-// is not for operators, whose refusal then means nothing.
-func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool, configured []netip.AddrPort) []netip.AddrPort {
-	switch {
-	case !hint.IsValid() || tried[hint]:
+// leader's at its head, unless it was asked in this round.
+func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool) []netip.AddrPort {
+	if !hint.IsValid() || tried[hint] {
 		return queue
-	case slices.Contains(configured, hint):
-		return first(hint, queue)
-	case !slices.Contains(queue, hint):
-		return append(queue, hint)
 	}
-	return queue
+	return first(hint, queue)
 }
 
 // first returns the queue with an address at its head.
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -68,8 +68,14 @@
 
 type failure struct {
 	kind failureKind
-	// leader is the address that a member without the lead named.
-	leader netip.AddrPort
+	// access: the refusal concerns the sender. From an address that only a
+	// member named it means nothing: members of earlier versions name the
+	// leader's listener for members and nodes.
+	access bool
+	// notLeader: the member said that it does not lead. leader is the address
+	// that it named.
+	notLeader bool
+	leader    netip.AddrPort
 }
 
 // classify judges the error of an attempt. Without a connection the request
@@ -87,7 +93,7 @@
 		if err != nil {
 			leader = netip.AddrPort{}
 		}
-		return failure{leader: leader}
+		return failure{notLeader: true, leader: leader}
 	}
 	if c.Code() == connect.CodeUnimplemented {
 		// The address is not an operator listener.
@@ -101,6 +107,7 @@
 		connect.CodeAborted, connect.CodeInternal:
 		return failure{kind: failureLost}
 	default:
-		return failure{kind: failureRefused}
+		access := c.Code() == connect.CodeUnauthenticated || c.Code() == connect.CodePermissionDenied
+		return failure{kind: failureRefused, access: access}
 	}
 }
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -41,8 +41,14 @@
 	PeerCall = "Jujubeknot-Peer-Call"
 )
 
-// MemberSecret is the secret that control members share.
-const MemberSecret = "Jujubeknot-Member-Secret"
+// Headers between control members.
+const (
+	// MemberSecret is the secret that control members share.
+	MemberSecret = "Jujubeknot-Member-Secret"
+	// MemberOperator is the address of the sending member's listener for
+	// operators.
+	MemberOperator = "Jujubeknot-Member-Operator"
+)
 
 // Prefix starts each header of the project's own.
 const Prefix = "Jujubeknot-"
