control, core/raft, ctl: changes that cannot be made get a final error

Cause: the log answered an invalid change of the members, one that waits for another change, and a leader with too much to commit with the same untyped error, which operators got as "unavailable". ctl took that for a lost answer and said that the change may have been accepted.

Invalid changes now get failedPrecondition with what is wrong, and exit code 6 of ctl, which also stands for unknown servers, upstreams and revisions that control names.

The other operator calls were looked through: GetRules, Explain and ApplyRules were right; Drain answered that it was done where the node had registered anew between the look at the state and the proposal, and now gets aborted.

TestFinalRefusals (unavailable for all changes of members) and TestDrainOfReplacedNode (no error) were seen to fail without the change.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -285,6 +285,61 @@
 	check("after all members restarted")
 }
 
+// TestFinalRefusals guards against an operator's mistake that is reported as
+// if a retry made sense.
+func TestFinalRefusals(t *testing.T) {
+	m := leader(t, newGroup(t, 1))
+	m.apply(t, 0, deskRules, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	change := func(add *wirev1.Member, remove uint64) error {
+		_, err := m.desk.ChangeMembers(ctx, connect.NewRequest(&wirev1.ChangeMembersRequest{Add: add, Remove: remove}))
+		return err
+	}
+	own := m.config.Peer.String()
+	_, drain := m.desk.Drain(ctx, connect.NewRequest(&wirev1.DrainRequest{Server: "absent"}))
+	_, explain := m.desk.Explain(ctx, connect.NewRequest(&wirev1.ExplainRequest{Upstream: "absent", Key: "k"}))
+	_, rules := m.desk.GetRules(ctx, connect.NewRequest(&wirev1.GetRulesRequest{Revision: 9}))
+	for _, c := range []struct {
+		what    string
+		err     error
+		code    connect.Code
+		message string
+	}{
+		{"unknown member", change(nil, 9), connect.CodeFailedPrecondition, "no member has id 9"},
+		{"last member", change(nil, 1), connect.CodeFailedPrecondition, "no voter is left"},
+		{"id of a member", change(&wirev1.Member{Id: 1, Address: "127.0.0.1:1"}, 0), connect.CodeFailedPrecondition, "same id or address"},
+		{"address of a member", change(&wirev1.Member{Id: 2, Address: own}, 0), connect.CodeFailedPrecondition, "same id or address"},
+		{"no address", change(&wirev1.Member{Id: 2}, 0), connect.CodeInvalidArgument, "expected an id"},
+		{"add and remove", change(&wirev1.Member{Id: 2, Address: "127.0.0.1:1"}, 1), connect.CodeInvalidArgument, "exactly one"},
+		{"unknown server", drain, connect.CodeInvalidArgument, `"absent"`},
+		{"unknown upstream", explain, connect.CodeInvalidArgument, `"absent"`},
+		{"unknown revision", rules, connect.CodeNotFound, "revision 9"},
+	} {
+		if connect.CodeOf(c.err) != c.code || !strings.Contains(c.err.Error(), c.message) {
+			t.Errorf("%s: %v, expected %v with %q", c.what, c.err, c.code, c.message)
+		}
+	}
+	// A member that never answers stays a learner, and the next change is not
+	// taken while it does.
+	waiting, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := m.desk.ChangeMembers(waiting, connect.NewRequest(&wirev1.ChangeMembersRequest{Add: &wirev1.Member{Id: 2, Address: "127.0.0.1:1"}}))
+		ended <- err
+	}()
+	for members := 0; members < 2 && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if s, err := m.desk.Status(ctx, connect.NewRequest(&wirev1.StatusRequest{})); err == nil {
+			members = len(s.Msg.GetMembers())
+		}
+	}
+	if err := change(&wirev1.Member{Id: 3, Address: "127.0.0.1:2"}, 0); connect.CodeOf(err) != connect.CodeAborted {
+		t.Errorf("change while another one is not complete: %v", err)
+	}
+	stop()
+	<-ended
+}
+
 // TestOperatorAddress guards against a hint that no operator can connect to.
 func TestOperatorAddress(t *testing.T) {
 	c := control.Config{Peer: netip.MustParseAddrPort("10.0.0.1:7101")}
--- a/control/internal/leader/group_test.go
+++ b/control/internal/leader/group_test.go
@@ -47,6 +47,8 @@
 	// afterConfirm runs after each quorum round that succeeded, before the
 	// caller goes on.
 	afterConfirm func()
+	// beforePropose runs before each proposal is applied.
+	beforePropose func()
 	// lost decides whether the answer to an applied proposal is lost.
 	lost func() bool
 }
@@ -60,7 +62,7 @@
 }
 
 func newGroup(members int) *group {
-	g := &group{state: &cluster.State{}, lost: func() bool { return false }, afterConfirm: func() {}}
+	g := &group{state: &cluster.State{}, lost: func() bool { return false }, afterConfirm: func() {}, beforePropose: func() {}}
 	for i := range members {
 		m := &member{group: g, number: i}
 		m.leader = leader.New(leader.Config{Log: m, Clock: g, Logger: zerolog.Nop()})
@@ -102,6 +104,7 @@
 	if !m.leads() {
 		return cluster.Result{}, &replica.NotLeaderError{}
 	}
+	m.group.beforePropose()
 	result := m.group.apply(command)
 	if m.group.lost() {
 		return cluster.Result{}, errLost
--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -278,3 +278,20 @@
 		}
 	}
 }
+
+// TestDrainOfReplacedNode guards against a drain that is reported as done
+// although the node registered anew meanwhile and takes new work.
+func TestDrainOfReplacedNode(t *testing.T) {
+	w := settled(t)
+	old := w.nodes[0].incarnation
+	w.beforePropose = func() {
+		w.beforePropose = func() {}
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{Incarnation: old, Reason: "test"}}})
+	}
+	if r, err := w.current().leader.Drain(context.Background(), "s1", false); !errors.Is(err, leader.ErrServerChanged) {
+		t.Errorf("drain of a node that was replaced: %v, %v", r, err)
+	}
+	if _, err := w.current().leader.Drain(context.Background(), "s2", false); err != nil || !w.state.NodeByServer("s2").GetDraining() {
+		t.Errorf("drain of s2: %v", err)
+	}
+}
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -19,6 +19,10 @@
 // incarnation was removed since.
 var errIncarnationOver = errors.New("the incarnation of this registration was removed")
 
+// ErrServerChanged is returned where the node of a backend server registered
+// anew or left while it was drained, so that nothing was changed.
+var ErrServerChanged = errors.New("the backend server's node registered anew or left meanwhile; nothing was changed")
+
 // InvalidError is returned for a registration that can never be accepted.
 type InvalidError struct{ Message string }
 
@@ -280,6 +284,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.config.Log.State().Node(node.GetIncarnation()) == nil {
+		return nil, ErrServerChanged
+	}
 	l.wake()
 	return response, nil
 }
--- a/control/internal/replica/effects.go
+++ b/control/internal/replica/effects.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jujubeknot/jujubeknot/core/cluster"
@@ -137,7 +136,7 @@
 		delete(l.joins, id)
 		for _, q := range requests {
 			if m == nil {
-				q.answered <- answer{err: errors.Errorf("member %d was removed before it became a voter", id)}
+				q.answered <- answer{err: &InvalidChangeError{Message: fmt.Sprintf("member %d was removed before it became a voter", id)}}
 				continue
 			}
 			q.answered <- answer{members: membership.Members}
@@ -153,7 +152,7 @@
 }
 
 func (l *loop) reject(e raft.Rejected) {
-	err := l.rejected(e.Reason, e.Leader)
+	err := l.rejected(e)
 	if q := l.proposals[e.ID]; q != nil {
 		delete(l.proposals, e.ID)
 		q.answered <- answer{err: err}
--- a/control/internal/replica/faults_test.go
+++ b/control/internal/replica/faults_test.go
@@ -171,8 +171,9 @@
 		if err := g.wait(removed); !errors.As(err, &halted) || halted.Reason != raft.HaltRemoved {
 			t.Fatalf("the removed member ended with %v", err)
 		}
-		if _, err := m.ChangeMembers(t.Context(), &wirev1.Member{Id: removed, Address: "m9"}, 0); err == nil {
-			t.Fatal("a used member id was accepted")
+		var invalid *replica.InvalidChangeError
+		if _, err := m.ChangeMembers(t.Context(), &wirev1.Member{Id: removed, Address: "m9"}, 0); !errors.As(err, &invalid) {
+			t.Fatalf("a used member id gets %v", err)
 		}
 		term := m.Leadership().Term
 		g.propose(m, "one")
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -267,17 +267,21 @@
 }
 
 // rejected returns the error for a request that the log did not take.
-func (l *loop) rejected(reason raft.Reason, leader uint64) error {
-	switch reason {
+func (l *loop) rejected(e raft.Rejected) error {
+	switch e.Reason {
 	case raft.ReasonTransferring:
 		// The address would be this member's own.
 		return &NotLeaderError{}
 	case raft.ReasonNotLeader:
 		return &NotLeaderError{
-			Address: findMember(l.member.Membership(), leader).GetAddress(), Operator: l.transport.OperatorAddress(leader),
+			Address: findMember(l.member.Membership(), e.Leader).GetAddress(), Operator: l.transport.OperatorAddress(e.Leader),
 		}
 	case raft.ReasonBusy:
 		return ErrBusy
+	case raft.ReasonChangePending:
+		return ErrChangePending
+	case raft.ReasonInvalidChange:
+		return &InvalidChangeError{Message: e.Detail}
 	}
-	return errors.New(reason.String())
+	return errors.New(e.Reason.String())
 }
--- a/control/internal/replica/requests.go
+++ b/control/internal/replica/requests.go
@@ -22,6 +22,19 @@
 // ErrBusy is returned where the leader holds too much that is not committed.
 var ErrBusy = errors.New("too many uncommitted entries; nothing was appended")
 
+// ErrChangePending is returned where another change of the membership is not
+// complete, or the leader is too new to begin one.
+var ErrChangePending = errors.New("another change of the members is not complete; nothing was changed")
+
+// InvalidChangeError is returned for a change of the membership that cannot be
+// made, now or later.
+type InvalidChangeError struct {
+	Message string
+}
+
+// Error says what is wrong with the change.
+func (e *InvalidChangeError) Error() string { return e.Message }
+
 // answer is what a request gets, once.
 type answer struct {
 	result  cluster.Result
@@ -98,7 +111,7 @@
 // or complete waits for it or returns at once.
 func (r *Replica) ChangeMembers(ctx context.Context, add *wirev1.Member, remove uint64) ([]*wirev1.Member, error) {
 	if (add == nil) == (remove == 0) {
-		return nil, errors.New("exactly one member must be added or removed")
+		return nil, &InvalidChangeError{Message: "exactly one member must be added or removed"}
 	}
 	a, err := r.ask(ctx, &request{change: &change{add: add, remove: remove}})
 	return a.members, err
--- a/control/internal/rpc/rpc.go
+++ b/control/internal/rpc/rpc.go
@@ -71,11 +71,18 @@
 }
 
 // OperatorError returns the error that operators get. It names the leader by
-// its address for operators.
+// its address for operators, and tells changes that cannot be made from those
+// that were not taken this time.
 func OperatorError(err error) error {
 	var notLeader *replica.NotLeaderError
-	if errors.As(err, &notLeader) {
+	var invalid *replica.InvalidChangeError
+	switch {
+	case errors.As(err, &notLeader):
 		return Error(&replica.NotLeaderError{Address: notLeader.Operator})
+	case errors.As(err, &invalid):
+		return connect.NewError(connect.CodeFailedPrecondition, invalid)
+	case errors.Is(err, replica.ErrBusy), errors.Is(err, replica.ErrChangePending), errors.Is(err, leader.ErrServerChanged):
+		return connect.NewError(connect.CodeAborted, err)
 	}
 	return Error(err)
 }
--- a/core/raft/effect.go
+++ b/core/raft/effect.go
@@ -74,6 +74,8 @@
 type Rejected struct {
 	ID     uint64
 	Reason Reason
+	// Detail says what is wrong with an invalid change.
+	Detail string
 	// Leader is the known leader, 0 for none.
 	Leader uint64
 }
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -140,7 +140,7 @@
 	}
 	next, err := changed(current, e.Add, e.Remove)
 	if err != nil {
-		m.reject(e.ID, ReasonInvalidChange)
+		m.answers = append(m.answers, Rejected{ID: e.ID, Reason: ReasonInvalidChange, Detail: err.Error(), Leader: m.leader})
 		return
 	}
 	entry := m.appendMembership(next)
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -20,16 +20,23 @@
 
 // Exit codes.
 const (
-	ExitDone    = 0
+	ExitDone = 0
+	// ExitRefused means that the command failed or was refused; nothing was
+	// changed.
 	ExitRefused = 1
 	// ExitUsage means wrong usage or settings; nothing was sent.
-	ExitUsage    = 2
+	ExitUsage = 2
+	// ExitConflict means that another change was faster; nothing was changed.
 	ExitConflict = 3
 	// ExitPending means accepted, but not in force everywhere within the time.
 	ExitPending = 4
-	// ExitUnreachable means that control gave no answer. The message says
-	// whether a change may have been accepted.
+	// ExitUnreachable means that control gave no answer, or could not take the
+	// request in time. The message says whether a change may have been accepted.
 	ExitUnreachable = 5
+	// ExitInvalid means that the command names what does not exist, or asks for
+	// a change that cannot be made. Nothing was changed, and a repeat gets the
+	// same answer.
+	ExitInvalid = 6
 )
 
 // Program runs commands. The zero value is ready to use.
@@ -108,9 +115,12 @@
 	var c *codedError
 	var unreachable *operator.UnreachableError
 	var unknown *operator.UnknownError
+	var refused *operator.RefusedError
 	switch {
 	case errors.As(err, &c):
 		return c.code
+	case errors.As(err, &refused) && refused.Invalid():
+		return ExitInvalid
 	case errors.As(err, &unreachable), errors.As(err, &unknown):
 		return ExitUnreachable
 	default:
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -14,6 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/ctl"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -242,6 +245,16 @@
 		t.run("members add 5 10.0.0.4:7101")
 		t.run("members add 4 10.0.0.5:7101")
 		t.run("members remove 4")
+		t.note("control refuses what the command cannot know")
+		t.refuse = connect.NewError(connect.CodeFailedPrecondition, errors.New("member id 4 was used before"))
+		t.run("members add 4 10.0.0.4:7101")
+		t.refuse, t.busy, t.changed = nil, 3, 0
+		t.run("members add 5 10.0.0.5:7101")
+		t.note("member changes arrived: %d", t.changed)
+		t.busy = 1000
+		t.run("members add 6 10.0.0.6:7101 --timeout 1s")
+		t.busy, t.members = 0, t.members[:1]
+		t.run("members remove 1")
 		t.loseAnswers = 1
 		t.run("drain doc-1")
 		t.loseAnswers = 1000
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -27,7 +27,7 @@
 	}
 	upstream, ok := set.Upstream(c.Upstream)
 	if !ok || !upstream.Keyed {
-		return coded(ExitRefused, fmt.Sprintf("%q is not a keyed upstream of the rules in force", c.Upstream))
+		return coded(ExitInvalid, fmt.Sprintf("%q is not a keyed upstream of the rules in force", c.Upstream))
 	}
 	explained, err := s.client.Explain(ctx, c.Upstream, c.Args.Key)
 	if err != nil {
--- a/ctl/fake_test.go
+++ b/ctl/fake_test.go
@@ -36,6 +36,10 @@
 	// applied counts the rules changes that arrived, changed those of members.
 	applied int
 	changed int
+	// refuse is the answer to a change of members, and busy the number of times
+	// that a change is not taken.
+	refuse error
+	busy   int
 	// loseAnswers is the number of changes whose answer gets lost after they
 	// took effect.
 	loseAnswers int
@@ -245,6 +249,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.changed++
+	if f.busy > 0 {
+		f.busy--
+		return nil, connect.NewError(connect.CodeAborted, errors.New("another change of the members is not complete; nothing was changed"))
+	}
+	if f.refuse != nil {
+		return nil, f.refuse
+	}
 	if m := r.Msg.GetAdd(); m != nil {
 		f.members = append(f.members, m)
 	}
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -160,7 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	var last error
-	sent := false
+	sent, busy := false, false
 	for pause := c.config.Pause; ; pause = min(2*pause, 8*c.config.Pause) {
 		queue := slices.Clone(c.config.Addresses)
 		if leader := c.leader.Load(); leader != nil {
@@ -179,7 +179,7 @@
 			f := classify(err, connected)
 			if last == nil || !f.notLeader {
 				// Why the leader was not reached says more than who does not lead.
-				last = fmt.Errorf("%s: %w", address, err)
+				last, busy = fmt.Errorf("%s: %w", address, err), f.kind == failureBusy
 			}
 			switch {
 			case f.kind == failureRefused && (slices.Contains(c.config.Addresses, address) || !f.access):
@@ -200,7 +200,7 @@
 			if sent {
 				return nil, &UnknownError{cause: last}
 			}
-			return nil, &UnreachableError{cause: last}
+			return nil, &UnreachableError{cause: last, busy: busy}
 		case <-time.After(pause):
 		}
 	}
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -23,6 +23,18 @@
 	return "control refused: " + e.cause.Error()
 }
 
+// Invalid reports whether the request cannot be fulfilled as it is, so that a
+// repeat gets the same answer: it names what does not exist, or asks for a
+// change that cannot be made.
+func (e *RefusedError) Invalid() bool {
+	switch connect.CodeOf(e.cause) {
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
+		return true
+	default:
+		return false
+	}
+}
+
 // Unwrap returns the error of the call.
 func (e *RefusedError) Unwrap() error { return e.cause }
 
@@ -30,10 +42,15 @@
 // nothing.
 type UnreachableError struct {
 	cause error
+	// busy: the leader answered, and could not take the request yet.
+	busy bool
 }
 
 // Error has the last failure.
 func (e *UnreachableError) Error() string {
+	if e.busy {
+		return "control could not take the request in time, nothing was changed; last answer: " + e.cause.Error()
+	}
 	return "control is not reachable, nothing was changed; last failure: " + e.cause.Error()
 }
 
@@ -64,6 +81,8 @@
 	failureLost
 	// failureRefused: the leader refused the request for good.
 	failureRefused
+	// failureBusy: the leader did not take the request and may do so later.
+	failureBusy
 )
 
 type failure struct {
@@ -104,8 +123,10 @@
 	}
 	switch c.Code() {
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeUnknown,
-		connect.CodeAborted, connect.CodeInternal:
+		connect.CodeInternal:
 		return failure{kind: failureLost}
+	case connect.CodeAborted:
+		return failure{kind: failureBusy}
 	default:
 		access := c.Code() == connect.CodeUnauthenticated || c.Code() == connect.CodePermissionDenied
 		return failure{kind: failureRefused, access: access}
--- a/ctl/members.go
+++ b/ctl/members.go
@@ -46,10 +46,10 @@
 	}
 	for _, m := range members {
 		if m.GetId() == c.Args.ID && m.GetAddress() != address.String() {
-			return coded(ExitRefused, fmt.Sprintf("member %d is at %s; a new member needs an id that was never used", m.GetId(), m.GetAddress()))
+			return coded(ExitInvalid, fmt.Sprintf("member %d is at %s; a new member needs an id that was never used; nothing was changed", m.GetId(), m.GetAddress()))
 		}
 		if m.GetId() != c.Args.ID && m.GetAddress() == address.String() {
-			return coded(ExitRefused, fmt.Sprintf("member %d has the address %s; remove it first", m.GetId(), address))
+			return coded(ExitInvalid, fmt.Sprintf("member %d has the address %s; remove it first; nothing was changed", m.GetId(), address))
 		}
 	}
 	s.Out("adding member %d; it votes once it has stored the whole log", c.Args.ID)
@@ -70,11 +70,12 @@
 	if err != nil {
 		return err
 	}
-	if !slices.ContainsFunc(members, func(m *wirev1.Member) bool { return m.GetId() == c.Args.ID }) {
-		return coded(ExitRefused, fmt.Sprintf("there is no member %d; nothing was changed", c.Args.ID))
+	at := slices.IndexFunc(members, func(m *wirev1.Member) bool { return m.GetId() == c.Args.ID })
+	if at < 0 {
+		return coded(ExitInvalid, fmt.Sprintf("there is no member %d; nothing was changed", c.Args.ID))
 	}
-	if voters(members) == 1 {
-		return coded(ExitRefused, "the last voting member cannot be removed; nothing was changed")
+	if voters(members) == 1 && !members[at].GetLearner() {
+		return coded(ExitInvalid, "the last voting member cannot be removed; nothing was changed")
 	}
 	return s.changeMembers(ctx, nil, c.Args.ID)
 }
