--- a/control/inspect/inspect.go
+++ b/control/inspect/inspect.go
@@ -28,10 +28,15 @@
 // ErrDamaged is returned after a report that lists damage.
 var ErrDamaged = errors.New("the data folder is damaged")
 
+// ErrNoData is returned for a folder that has nothing of a control member, such
+// as a mistyped one or that of an emptied disk.
+var ErrNoData = errors.New("not a data folder of a control member: it has no identity, no log and no snapshot")
+
 // Run reads the data folder and prints identity, hard state, snapshots,
 // segments, entries with their commands, and damage. It changes nothing and
 // fails where a process uses the folder. It returns ErrDamaged if a member
-// could not start with the folder.
+// could not start with the folder, and ErrNoData, without a report, if the
+// folder is not a data folder.
 func Run(dir string, options Options, w io.Writer) error {
 	files, err := disk.ExistingFolder(dir)
 	if err != nil {
@@ -46,6 +51,9 @@
 	if err != nil {
 		return fmt.Errorf("inspect data folder: %w", err)
 	}
+	if survey.Empty() {
+		return ErrNoData
+	}
 	r := newReport(survey, options)
 	if options.JSON {
 		encoder := json.NewEncoder(w)
--- a/control/inspect/inspect_test.go
+++ b/control/inspect/inspect_test.go
@@ -120,3 +120,28 @@
 		t.Error("a folder that does not exist was inspected")
 	}
 }
+
+// TestNoDataFolder guards against "no damage" for a folder that was mistyped or
+// whose disk was emptied, and against "no data" for one whose identity is
+// damaged or gone while the log is there.
+func TestNoDataFolder(t *testing.T) {
+	dir := t.TempDir()
+	try := func(what string, want error) {
+		t.Helper()
+		var out bytes.Buffer
+		if err := inspect.Run(dir, inspect.Options{}, &out); !errors.Is(err, want) || errors.Is(want, inspect.ErrNoData) && out.Len() > 0 {
+			t.Errorf("%s: %v, %q", what, err, out.String())
+		}
+	}
+	try("empty folder", inspect.ErrNoData)
+	must(t, os.WriteFile(filepath.Join(dir, "lock"), nil, 0o600))
+	must(t, os.WriteFile(filepath.Join(dir, "notes.txt"), []byte("x"), 0o600))
+	try("folder with other files", inspect.ErrNoData)
+	must(t, os.WriteFile(filepath.Join(dir, "identity"), []byte("x"), 0o600))
+	try("damaged identity", inspect.ErrDamaged)
+	whole, d := fill(t)
+	must(t, d.Close())
+	must(t, os.Remove(filepath.Join(whole, "identity")))
+	dir = whole
+	try("identity is gone", inspect.ErrDamaged)
+}
--- a/control/internal/disk/survey.go
+++ b/control/internal/disk/survey.go
@@ -46,6 +46,12 @@
 	Closed bool
 }
 
+// Empty reports whether the folder has no file of a control member. Even one
+// whose start was interrupted has an identity.
+func (s *Survey) Empty() bool {
+	return s.Identity == nil && len(s.Snapshots) == 0 && len(s.Segments) == 0 && len(s.Damage) == 0
+}
+
 // Inspect reads a data folder that no process uses. It reads on after damage.
 func Inspect(files FS) (Survey, error) {
 	var s Survey
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -151,7 +151,7 @@
 		t.run("members add 0 10.0.0.4:7101")
 		t.run("inspect @missing")
 		t.run("inspect @ --from 9 --to 8")
-		t.run("inspect @")
+		t.run("inspect @.")
 		// The library wraps help at the width of the terminal, so it is not
 		// part of the golden file.
 		var help bytes.Buffer
--- a/ctl/inspect.go
+++ b/ctl/inspect.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/control/inspect"
 )
 
@@ -26,7 +28,11 @@
 		return coded(ExitUsage, fmt.Sprintf("--from %d is after --to %d", c.From, c.To))
 	}
 	options := inspect.Options{JSON: c.JSON, From: c.From, To: c.To, SkipEntries: c.NoEntries}
-	if err := inspect.Run(c.Args.Folder, options, s.Results()); err != nil {
+	err := inspect.Run(c.Args.Folder, options, s.Results())
+	if errors.Is(err, inspect.ErrNoData) {
+		return coded(ExitUsage, fmt.Sprintf("%s: %v", c.Args.Folder, err))
+	}
+	if err != nil {
 		return fmt.Errorf("%s: %w", c.Args.Folder, err)
 	}
 	return nil
