--- a/control/internal/rpc/rpc.go
+++ b/control/internal/rpc/rpc.go
@@ -21,8 +21,9 @@
 
 // Keys of error metadata.
 const (
-	// MetaLeader has the address of the leader's listener for members and
-	// nodes, empty if no leader is known.
+	// MetaLeader has the address of the leader, empty if none is known: for
+	// nodes that of the listener for members and nodes, for operators that of
+	// the listener for operators.
 	MetaLeader = "Jujubeknot-Leader"
 	// MetaHolder has the address of the node that holds a claimed backend
 	// server name.
@@ -69,6 +70,23 @@
 	}
 }
 
+// OperatorError returns the error that operators get. It names the leader by
+// its address for operators, and tells changes that cannot be made from those
+// that were not taken this time.
+func OperatorError(err error) error {
+	var notLeader *replica.NotLeaderError
+	var invalid *replica.InvalidChangeError
+	switch {
+	case errors.As(err, &notLeader):
+		return Error(&replica.NotLeaderError{Address: notLeader.Operator})
+	case errors.As(err, &invalid):
+		return connect.NewError(connect.CodeFailedPrecondition, invalid)
+	case errors.Is(err, replica.ErrBusy), errors.Is(err, replica.ErrChangePending), errors.Is(err, leader.ErrServerChanged):
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	return Error(err)
+}
+
 // RequireSecret admits requests that carry a secret as bearer token. It
 // panics if the secret is empty, which would admit everyone.
 func RequireSecret(secret string, next http.Handler) http.Handler {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -14,6 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/ctl"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -148,7 +151,7 @@
 		t.run("members add 0 10.0.0.4:7101")
 		t.run("inspect @missing")
 		t.run("inspect @ --from 9 --to 8")
-		t.run("inspect @")
+		t.run("inspect @.")
 		// The library wraps help at the width of the terminal, so it is not
 		// part of the golden file.
 		var help bytes.Buffer
@@ -242,6 +245,16 @@
 		t.run("members add 5 10.0.0.4:7101")
 		t.run("members add 4 10.0.0.5:7101")
 		t.run("members remove 4")
+		t.note("control refuses what the command cannot know")
+		t.refuse = connect.NewError(connect.CodeFailedPrecondition, errors.New("member id 4 was used before"))
+		t.run("members add 4 10.0.0.4:7101")
+		t.refuse, t.busy, t.changed = nil, 3, 0
+		t.run("members add 5 10.0.0.5:7101")
+		t.note("member changes arrived: %d", t.changed)
+		t.busy = 1000
+		t.run("members add 6 10.0.0.6:7101 --timeout 1s")
+		t.busy, t.members = 0, t.members[:1]
+		t.run("members remove 1")
 		t.loseAnswers = 1
 		t.run("drain doc-1")
 		t.loseAnswers = 1000
@@ -258,6 +271,12 @@
 		t.leader = netip.MustParseAddrPort("10.0.0.3:7102")
 		t.run("apply @a.rules" + all)
 		t.note("asked %v", t.asked)
+		t.note("one member is known, and another one leads")
+		t.asked = nil
+		t.run("members list --control=10.0.0.2:7102")
+		started := time.Now()
+		t.run("drain app-9 --control=10.0.0.2:7102")
+		t.note("asked %v, took %s", t.asked, time.Since(started))
 		t.note("members name the leader's other listener")
 		t.asked, t.hint = nil, "10.0.0.3:7101"
 		t.run("members list" + all)
@@ -265,7 +284,7 @@
 		t.run("members list --timeout 1s --control=10.0.0.1:7102 --control=10.0.0.2:7102")
 		t.hint = ""
 		t.silent["10.0.0.1:7102"], t.absent["10.0.0.2:7102"] = true, true
-		started := time.Now()
+		started = time.Now()
 		t.run("members list" + all)
 		t.note("took %s", time.Since(started))
 		t.note("no leader for two seconds")
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -22,7 +22,7 @@
 )
 
 // LeaderKey is the key of the error metadata in which a member that does not
-// lead names the leader's address.
+// lead names the leader's operator address.
 const LeaderKey = "Jujubeknot-Leader"
 
 // Defaults of Config.
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	var last error
-	sent := false
+	sent, busy := false, false
 	for pause := c.config.Pause; ; pause = min(2*pause, 8*c.config.Pause) {
 		queue := slices.Clone(c.config.Addresses)
 		if leader := c.leader.Load(); leader != nil {
@@ -172,10 +172,12 @@
 				return response, nil
 			}
 			f := classify(err, connected)
-			last = fmt.Errorf("%s: %w", address, err)
-			configured := slices.Contains(c.config.Addresses, address)
+			if last == nil || !f.notLeader {
+				// Why the leader was not reached says more than who does not lead.
+				last, busy = fmt.Errorf("%s: %w", address, err), f.kind == failureBusy
+			}
 			switch {
-			case f.kind == failureRefused && configured:
+			case f.kind == failureRefused && (slices.Contains(c.config.Addresses, address) || !f.access):
 				return nil, &RefusedError{Address: address, cause: err}
 			case f.kind == failureLost:
 				sent = true
@@ -183,7 +185,7 @@
 					return nil, &UnknownError{cause: last}
 				}
 			}
-			queue = follow(f.leader, queue, tried, c.config.Addresses)
+			queue = follow(f.leader, queue, tried)
 		}
 		select {
 		case <-ctx.Done():
@@ -193,25 +195,19 @@
 			if sent {
 				return nil, &UnknownError{cause: last}
 			}
-			return nil, &UnreachableError{cause: last}
+			return nil, &UnreachableError{cause: last, busy: busy}
 		case <-time.After(pause):
 		}
 	}
 }
 
 // follow returns the queue with the address that a member named as the
-// leader's. One that is not configured comes last: it can be a listener that
-// is not for operators, whose refusal then means nothing.
-func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool, configured []netip.AddrPort) []netip.AddrPort {
-	switch {
-	case !hint.IsValid() || tried[hint]:
+// leader's at its head, unless it was asked in this round.
+func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool) []netip.AddrPort {
+	if !hint.IsValid() || tried[hint] {
 		return queue
-	case slices.Contains(configured, hint):
-		return first(hint, queue)
-	case !slices.Contains(queue, hint):
-		return append(queue, hint)
 	}
-	return queue
+	return first(hint, queue)
 }
 
 // first returns the queue with an address at its head.
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -23,6 +23,18 @@
 	return "control refused: " + e.cause.Error()
 }
 
+// Invalid reports whether the request cannot be fulfilled as it is, so that a
+// repeat gets the same answer: it names what does not exist, or asks for a
+// change that cannot be made.
+func (e *RefusedError) Invalid() bool {
+	switch connect.CodeOf(e.cause) {
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
+		return true
+	default:
+		return false
+	}
+}
+
 // Unwrap returns the error of the call.
 func (e *RefusedError) Unwrap() error { return e.cause }
 
@@ -30,10 +42,15 @@
 // nothing.
 type UnreachableError struct {
 	cause error
+	// busy: the leader answered, and could not take the request yet.
+	busy bool
 }
 
 // Error has the last failure.
 func (e *UnreachableError) Error() string {
+	if e.busy {
+		return "control could not take the request in time, nothing was changed; last answer: " + e.cause.Error()
+	}
 	return "control is not reachable, nothing was changed; last failure: " + e.cause.Error()
 }
 
@@ -64,12 +81,20 @@
 	failureLost
 	// failureRefused: the leader refused the request for good.
 	failureRefused
+	// failureBusy: the leader did not take the request and may do so later.
+	failureBusy
 )
 
 type failure struct {
 	kind failureKind
-	// leader is the address that a member without the lead named.
-	leader netip.AddrPort
+	// access: the refusal concerns the sender. From an address that only a
+	// member named it means nothing: members of earlier versions name the
+	// leader's listener for members and nodes.
+	access bool
+	// notLeader: the member said that it does not lead. leader is the address
+	// that it named.
+	notLeader bool
+	leader    netip.AddrPort
 }
 
 // classify judges the error of an attempt. Without a connection the request
@@ -87,7 +112,7 @@
 		if err != nil {
 			leader = netip.AddrPort{}
 		}
-		return failure{leader: leader}
+		return failure{notLeader: true, leader: leader}
 	}
 	if c.Code() == connect.CodeUnimplemented {
 		// The address is not an operator listener.
@@ -98,9 +123,12 @@
 	}
 	switch c.Code() {
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeUnknown,
-		connect.CodeAborted, connect.CodeInternal:
+		connect.CodeInternal:
 		return failure{kind: failureLost}
+	case connect.CodeAborted:
+		return failure{kind: failureBusy}
 	default:
-		return failure{kind: failureRefused}
+		access := c.Code() == connect.CodeUnauthenticated || c.Code() == connect.CodePermissionDenied
+		return failure{kind: failureRefused, access: access}
 	}
 }
