core/cluster, control/leader: one command for the loss of several nodes

Each lost node took a log entry of its own before the next plan gave their partitions new owners, so the loss of 60 nodes was 60 rounds of the log and 61 or more updates on each watch stream.

The command ReplaceNodes removes all nodes whose lease is over and gives their partitions new owners in one entry of up to 4,096 changes. The state machine refuses a change whose partition has an owner that is registered and not removed, in addition to the comparison of epochs.

TestReplaceNodes was seen to fail without the check of the owner (a change at a registered owner was applied). TestEarlierFolder opens a data folder that the version before this command wrote.

--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -32,6 +32,9 @@
 	proposeTimeout = 2 * time.Second
 	// maxBatch bounds the changes of one assign command: about 64 KB.
 	maxBatch = 1024
+	// maxReplaced bounds the changes of one command that removes nodes, about
+	// 256 KB: the partitions of an availability zone out of 5 fit in.
+	maxReplaced = 4096
 	// rulesGrace is how long a node may stay behind a rules revision before
 	// its lease is no longer renewed.
 	rulesGrace = time.Second
@@ -93,7 +96,7 @@
 	revisions map[uint64]time.Time
 	rules     parsedRules
 	sinks     map[uint64]*Sink
-	changes   changes
+	updated   changes
 }
 
 // parsedRules caches the rules of the current revision.
@@ -237,7 +240,10 @@
 	if err != nil {
 		return false, err
 	}
-	commands := l.expire(state, now)
+	var commands []*wirev1.Command
+	if expired := l.expire(state, now); len(expired) > 0 {
+		commands = l.replace(state, now, expired)
+	}
 	commands = append(commands, l.takeUpdates(state)...)
 	if len(commands) == 0 {
 		commands = l.plan(state, now)
@@ -264,7 +270,13 @@
 	l.dirty = true
 	switch kind := command.GetKind().(type) {
 	case *wirev1.Command_Assign:
-		l.assigned(kind.Assign, result)
+		l.assigned(kind.Assign.GetChanges(), result)
+	case *wirev1.Command_ReplaceNodes:
+		for _, incarnation := range kind.ReplaceNodes.GetRemoved() {
+			l.config.Logger.Info().Uint64("incarnation", incarnation).Str("reason", kind.ReplaceNodes.GetReason()).
+				Stringer("result", result.Code).Msg("node removed")
+		}
+		l.assigned(kind.ReplaceNodes.GetChanges(), result)
 	case *wirev1.Command_RemoveNode:
 		l.config.Logger.Info().Uint64("incarnation", kind.RemoveNode.GetIncarnation()).
 			Str("reason", kind.RemoveNode.GetReason()).Stringer("result", result.Code).Msg("node removed")
@@ -276,10 +288,10 @@
 	return nil
 }
 
-// assigned logs one line for each change of an assign command and ends the
-// moves that it carried out.
-func (l *Leader) assigned(command *wirev1.Assign, result cluster.Result) {
-	for i, c := range command.GetChanges() {
+// assigned logs one line for each change of a command and ends the moves that
+// it carried out.
+func (l *Leader) assigned(changes []*wirev1.AssignChange, result cluster.Result) {
+	for i, c := range changes {
 		at := place{c.GetUpstream(), c.GetPartition()}
 		line := l.config.Logger.Info().Str("upstream", at.upstream).Uint32("partition", at.partition).
 			Uint64("owner", c.GetOwner()).Uint64("epoch", c.GetExpectedEpoch()+1).Str("reason", c.GetReason()).Bool("planned", c.GetPlanned())
--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// TestLossIsOneCommand guards against a loss of several nodes that takes a
+// round of the log for each of them before their partitions get owners.
+func TestLossIsOneCommand(t *testing.T) {
+	w := settled(t)
+	lost := w.nodes[:2]
+	w.nodes = w.nodes[2:]
+	for w.state.Node(lost[0].incarnation) != nil {
+		index := w.index
+		w.run(t, 20*time.Millisecond)
+		if w.index > index+1 {
+			t.Fatalf("the loss of two nodes took %d entries of the log", w.index-index)
+		}
+		if w.now > 10*time.Second {
+			t.Fatal("the lost nodes are still registered")
+		}
+	}
+	if got := fmt.Sprint(w.owners()); got != "map[s3:4 s4:4]" {
+		t.Errorf("owners after the entry that removed two nodes: %s", got)
+	}
+}
+
 // TestNewLeaderWaits guards against a new leader that takes partitions from a
 // node which an earlier leader may have granted a lease.
 func TestNewLeaderWaits(t *testing.T) {
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -46,21 +46,19 @@
 	request *wirev1.RenewRequest
 }
 
-// expire returns commands that remove nodes whose lease is over.
-func (l *Leader) expire(state *cluster.State, now time.Time) []*wirev1.Command {
-	var commands []*wirev1.Command
+// expire returns the nodes whose lease is over and forgets those that are no
+// longer registered.
+func (l *Leader) expire(state *cluster.State, now time.Time) []uint64 {
+	var expired []uint64
 	for n := range state.Nodes() {
 		incarnation := n.GetIncarnation()
 		if _, known := l.seen[incarnation]; !known {
 			l.seen[incarnation] = now
 		}
 		l.granter.Track(now, incarnation)
-		if !l.granter.Expired(now, incarnation) {
-			continue
+		if l.granter.Expired(now, incarnation) {
+			expired = append(expired, incarnation)
 		}
-		commands = append(commands, &wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{
-			Incarnation: incarnation, Reason: "leaseExpired",
-		}}})
 	}
 	for incarnation := range l.seen {
 		if state.Node(incarnation) == nil {
@@ -70,7 +68,36 @@
 			delete(l.updates, incarnation)
 		}
 	}
-	return commands
+	return expired
+}
+
+// replace returns commands that remove nodes whose lease is over and give
+// their partitions new owners. All nodes are removed by the first command, so
+// that no later one meets a registered owner.
+func (l *Leader) replace(state *cluster.State, now time.Time, expired []uint64) []*wirev1.Command {
+	l.dirty = true
+	over := map[uint64]bool{0: true}
+	for _, incarnation := range expired {
+		over[incarnation] = true
+	}
+	var ownerless, others []*wirev1.AssignChange
+	for _, c := range l.changes(state, now) {
+		owner := state.Assignment(c.GetUpstream(), c.GetPartition()).GetOwner()
+		if over[owner] || state.Node(owner) == nil {
+			ownerless = append(ownerless, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	var commands []*wirev1.Command
+	for removed := expired; len(removed) > 0 || len(ownerless) > 0; removed = nil {
+		n := min(len(ownerless), maxReplaced)
+		commands = append(commands, &wirev1.Command{Kind: &wirev1.Command_ReplaceNodes{ReplaceNodes: &wirev1.ReplaceNodes{
+			Removed: removed, Reason: "leaseExpired", Changes: ownerless[:n],
+		}}})
+		ownerless = ownerless[n:]
+	}
+	return append(commands, assignCommands(others)...)
 }
 
 // takeUpdates returns commands for what nodes reported about themselves.
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -19,9 +19,14 @@
 	policy string
 }
 
-// plan returns assign commands and orders releases. Nothing is done unless
-// something changed or the interval has passed.
+// plan returns assign commands and orders releases.
 func (l *Leader) plan(state *cluster.State, now time.Time) []*wirev1.Command {
+	return assignCommands(l.changes(state, now))
+}
+
+// changes returns the changes of owners that are due and orders releases.
+// Nothing is done unless something changed or the interval has passed.
+func (l *Leader) changes(state *cluster.State, now time.Time) []*wirev1.AssignChange {
 	l.settle(state, now)
 	fold := now.Sub(l.planned) >= planInterval
 	if !l.dirty && !fold && l.planIndex == state.Index() {
@@ -40,6 +45,11 @@
 			changes = append(changes, l.planUpstream(state, now, u)...)
 		}
 	}
+	return changes
+}
+
+// assignCommands divides changes into commands of bounded size.
+func assignCommands(changes []*wirev1.AssignChange) []*wirev1.Command {
 	var commands []*wirev1.Command
 	for len(changes) > 0 {
 		n := min(len(changes), maxBatch)
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -132,13 +132,13 @@
 // since returns what changed in a state after an index. Streams at the same
 // index get the same message. The lock is held.
 func (l *Leader) since(state *cluster.State, index uint64) *wirev1.Update {
-	if l.changes.state != state {
-		l.changes = changes{state, map[uint64]*wirev1.Update{}}
+	if l.updated.state != state {
+		l.updated = changes{state, map[uint64]*wirev1.Update{}}
 	}
-	update, known := l.changes.since[index]
+	update, known := l.updated.since[index]
 	if !known {
 		update = state.Since(index)
-		l.changes.since[index] = update
+		l.updated.since[index] = update
 	}
 	return update
 }
--- /dev/null
+++ b/control/internal/replica/earlier_test.go
@@ -0,0 +1,57 @@
+package replica_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// TestEarlierFolder guards against a version that cannot read the data folder
+// of an earlier one. The folder was written before the command ReplaceNodes
+// and has each kind of command of then: registrations, updates, removals,
+// assignments and rules.
+func TestEarlierFolder(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.CopyFS(dir, os.DirFS("testdata/earlier")); err != nil {
+		t.Fatal(err)
+	}
+	files, err := disk.Folder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &testGroup{t: t, running: map[uint64]*running{}, network: &network{replicas: map[string]*replica.Replica{}, sent: map[wirev1.RaftMessage_Kind]int{}}}
+	r, err := replica.New(replica.Config{
+		GroupID: "earlier", MemberID: 1, Address: "127.0.0.1:27001", Files: files, Clock: systemClock{}, Seed: 1,
+		Logger: zerolog.Nop(), Transport: &wire{network: g.network, address: "127.0.0.1:27001"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.run(1, r)
+	defer g.stopAll()
+	_, m := g.leader()
+	for m.Confirm(t.Context()) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	s := m.State()
+	if s.Revision() != 1 || s.NodeCount() != 1 || s.Index() < 12 {
+		t.Fatalf("index %d, revision %d, %d nodes; want 12, 1 and 1", s.Index(), s.Revision(), s.NodeCount())
+	}
+	for n := range s.Nodes() {
+		for a := range s.Assignments("applications") {
+			if a.GetOwner() != n.GetIncarnation() {
+				t.Errorf("partition %d belongs to %d, want %d", a.GetPartition(), a.GetOwner(), n.GetIncarnation())
+			}
+		}
+		result, err := m.Propose(t.Context(), &wirev1.Command{Kind: &wirev1.Command_ReplaceNodes{ReplaceNodes: &wirev1.ReplaceNodes{Removed: []uint64{n.GetIncarnation()}}}})
+		if err != nil || len(result.Delta.GetRemovedNodes()) != 1 {
+			t.Errorf("replaceNodes in the earlier folder: %+v, %v", result, err)
+		}
+	}
+}
--- a/control/internal/replica/replica_test.go
+++ b/control/internal/replica/replica_test.go
@@ -119,6 +119,10 @@
 	g.network.mutex.Lock()
 	g.network.replicas[address] = r
 	g.network.mutex.Unlock()
+	return g.run(id, r)
+}
+
+func (g *testGroup) run(id uint64, r *replica.Replica) *running {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &running{Replica: r, stop: cancel, done: make(chan struct{})}
 	go func() {
--- a/core/cluster/assign.go
+++ b/core/cluster/assign.go
@@ -11,17 +11,37 @@
 // others one by one, so that one move that lost a race does not hold up the
 // rest of its batch.
 func (s *State) assign(command *wirev1.Assign) Result {
-	var result Result
 	delta := &wirev1.Update{}
+	result := s.change(command.GetChanges(), delta, func(*wirev1.AssignChange, *wirev1.Assignment) string { return "" })
+	switch {
+	case len(delta.Assignments) > 0:
+		result.Delta = delta
+	case len(result.Refused) > 0:
+		result.Code = CodeConflict
+	default:
+		return invalid("assign without changes")
+	}
+	return result
+}
+
+// change applies changes and adds them to a delta. It returns a result with
+// the changes that were refused, also by a further check, and why the first of
+// them was.
+func (s *State) change(changes []*wirev1.AssignChange, delta *wirev1.Update, check func(*wirev1.AssignChange, *wirev1.Assignment) string) Result {
+	var result Result
 	edits := map[string]*tableEdit{}
-	for i, c := range command.GetChanges() {
+	for i, c := range changes {
 		edit := edits[c.GetUpstream()]
 		t := s.tables[c.GetUpstream()]
 		if edit != nil {
 			t = edit.table
 		}
 		current := t.get(c.GetPartition()).current
-		if refusal := s.checkChange(c, current); refusal != "" {
+		refusal := s.checkChange(c, current)
+		if refusal == "" {
+			refusal = check(c, current)
+		}
+		if refusal != "" {
 			result.Refused = append(result.Refused, i)
 			if result.Message == "" {
 				result.Message = refusal
@@ -39,19 +59,13 @@
 		edit.set(next)
 		delta.Assignments = append(delta.Assignments, next)
 	}
-	if len(delta.Assignments) == 0 {
-		if len(result.Refused) == 0 {
-			return invalid("assign without changes")
+	if len(edits) > 0 {
+		tables := s.cloneTables()
+		for name, edit := range edits {
+			tables[name] = edit.table
 		}
-		result.Code = CodeConflict
-		return result
-	}
-	tables := s.cloneTables()
-	for name, edit := range edits {
-		tables[name] = edit.table
+		s.tables = tables
 	}
-	s.tables = tables
-	result.Delta = delta
 	return result
 }
 
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -109,6 +109,8 @@
 		result = next.assign(kind.Assign)
 	case *wirev1.Command_ApplyRules:
 		result = next.applyRules(kind.ApplyRules)
+	case *wirev1.Command_ReplaceNodes:
+		result = next.replaceNodes(kind.ReplaceNodes)
 	default:
 		result = invalid("unknown kind of command")
 	}
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -33,7 +33,8 @@
 func drawCommand(t *rapid.T, s *cluster.State) *wirev1.Command {
 	incarnation := rapid.Uint64Range(0, s.Index()+1)
 	id := rapid.SampledFrom([]string{"", "a", "b", "c", "d", "e", "f"}).Draw(t, "id")
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	kind := rapid.IntRange(0, 9).Draw(t, "kind")
+	switch kind {
 	case 0, 1:
 		return register(rapid.SampledFrom([]string{"s1", "s2", "s3", "s4"}).Draw(t, "server"), incarnation.Draw(t, "replaces"), id)
 	case 2:
@@ -64,10 +65,17 @@
 			}
 			changes = append(changes, c)
 		}
+		if kind >= 8 {
+			return replaceNodes(rapid.SliceOfN(incarnation, 0, 2).Draw(t, "removed"), changes...)
+		}
 		return assign(changes...)
 	}
 }
 
+func replaceNodes(removed []uint64, changes ...*wirev1.AssignChange) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_ReplaceNodes{ReplaceNodes: &wirev1.ReplaceNodes{Removed: removed, Changes: changes}}}
+}
+
 func encode(t *rapid.T, m proto.Message) string {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
@@ -296,6 +304,33 @@
 	}
 }
 
+// TestReplaceNodes guards against a partition that gets a new owner while the
+// old one is registered and may have a lease, against an owner that the same
+// command removes, and against partitions that stay behind.
+func TestReplaceNodes(t *testing.T) {
+	s, first := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
+	s, second := mustApply(t, s, register("s2", 0, ""), cluster.CodeApplied)
+	s, third := mustApply(t, s, register("s3", 0, ""), cluster.CodeApplied)
+	change := func(partition uint32, epoch, owner uint64) *wirev1.AssignChange {
+		return &wirev1.AssignChange{Upstream: "desk", Partition: partition, ExpectedEpoch: epoch, Owner: owner}
+	}
+	s, _ = mustApply(t, s, assign(change(0, 0, first.Index), change(1, 0, second.Index), change(2, 0, first.Index)), cluster.CodeApplied)
+	mustApply(t, s, replaceNodes(nil, change(0, 1, third.Index)), cluster.CodeConflict)
+	s, result := mustApply(t, s, replaceNodes([]uint64{first.Index, 99}, change(0, 1, third.Index), change(1, 1, third.Index), change(2, 1, first.Index)), cluster.CodeApplied)
+	if fmt.Sprint(result.Refused) != "[1 2]" || len(result.Delta.GetRemovedNodes()) != 1 || s.Node(first.Index) != nil {
+		t.Errorf("refused %v (%s), delta %v", result.Refused, result.Message, result.Delta)
+	}
+	if a := s.Assignment("desk", 0); a.GetOwner() != third.Index || a.GetEpoch() != 2 {
+		t.Errorf("partition of the removed node: %v", a)
+	}
+	if a := s.Assignment("desk", 1); a.GetOwner() != second.Index || a.GetEpoch() != 1 {
+		t.Errorf("partition of a registered node: %v", a)
+	}
+	s, _ = mustApply(t, s, replaceNodes(nil, change(2, 1, second.Index)), cluster.CodeApplied)
+	mustApply(t, s, replaceNodes([]uint64{first.Index}), cluster.CodeUnchanged)
+	mustApply(t, s, replaceNodes(nil), cluster.CodeInvalid)
+}
+
 // TestDeltasAreBounded guards against a node that is too far behind and gets
 // an update with holes.
 func TestDeltasAreBounded(t *testing.T) {
--- /dev/null
+++ b/core/cluster/replace.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// replaceNodes removes nodes whose leases are over and gives partitions
+// without a registered owner new ones. Nodes that are not registered any more
+// are passed over. A change whose partition still has a registered owner is
+// refused: that owner may hold a lease.
+func (s *State) replaceNodes(command *wirev1.ReplaceNodes) Result {
+	if len(command.GetRemoved()) == 0 && len(command.GetChanges()) == 0 {
+		return invalid("replaceNodes without nodes and changes")
+	}
+	delta := &wirev1.Update{}
+	nodes := make([]*wirev1.Node, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		if slices.Contains(command.GetRemoved(), n.GetIncarnation()) {
+			delta.RemovedNodes = append(delta.RemovedNodes, n.GetIncarnation())
+			continue
+		}
+		nodes = append(nodes, n)
+	}
+	if len(delta.RemovedNodes) > 0 {
+		s.nodes = nodes
+	}
+	result := s.change(command.GetChanges(), delta, func(c *wirev1.AssignChange, current *wirev1.Assignment) string {
+		if s.Node(current.GetOwner()) != nil {
+			return fmt.Sprintf("%s/%d: owner %d is still registered", c.GetUpstream(), c.GetPartition(), current.GetOwner())
+		}
+		return ""
+	})
+	switch {
+	case len(delta.RemovedNodes) > 0 || len(delta.Assignments) > 0:
+		result.Delta = delta
+	case len(result.Refused) > 0:
+		result.Code = CodeConflict
+	default:
+		result.Code = CodeUnchanged
+	}
+	return result
+}
