control, node/controlclient: renewals go before table updates

A renewal that timed out also ended the node's watch stream, which cost the leader another one.

A stream now pauses after an update for 100 us for each stream that there is, unless it has release orders; what changes meanwhile is one update. Updates are made and the log lines of assignments are written without the lock that renewals take. Calls of Confirm have a queue of their own in the replica. A node keeps its stream until another member answers as leader.

--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -266,8 +265,8 @@
 		return fmt.Errorf("propose: %w", err)
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.dirty = true
+	l.mu.Unlock()
 	switch kind := command.GetKind().(type) {
 	case *wirev1.Command_Assign:
 		l.assigned(kind.Assign.GetChanges(), result)
@@ -288,22 +287,39 @@
 	return nil
 }
 
-// assigned logs one line for each change of a command and ends the moves that
-// it carried out.
+// assigned ends the moves that a command carried out and logs one line for
+// each of its changes, without the lock: renewals do not wait for 4,096 lines.
 func (l *Leader) assigned(changes []*wirev1.AssignChange, result cluster.Result) {
+	refused := make(map[int]bool, len(result.Refused))
+	for _, i := range result.Refused {
+		refused[i] = true
+	}
+	ended := map[place]*move{}
+	l.mu.Lock()
 	for i, c := range changes {
 		at := place{c.GetUpstream(), c.GetPartition()}
-		line := l.config.Logger.Info().Str("upstream", at.upstream).Uint32("partition", at.partition).
-			Uint64("owner", c.GetOwner()).Uint64("epoch", c.GetExpectedEpoch()+1).Str("reason", c.GetReason()).Bool("planned", c.GetPlanned())
-		if result.Code != cluster.CodeApplied || slices.Contains(result.Refused, i) {
-			line.Str("refused", result.Message).Msg("partition not assigned")
+		if result.Code != cluster.CodeApplied || refused[i] {
 			continue
 		}
 		if m := l.moves[at]; m != nil {
-			line.Uint64("from", m.from).Dur("took", l.config.Clock.Now().Sub(m.begun))
+			ended[at] = m
 		}
 		delete(l.moves, at)
 		delete(l.released, at)
+	}
+	l.mu.Unlock()
+	now := l.config.Clock.Now()
+	for i, c := range changes {
+		at := place{c.GetUpstream(), c.GetPartition()}
+		line := l.config.Logger.Info().Str("upstream", at.upstream).Uint32("partition", at.partition).
+			Uint64("owner", c.GetOwner()).Uint64("epoch", c.GetExpectedEpoch()+1).Str("reason", c.GetReason()).Bool("planned", c.GetPlanned())
+		if result.Code != cluster.CodeApplied || refused[i] {
+			line.Str("refused", result.Message).Msg("partition not assigned")
+			continue
+		}
+		if m := ended[at]; m != nil {
+			line.Uint64("from", m.from).Dur("took", now.Sub(m.begun))
+		}
 		line.Msg("partition assigned")
 	}
 }
--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -100,6 +100,34 @@
 	}
 }
 
+// TestBurstIsFewUpdates guards against one update to every node for each
+// registration, which is the square of the number of nodes, and against orders
+// that wait as long as updates do.
+func TestBurstIsFewUpdates(t *testing.T) {
+	w := settled(t)
+	n := w.nodes[0]
+	if _, err := n.sink.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.sink.Pause(); got != 400*time.Microsecond {
+		t.Errorf("a stream of four pauses for %v after an update, want 400 µs", got)
+	}
+	for i := range 100 {
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{Node: nodeOf(fmt.Sprint("new", i), "a")}}})
+	}
+	u, err := n.sink.Next()
+	if err != nil || len(u.GetNodes()) != 100 || u.GetSnapshot() {
+		t.Errorf("update after the pause: %d nodes, %v; want all 100 in one", len(u.GetNodes()), err)
+	}
+	w.applyRules(t, deskRules+"zone a out # t: test\n")
+	w.lead()
+	select {
+	case <-n.sink.Kicked():
+	default:
+		t.Error("the stream of a node with release orders was not woken")
+	}
+}
+
 // TestNewLeaderWaits guards against a new leader that takes partitions from a
 // node which an earlier leader may have granted a lease.
 func TestNewLeaderWaits(t *testing.T) {
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +16,12 @@
 // may be half-open.
 var ErrReplaced = errors.New("replaced by another watch stream of the same node")
 
+// updateShare bounds the updates of all streams together to 10,000 a second: a
+// stream waits this long after an update for each stream that there is, and
+// what changes meanwhile is one update. Without it the registrations of 610
+// nodes within a second are 372,000 updates, and renewals time out.
+const updateShare = 100 * time.Microsecond
+
 // Sink is one watch stream of a node. Its methods are for one goroutine.
 type Sink struct {
 	leader      *Leader
@@ -21,6 +29,7 @@
 	term        uint64
 	index       uint64
 	started     bool
+	pause       time.Duration
 	// kick gets a value when there are new orders; gone is closed when the
 	// node opens another stream.
 	kick chan struct{}
@@ -77,6 +86,10 @@
 // Gone is closed when the node opened another stream.
 func (s *Sink) Gone() <-chan struct{} { return s.gone }
 
+// Pause returns how long the stream should wait after an update, unless it is
+// kicked. It is 100 µs for each stream at the time of the latest Next.
+func (s *Sink) Pause() time.Duration { return s.pause }
+
 // Next returns what the node lacks, nil if nothing. Request ids stand in the
 // same update as the assignment that they belong to.
 func (s *Sink) Next() (*wirev1.Update, error) {
@@ -85,19 +98,20 @@
 	if err != nil {
 		return nil, err
 	}
-	defer l.mu.Unlock()
 	select {
 	case <-s.gone:
+		l.mu.Unlock()
 		return nil, ErrReplaced
 	default:
 	}
 	orders := s.takeOrders()
-	if l.term != s.term {
-		// The term changed without this stream noticing. Orders of the new
-		// term were queued on it, those of the old one are void.
-		s.term = l.term
-	}
-	change := l.since(state, s.index)
+	// If the term changed without this stream noticing, orders of the new term
+	// were queued on it; those of the old one are void.
+	s.term = l.term
+	s.pause = time.Duration(len(l.sinks)) * updateShare
+	l.mu.Unlock()
+	// Renewals need the lock too, so updates are made without it.
+	change := l.updated.since(state, s.index)
 	if !s.started && change == nil {
 		// The first message also tells the node that the stream works.
 		change = &wirev1.Update{Index: state.Index()}
@@ -116,7 +130,9 @@
 			Index: change.GetIndex(), Snapshot: change.GetSnapshot(), Nodes: change.GetNodes(), RemovedNodes: change.GetRemovedNodes(),
 			Assignments: change.GetAssignments(), Rules: change.GetRules(), Releases: orders,
 		}
+		l.mu.Lock()
 		s.attachMoved(update)
+		l.mu.Unlock()
 	}
 	s.index = max(s.index, update.GetIndex())
 	return update, nil
@@ -129,27 +145,30 @@
 	})
 }
 
+// changes are the updates that streams need to reach a state, by the index
+// that they have. It is safe for concurrent use.
+type changes struct {
+	mu      sync.Mutex
+	state   *cluster.State
+	updates map[uint64]*wirev1.Update
+}
+
 // since returns what changed in a state after an index. Streams at the same
-// index get the same message. The lock is held.
-func (l *Leader) since(state *cluster.State, index uint64) *wirev1.Update {
-	if l.updated.state != state {
-		l.updated = changes{state, map[uint64]*wirev1.Update{}}
-	}
-	update, known := l.updated.since[index]
+// index get the same message.
+func (c *changes) since(state *cluster.State, index uint64) *wirev1.Update {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != state {
+		c.state, c.updates = state, map[uint64]*wirev1.Update{}
+	}
+	update, known := c.updates[index]
 	if !known {
 		update = state.Since(index)
-		l.updated.since[index] = update
+		c.updates[index] = update
 	}
 	return update
 }
 
-// changes are the updates that streams need to reach a state, by the index
-// that they have.
-type changes struct {
-	state *cluster.State
-	since map[uint64]*wirev1.Update
-}
-
 func (s *Sink) takeOrders() []*wirev1.Release {
 	orders := s.orders
 	s.orders = nil
@@ -158,7 +177,7 @@
 
 // attachMoved adds the request ids of partitions that came to the node. A
 // planned assignment whose ids are not here (a change of leader lost them) is
-// shown to its new owner as not planned.
+// shown to its new owner as not planned. The lock is held.
 func (s *Sink) attachMoved(update *wirev1.Update) {
 	if s.incarnation == 0 {
 		return
--- a/control/internal/nodes/nodes.go
+++ b/control/internal/nodes/nodes.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -80,6 +81,9 @@
 			if err := stream.Send(update); err != nil {
 				return err
 			}
+			if pause(ctx, sink) {
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -90,3 +94,19 @@
 		}
 	}
 }
+
+// pause waits before the next update of a stream, so that a burst of changes
+// is few updates. It reports whether a release order ended it: those do not
+// wait, because the partition is paused for callers meanwhile.
+func pause(ctx context.Context, sink *leader.Sink) bool {
+	timer := time.NewTimer(sink.Pause())
+	defer timer.Stop()
+	select {
+	case <-sink.Kicked():
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-sink.Gone():
+	}
+	return false
+}
--- /dev/null
+++ b/control/internal/replica/confirm_test.go
@@ -0,0 +1,79 @@
+package replica_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// stallingFS lets syncs of files wait until a channel is closed.
+type stallingFS struct {
+	disk.FS
+	stalled atomic.Pointer[chan struct{}]
+}
+
+type stallingFile struct {
+	disk.File
+	fs *stallingFS
+}
+
+func (f *stallingFS) Create(name string) (disk.File, error) {
+	file, err := f.FS.Create(name)
+	return stallingFile{file, f}, err
+}
+
+func (f stallingFile) Sync() error {
+	if c := f.fs.stalled.Load(); c != nil {
+		<-*c
+	}
+	return f.File.Sync()
+}
+
+// TestConfirmPassesProposals guards against renewals, which wait for a quorum
+// round, that wait behind a full queue of proposals.
+func TestConfirmPassesProposals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGroup(t, 0, replica.Config{})
+		files, err := disk.Folder(g.folder(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.initial = []*wirev1.Member{{Id: 1, Address: "m1"}}
+		stalling := &stallingFS{FS: files}
+		g.startWith(1, stalling)
+		defer g.stopAll()
+		_, m := g.leader()
+		g.propose(m, "first")
+		const proposals = 3000
+		var answered, before atomic.Int64
+		var group sync.WaitGroup
+		stalled := make(chan struct{})
+		stalling.stalled.Store(&stalled)
+		for i := range proposals {
+			group.Go(func() {
+				// Some are refused because too much is not committed.
+				_, _ = m.Propose(t.Context(), register(fmt.Sprint("n", i)))
+				answered.Add(1)
+			})
+		}
+		synctest.Wait()
+		group.Go(func() {
+			if err := m.Confirm(t.Context()); err != nil {
+				t.Error(err)
+			}
+			before.Store(answered.Load())
+		})
+		synctest.Wait()
+		close(stalled)
+		group.Wait()
+		if before.Load() > proposals/2 {
+			t.Errorf("%d of %d proposals were answered before the quorum round", before.Load(), proposals)
+		}
+	})
+}
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -27,10 +27,10 @@
 	appended  map[uint64]waiting
 	// joins wait until a member is a voter.
 	joins map[uint64][]*request
-	// confirms wait for the next quorum round, rounds for the answer to one.
-	confirms  []*request
-	rounds    map[uint64][]*request
-	lastRound time.Time
+	// confirming wait for the next quorum round, rounds for the answer to one.
+	confirming []*request
+	rounds     map[uint64][]*request
+	lastRound  time.Time
 
 	applied        uint64
 	sinceSnapshot  uint64
@@ -101,6 +101,8 @@
 	select {
 	case <-done:
 		return batch, true, nil
+	case q := <-l.confirms:
+		batch = l.request(batch, q)
 	case q := <-l.requests:
 		batch = l.request(batch, q)
 	case messages := <-l.inbox:
@@ -112,6 +114,10 @@
 		}
 	case <-l.untilTimer(l.deadline(stopAt)):
 	}
+	// All that wait for a round are taken, however many proposals there are.
+	for n := len(l.confirms); n > 0; n-- {
+		batch = l.request(batch, <-l.confirms)
+	}
 	for len(batch) < maxBatch {
 		select {
 		case q := <-l.requests:
@@ -130,7 +136,7 @@
 // deadline returns when the loop has to act without being asked.
 func (l *loop) deadline(stopAt time.Time) time.Time {
 	at := l.member.NextDeadline()
-	if len(l.confirms) > 0 {
+	if len(l.confirming) > 0 {
 		at = earlier(at, l.lastRound.Add(l.config.ConfirmInterval))
 	}
 	return earlier(at, stopAt)
@@ -148,12 +154,12 @@
 // the last one started a moment ago.
 func (l *loop) startRound(batch raft.Batch) raft.Batch {
 	now := l.config.Clock.Now()
-	if len(l.confirms) == 0 || now.Sub(l.lastRound) < l.config.ConfirmInterval {
+	if len(l.confirming) == 0 || now.Sub(l.lastRound) < l.config.ConfirmInterval {
 		return batch
 	}
 	l.lastRound = now
 	l.nextID++
-	l.rounds[l.nextID], l.confirms = l.confirms, nil
+	l.rounds[l.nextID], l.confirming = l.confirming, nil
 	return append(batch, raft.ReadIndex{ID: l.nextID})
 }
 
@@ -180,7 +186,7 @@
 		q.answered <- answer{err: ErrStopped}
 		return batch
 	case q.confirm:
-		l.confirms = append(l.confirms, q)
+		l.confirming = append(l.confirming, q)
 		return batch
 	case q.change != nil:
 		return l.changeRequest(batch, q)
--- a/control/internal/replica/requests.go
+++ b/control/internal/replica/requests.go
@@ -49,8 +49,12 @@
 // ask passes a request to the loop and waits for the answer.
 func (r *Replica) ask(ctx context.Context, q *request) (answer, error) {
 	q.answered = make(chan answer, 1)
+	queue := r.requests
+	if q.confirm {
+		queue = r.confirms
+	}
 	select {
-	case r.requests <- q:
+	case queue <- q:
 	case <-r.stopped:
 		return answer{}, ErrStopped
 	case <-ctx.Done():
--- a/control/internal/replica/run.go
+++ b/control/internal/replica/run.go
@@ -46,8 +46,11 @@
 	transport Transport
 	handler   func() (string, http.Handler)
 	requests  chan *request
-	inbox     chan []*wirev1.RaftMessage
-	stopped   chan struct{}
+	// confirms has the calls of Confirm, so that they do not wait behind
+	// proposals: renewals of leases rest on them.
+	confirms chan *request
+	inbox    chan []*wirev1.RaftMessage
+	stopped  chan struct{}
 
 	identity   atomic.Pointer[disk.Identity]
 	membership atomic.Pointer[wirev1.Membership]
@@ -84,7 +87,7 @@
 	}
 	r := &Replica{
 		config: config, logger: config.Logger.With().Uint64("self", config.MemberID).Logger(),
-		requests: make(chan *request, requestQueue), inbox: make(chan []*wirev1.RaftMessage, inboxQueue),
+		requests: make(chan *request, requestQueue), confirms: make(chan *request, requestQueue), inbox: make(chan []*wirev1.RaftMessage, inboxQueue),
 		stopped: make(chan struct{}),
 	}
 	r.state.Store(&cluster.State{})
--- a/node/internal/controlclient/group.go
+++ b/node/internal/controlclient/group.go
@@ -45,7 +45,10 @@
 	current int
 	// failed is the member that last did not answer. Its address is not taken
 	// from hints of others, who may not know yet that it is gone.
-	failed  string
+	failed string
+	// watched is the member with the watch stream. changed is closed when
+	// another one has answered as leader.
+	watched string
 	changed chan struct{}
 }
 
@@ -66,18 +69,34 @@
 	return g
 }
 
-// leader returns a client for the member that is taken to lead, its address,
-// and a channel that is closed when another one is taken to lead.
-func (g *group) leader() (wirev1connect.ControlClient, string, <-chan struct{}) {
+// leader returns a client for the member that is taken to lead, and its
+// address.
+func (g *group) leader() (wirev1connect.ControlClient, string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.client()
+}
+
+// watch returns what leader does, for a watch stream, and a channel that is
+// closed when another member has answered as leader. A call that failed is not
+// enough: a stream that is ended for a late answer costs a busy leader another
+// one.
+func (g *group) watch() (wirev1connect.ControlClient, string, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, address := g.client()
+	g.watched = address
+	return c, address, g.changed
+}
+
+func (g *group) client() (wirev1connect.ControlClient, string) {
 	address := g.members[g.current]
 	c := g.clients[address]
 	if c == nil {
 		c = wirev1connect.NewControlClient(&http.Client{Transport: g.transport}, "http://"+address, connect.WithInterceptors(&bearer{g.secret}))
 		g.clients[address] = c
 	}
-	return c, address, g.changed
+	return c, address
 }
 
 // failure follows the hint of a member that does not lead, or goes on to the
@@ -102,8 +121,6 @@
 		return
 	}
 	g.current = next
-	close(g.changed)
-	g.changed = make(chan struct{})
 }
 
 // succeeded notes that a member answered as leader.
@@ -113,6 +130,11 @@
 	if g.failed == address {
 		g.failed = ""
 	}
+	if g.watched != address && g.watched != "" {
+		g.watched = ""
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
 }
 
 // find returns the place of an address, which is added if there is room: a
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -123,7 +123,7 @@
 	// not make two incarnations.
 	request := &wirev1.RegisterRequest{Node: node, Previous: previous, RequestId: rand.Text()}
 	for ctx.Err() == nil {
-		client, address, _ := s.group.leader()
+		client, address := s.group.leader()
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 		response, err := client.Register(callCtx, connect.NewRequest(request))
 		cancel()
@@ -294,7 +294,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		client, address, _ := i.s.group.leader()
+		client, address := i.s.group.leader()
 		_, err := client.Deregister(ctx, connect.NewRequest(&wirev1.DeregisterRequest{Incarnation: i.number}))
 		if err == nil {
 			return
@@ -311,7 +311,7 @@
 func call[Q, R any](ctx context.Context, s *Session, timeout time.Duration, q *Q,
 	f func(wirev1connect.ControlClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error),
 ) (*R, error) {
-	client, address, _ := s.group.leader()
+	client, address := s.group.leader()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := f(client, ctx, connect.NewRequest(q))
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -24,7 +24,7 @@
 // the leader changes.
 func (i *incarnation) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		client, address, changed := i.s.group.leader()
+		client, address, changed := i.s.group.watch()
 		err := i.watch(ctx, client, changed)
 		if ctx.Err() != nil {
 			return
