--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +31,9 @@
 	proposeTimeout = 2 * time.Second
 	// maxBatch bounds the changes of one assign command: about 64 KB.
 	maxBatch = 1024
+	// maxReplaced bounds the changes of one command that removes nodes, about
+	// 256 KB: the partitions of an availability zone out of 5 fit in.
+	maxReplaced = 4096
 	// rulesGrace is how long a node may stay behind a rules revision before
 	// its lease is no longer renewed.
 	rulesGrace = time.Second
@@ -93,7 +95,7 @@
 	revisions map[uint64]time.Time
 	rules     parsedRules
 	sinks     map[uint64]*Sink
-	changes   changes
+	updated   changes
 }
 
 // parsedRules caches the rules of the current revision.
@@ -237,7 +239,10 @@
 	if err != nil {
 		return false, err
 	}
-	commands := l.expire(state, now)
+	var commands []*wirev1.Command
+	if expired := l.expire(state, now); len(expired) > 0 {
+		commands = l.replace(state, now, expired)
+	}
 	commands = append(commands, l.takeUpdates(state)...)
 	if len(commands) == 0 {
 		commands = l.plan(state, now)
@@ -260,11 +265,17 @@
 		return fmt.Errorf("propose: %w", err)
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.dirty = true
+	l.mu.Unlock()
 	switch kind := command.GetKind().(type) {
 	case *wirev1.Command_Assign:
-		l.assigned(kind.Assign, result)
+		l.assigned(kind.Assign.GetChanges(), result)
+	case *wirev1.Command_ReplaceNodes:
+		for _, incarnation := range kind.ReplaceNodes.GetRemoved() {
+			l.config.Logger.Info().Uint64("incarnation", incarnation).Str("reason", kind.ReplaceNodes.GetReason()).
+				Stringer("result", result.Code).Msg("node removed")
+		}
+		l.assigned(kind.ReplaceNodes.GetChanges(), result)
 	case *wirev1.Command_RemoveNode:
 		l.config.Logger.Info().Uint64("incarnation", kind.RemoveNode.GetIncarnation()).
 			Str("reason", kind.RemoveNode.GetReason()).Stringer("result", result.Code).Msg("node removed")
@@ -276,22 +287,39 @@
 	return nil
 }
 
-// assigned logs one line for each change of an assign command and ends the
-// moves that it carried out.
-func (l *Leader) assigned(command *wirev1.Assign, result cluster.Result) {
-	for i, c := range command.GetChanges() {
+// assigned ends the moves that a command carried out and logs one line for
+// each of its changes, without the lock: renewals do not wait for 4,096 lines.
+func (l *Leader) assigned(changes []*wirev1.AssignChange, result cluster.Result) {
+	refused := make(map[int]bool, len(result.Refused))
+	for _, i := range result.Refused {
+		refused[i] = true
+	}
+	ended := map[place]*move{}
+	l.mu.Lock()
+	for i, c := range changes {
 		at := place{c.GetUpstream(), c.GetPartition()}
-		line := l.config.Logger.Info().Str("upstream", at.upstream).Uint32("partition", at.partition).
-			Uint64("owner", c.GetOwner()).Uint64("epoch", c.GetExpectedEpoch()+1).Str("reason", c.GetReason()).Bool("planned", c.GetPlanned())
-		if result.Code != cluster.CodeApplied || slices.Contains(result.Refused, i) {
-			line.Str("refused", result.Message).Msg("partition not assigned")
+		if result.Code != cluster.CodeApplied || refused[i] {
 			continue
 		}
 		if m := l.moves[at]; m != nil {
-			line.Uint64("from", m.from).Dur("took", l.config.Clock.Now().Sub(m.begun))
+			ended[at] = m
 		}
 		delete(l.moves, at)
 		delete(l.released, at)
+	}
+	l.mu.Unlock()
+	now := l.config.Clock.Now()
+	for i, c := range changes {
+		at := place{c.GetUpstream(), c.GetPartition()}
+		line := l.config.Logger.Info().Str("upstream", at.upstream).Uint32("partition", at.partition).
+			Uint64("owner", c.GetOwner()).Uint64("epoch", c.GetExpectedEpoch()+1).Str("reason", c.GetReason()).Bool("planned", c.GetPlanned())
+		if result.Code != cluster.CodeApplied || refused[i] {
+			line.Str("refused", result.Message).Msg("partition not assigned")
+			continue
+		}
+		if m := ended[at]; m != nil {
+			line.Uint64("from", m.from).Dur("took", now.Sub(m.begun))
+		}
 		line.Msg("partition assigned")
 	}
 }
