core/lease, node/internal/backend: grants have versions and share messages

A node sent one POST /v1/grant for each released partition. The whole grant was also sent at each extension of the lease, every 400 ms.

Grants now have a lease, a sequence and a version. The node keeps what the backend server knows and has one message on its way, which carries all changes since the one before; an extension names the version only. A server that does not know the version answers so and gets the whole grant. Messages that are doubled, late or of an earlier lease are refused as stale, and only a whole grant is taken after a grant has ended, so that a frozen server that resumes finds no life in old extensions. The extension and the closing of a partition could overtake each other before and open a released partition again.

TestFences took a late grant of an older epoch as accepted and ignored; it now has to be refused, which is stricter. The fake of the tests in node/ uses the receiver of core/lease.

--- a/bench/backend/control.go
+++ b/bench/backend/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
@@ -80,38 +81,20 @@
 	reply(w, http.StatusOK, map[string]bool{"drain": body.Drain})
 }
 
-// grant notes which partitions the node owns until when. An expiry of 0 closes
-// the grant. A grant with a lower epoch than a known one is ignored.
+// grant notes which partitions the node owns until when.
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Upstream   string `json:"upstream"`
-		ExpiryMs   int64  `json:"expiryMs"`
-		Partitions []struct {
-			Partition uint32 `json:"partition"`
-			Epoch     uint64 `json:"epoch"`
-		} `json:"partitions"`
-	}
-	if !decode(w, r, &body) {
+	var g lease.Grant
+	if !decode(w, r, &g) {
 		return
 	}
-	now := time.Now()
-	taken := 0
 	s.mu.Lock()
-	for _, p := range body.Partitions {
-		key := partitionKey{body.Upstream, p.Partition}
-		if p.Epoch < s.fences[key] {
-			continue
-		}
-		taken++
-		s.fences[key] = p.Epoch
-		if body.ExpiryMs <= 0 {
-			delete(s.grants, key)
-			continue
-		}
-		s.grants[key] = grant{epoch: p.Epoch, expires: now.Add(time.Duration(body.ExpiryMs) * time.Millisecond)}
-	}
+	answer := s.grants.Take(time.Now(), g)
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]int{"taken": taken})
+	status := http.StatusOK
+	if answer.Error != "" {
+		status = http.StatusConflict
+	}
+	reply(w, status, answer)
 }
 
 func (s *Server) cancelRequest(w http.ResponseWriter, r *http.Request, b *boot) {
--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/lease"
 )
 
 // Server is one stand-in backend server. It is safe for concurrent use.
@@ -28,10 +30,8 @@
 	draining bool
 	slowdown float64
 	faults   Faults
-	// grants has the grant of each partition, and fences the highest fencing
-	// token seen. Both survive no restart.
-	grants map[partitionKey]grant
-	fences map[partitionKey]uint64
+	// grants are those of the node. They survive no restart.
+	grants lease.GrantReceiver
 	// history has the reports of the last seconds, oldest first.
 	history []report
 	// previous is the last response, for crossed ones.
@@ -57,16 +57,6 @@
 	overloadFrom time.Time
 }
 
-type partitionKey struct {
-	upstream  string
-	partition uint32
-}
-
-type grant struct {
-	epoch   uint64
-	expires time.Time
-}
-
 // New returns a server that is not started.
 func New(config Config) *Server {
 	return &Server{
@@ -106,7 +96,7 @@
 	b.server = &http.Server{Handler: s.handler(b), ReadHeaderTimeout: time.Minute}
 	s.boot = b
 	s.leaving, s.draining, s.previous, s.history = false, false, nil, nil
-	s.grants, s.fences = make(map[partitionKey]grant), make(map[partitionKey]uint64)
+	s.grants = lease.GrantReceiver{}
 	s.config.Records.add(s.entry(EntryBoot, b))
 	limited := newListener(l, s.config.Connections, s.config.ConnectionCost, func() {
 		s.config.Records.add(s.entry(EntryConnection, b))
@@ -212,7 +202,7 @@
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := Stats{Draining: s.draining, Granted: len(s.grants), Held: s.gate.waiting()}
+	t := Stats{Draining: s.draining, Granted: s.grants.Granted(), Held: s.gate.waiting()}
 	if s.boot != nil {
 		t.InFlight, t.Capacity, t.Cold = s.boot.inFlight, s.capacity(s.boot), s.boot.capacity > 0
 	}
--- a/bench/backend/server_test.go
+++ b/bench/backend/server_test.go
@@ -116,11 +116,17 @@
 		status, _, _ := do(t, s, http.MethodPost, "/x", "", headers.Partition, "7", headers.Fence, fence)
 		return status
 	}
+	sequence := 0
 	grant := func(epoch, expiry int) {
-		body := fmt.Sprintf(`{"upstream":"desk","expiryMs":%d,"partitions":[{"partition":7,"epoch":%d}]}`, expiry, epoch)
+		sequence++
+		body := fmt.Sprintf(`{"upstream":"desk","lease":3,"sequence":%d,"version":%d,"whole":true,"expiryMs":%d,"partitions":[{"partition":7,"epoch":%d}]}`,
+			sequence, sequence, expiry, epoch)
 		if status, _, answer := do(t, s, http.MethodPost, "/v1/grant", body); status != http.StatusOK {
 			t.Fatalf("grant: %d %s", status, answer)
 		}
+		if status, _, answer := do(t, s, http.MethodPost, "/v1/grant", body); status != http.StatusConflict || !strings.Contains(answer, "stale") {
+			t.Fatalf("doubled grant: %d %s", status, answer)
+		}
 	}
 	expect := func(what string, got, want int) {
 		t.Helper()
@@ -134,8 +140,21 @@
 	expect("with an older fence", send("4"), http.StatusConflict)
 	grant(6, 3_600_000)
 	expect("with the fence before the newer grant", send("5"), http.StatusConflict)
-	grant(5, 3_600_000)
+	late := `{"upstream":"desk","lease":3,"sequence":1,"version":1,"whole":true,"expiryMs":3600000,"partitions":[{"partition":7,"epoch":5}]}`
+	status, _, _ := do(t, s, http.MethodPost, "/v1/grant", late)
+	expect("late older grant", status, http.StatusConflict)
 	expect("after a late older grant", send("6"), http.StatusOK)
+	grant(5, 3_600_000)
+	expect("after a grant of an older epoch", send("6"), http.StatusConflict)
+	expect("with the fence of a grant of an older epoch", send("5"), http.StatusConflict)
+	grant(6, 3_600_000)
+	expect("after the grant was repeated", send("6"), http.StatusOK)
+	status, _, answer := do(t, s, http.MethodPost, "/v1/grant", `{"upstream":"desk","lease":3,"sequence":9,"version":9,"expiryMs":3600000}`)
+	expect("extension of an unknown version", status, http.StatusConflict)
+	if !strings.Contains(answer, `"error":"unknownVersion"`) {
+		t.Errorf("answer to the extension of an unknown version: %s", answer)
+	}
+	sequence = 9
 	grant(6, 0)
 	expect("after the grant was closed", send("6"), http.StatusConflict)
 }
--- a/bench/backend/work.go
+++ b/bench/backend/work.go
@@ -111,14 +111,13 @@
 	defer s.mu.Unlock()
 	e, b := &j.entry, j.boot
 	e.At = time.Now()
-	if e.Keyed && s.config.ChecksFences && !s.fenceHolds(e) {
+	if e.Keyed && s.config.ChecksFences && !s.grants.Holds(e.At, e.Partition, e.Fence) {
 		e.Kind = EntryFenced
 		s.config.Records.add(*e)
 		return http.StatusConflict, "fence"
 	}
 	if e.Keyed {
-		key := partitionKey{s.config.Upstream, e.Partition}
-		s.fences[key] = max(s.fences[key], e.Fence)
+		s.grants.See(e.Partition, e.Fence)
 	}
 	e.Capacity, e.Cold = s.capacity(b), b.capacity > 0
 	e.InFlight = b.inFlight + 1
@@ -139,14 +138,6 @@
 	return 0, ""
 }
 
-// fenceHolds reports whether a request may run by its fencing token: it is not
-// lower than one seen before, and the partition is granted. The lock is held.
-func (s *Server) fenceHolds(e *Entry) bool {
-	key := partitionKey{s.config.Upstream, e.Partition}
-	g, granted := s.grants[key]
-	return e.Fence >= s.fences[key] && granted && g.epoch == e.Fence && e.At.Before(g.expires)
-}
-
 // countOverload lets a cold server fail over that gets too much. The lock is
 // held.
 func (s *Server) countOverload(b *boot, now time.Time) {
--- a/bench/fleet/standin.go
+++ b/bench/fleet/standin.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/lease"
 )
 
 // Figures of the stand-ins.
@@ -87,7 +89,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/health", answer(`{"bootId":"`+bootID+`","healthy":true,"cold":false}`))
 	mux.HandleFunc("GET /v1/load", answer(`{"inFlight":0,"queued":0}`))
-	mux.HandleFunc("POST /v1/grant", answer(`{"taken":0}`))
+	mux.HandleFunc("POST /v1/grant", func(w http.ResponseWriter, r *http.Request) {
+		// Takes every grant.
+		var g lease.Grant
+		if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer(fmt.Sprintf(`{"lease":%d,"version":%d}`, g.Lease, g.Version))(w, r)
+	})
 	mux.HandleFunc("POST /v1/drain", answer(`{"drain":true}`))
 	mux.HandleFunc("POST /v1/cancel", answer(`{"cancelled":false}`))
 	return mux
--- a/examples/one-machine/backend/main.go
+++ b/examples/one-machine/backend/main.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,20 +29,20 @@
 	announceInterval = time.Second
 )
 
-// grant is the right to run requests of one partition.
-type grant struct {
-	epoch uint64
-	ends  time.Time
-}
-
 // server is one backend server.
 type server struct {
 	name, upstream, address, node string
 	bootID                        string
 	inFlight                      atomic.Int64
 
-	mu     sync.Mutex
-	grants map[uint64]grant
+	mu sync.Mutex
+	// lease, sequence and version are those of the latest grant, ends is when
+	// it ends, and granted has the epoch of each of its partitions.
+	lease, sequence, version uint64
+	ends                     time.Time
+	granted                  map[uint64]uint64
+	// seen has the highest epoch of each partition.
+	seen map[uint64]uint64
 }
 
 func main() {
@@ -50,7 +51,7 @@
 	}
 	s := &server{
 		name: os.Args[1], upstream: os.Args[2], address: os.Args[3], node: os.Args[4],
-		bootID: strconv.FormatInt(time.Now().UnixNano(), 36), grants: map[uint64]grant{},
+		bootID: strconv.FormatInt(time.Now().UnixNano(), 36), granted: map[uint64]uint64{}, seen: map[uint64]uint64{},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -125,28 +126,74 @@
 	return mux
 }
 
+// partition is one partition of a grant.
+type partition struct {
+	Partition uint64 `json:"partition"`
+	Epoch     uint64 `json:"epoch"`
+}
+
+// grantMessage is the body of POST /v1/grant.
+type grantMessage struct {
+	Lease      uint64      `json:"lease"`
+	Sequence   uint64      `json:"sequence"`
+	Version    uint64      `json:"version"`
+	Base       uint64      `json:"base"`
+	Whole      bool        `json:"whole"`
+	ExpiryMs   int64       `json:"expiryMs"`
+	Partitions []partition `json:"partitions"`
+	Closed     []partition `json:"closed"`
+}
+
 // grant notes the partitions that this server may work on, and until when.
 func (s *server) grant(w http.ResponseWriter, r *http.Request) {
-	var g struct {
-		ExpiryMs   int64 `json:"expiryMs"`
-		Partitions []struct {
-			Partition uint64 `json:"partition"`
-			Epoch     uint64 `json:"epoch"`
-		} `json:"partitions"`
-	}
+	var g grantMessage
 	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ends := time.Now().Add(time.Duration(g.ExpiryMs) * time.Millisecond)
 	s.mu.Lock()
+	fault := s.take(g, time.Now())
+	state := map[string]any{"lease": s.lease, "version": s.version}
+	s.mu.Unlock()
+	if fault != "" {
+		state["error"] = fault
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+	}
+	answer(w, state)
+}
+
+// take applies a grant, or returns why it must not be applied.
+func (s *server) take(g grantMessage, now time.Time) (fault string) {
+	if g.Lease < s.lease || g.Lease == s.lease && g.Sequence <= s.sequence {
+		return "stale"
+	}
+	if g.Lease > s.lease {
+		s.lease, s.version = g.Lease, 0
+		clear(s.granted)
+	}
+	// A grant that is not taken counts as seen, so that no earlier one is taken
+	// after it.
+	s.sequence = g.Sequence
+	if !g.Whole && (cmp.Or(g.Base, g.Version) != s.version || !now.Before(s.ends)) {
+		return "unknownVersion"
+	}
+	if g.Whole {
+		clear(s.granted)
+	}
+	for _, p := range g.Closed {
+		s.seen[p.Partition] = max(s.seen[p.Partition], p.Epoch)
+		if s.granted[p.Partition] <= p.Epoch {
+			delete(s.granted, p.Partition)
+		}
+	}
 	for _, p := range g.Partitions {
-		if p.Epoch >= s.grants[p.Partition].epoch {
-			s.grants[p.Partition] = grant{p.Epoch, ends}
+		if p.Epoch >= s.seen[p.Partition] {
+			s.seen[p.Partition], s.granted[p.Partition] = p.Epoch, p.Epoch
 		}
 	}
-	s.mu.Unlock()
-	answer(w, struct{}{})
+	s.version, s.ends = g.Version, now.Add(time.Duration(g.ExpiryMs)*time.Millisecond)
+	return ""
 }
 
 // request runs a caller's request, unless its fencing token is out of date.
@@ -158,9 +205,9 @@
 		epoch, _ := strconv.ParseUint(fence, 10, 64)
 		partition, _ := strconv.ParseUint(r.Header.Get("Jujubeknot-Partition"), 10, 64)
 		s.mu.Lock()
-		g := s.grants[partition]
+		known := s.seen[partition]
 		s.mu.Unlock()
-		if epoch < g.epoch {
+		if epoch < known {
 			w.Header().Set("Jujubeknot-Outcome", "notRun")
 			http.Error(w, "the fencing token is out of date", http.StatusServiceUnavailable)
 			return
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/node"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
@@ -35,10 +36,9 @@
 	slots, connections int
 	server             *http.Server
 
-	mu   sync.Mutex
-	runs map[string]int
-	// grants has the last expiry of each partition.
-	grants map[uint32]int64
+	mu     sync.Mutex
+	runs   map[string]int
+	grants lease.GrantReceiver
 	// drains has the values of POST /v1/drain.
 	drains  []bool
 	cancels []string
@@ -51,7 +51,7 @@
 const idHeader = "X-Test-Id"
 
 func newBackend(t testing.TB, name, upstream string) *backendServer {
-	b := &backendServer{name: name, upstream: upstream, bootID: "boot-1", runs: map[string]int{}, grants: map[uint32]int64{}, fences: map[string]uint64{}}
+	b := &backendServer{name: name, upstream: upstream, bootID: "boot-1", runs: map[string]int{}, fences: map[string]uint64{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -94,16 +94,15 @@
 		b.mu.Unlock()
 		return
 	case "/v1/grant":
-		var g struct {
-			ExpiryMs   int64
-			Partitions []struct{ Partition uint32 }
-		}
+		var g lease.Grant
 		_ = json.NewDecoder(r.Body).Decode(&g)
 		b.mu.Lock()
-		for _, p := range g.Partitions {
-			b.grants[p.Partition] = g.ExpiryMs
-		}
+		answer := b.grants.Take(time.Now(), g)
 		b.mu.Unlock()
+		if answer.Error != "" {
+			w.WriteHeader(http.StatusConflict)
+		}
+		_ = json.NewEncoder(w).Encode(answer)
 		return
 	}
 	b.mu.Lock()
--- a/node/internal/backend/control.go
+++ b/node/internal/backend/control.go
@@ -28,31 +28,6 @@
 	Queued   int `json:"queued"`
 }
 
-// Grant gives or closes partitions at the backend server.
-type Grant struct {
-	Upstream string `json:"upstream"`
-	// ExpiryMs is the time until the grant ends in milliseconds, 0 to close it
-	// now.
-	ExpiryMs   int64              `json:"expiryMs"`
-	Partitions []GrantedPartition `json:"partitions"`
-}
-
-// GrantedPartition is one partition with its fencing token.
-type GrantedPartition struct {
-	Partition uint32 `json:"partition"`
-	Epoch     uint64 `json:"epoch"`
-}
-
-// Grant sends a grant. The error says that the backend server may not have
-// taken it.
-func (s *Server) Grant(ctx context.Context, g Grant) error {
-	if len(g.Partitions) == 0 {
-		return nil
-	}
-	_, err := s.control(ctx, http.MethodPost, "/v1/grant", g, nil)
-	return err
-}
-
 // Drain tells the backend server that it gets no new work, or that it does
 // again.
 func (s *Server) Drain(ctx context.Context, drain bool) error {
@@ -60,7 +35,8 @@
 	return err
 }
 
-// control makes one call. Status is 0 if nothing answered.
+// control makes one call. Status is 0 if nothing answered. The target is also
+// filled from the answer of a conflict.
 func (s *Server) control(ctx context.Context, method, path string, body, target any) (status int, err error) {
 	s.mu.Lock()
 	b := s.announced
@@ -96,6 +72,10 @@
 		return response.StatusCode, fmt.Errorf("%s: %w", path, err)
 	}
 	if response.StatusCode/100 != 2 {
+		if response.StatusCode == http.StatusConflict && target != nil {
+			// A conflict says what is in force; without that it is an error too.
+			_ = json.Unmarshal(content, target)
+		}
 		return response.StatusCode, errors.Errorf("%s: status %d", path, response.StatusCode)
 	}
 	if target == nil {
--- /dev/null
+++ b/node/internal/backend/grants.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/lease"
+)
+
+// grants puts locks round lease.GrantSender. It is safe for concurrent use.
+type grants struct {
+	// sending holds a value while a message is on its way: messages arrive in
+	// the order in which they were made.
+	sending chan struct{}
+
+	mu     sync.Mutex
+	sender lease.GrantSender
+}
+
+// OpenGrants adds partitions of a lease to what SendGrants tells the backend
+// server.
+func (s *Server) OpenGrants(number uint64, upstream string, partitions []lease.GrantedPartition) {
+	s.grants.mu.Lock()
+	defer s.grants.mu.Unlock()
+	s.grants.sender.Open(number, upstream, partitions...)
+}
+
+// CloseGrants takes partitions away from what SendGrants tells.
+func (s *Server) CloseGrants(partitions ...lease.GrantedPartition) {
+	s.grants.mu.Lock()
+	defer s.grants.mu.Unlock()
+	s.grants.sender.Close(partitions...)
+}
+
+// EndGrants takes all partitions of the lease away, for good.
+func (s *Server) EndGrants() {
+	s.grants.mu.Lock()
+	defer s.grants.mu.Unlock()
+	s.grants.sender.End()
+}
+
+// SendGrants tells the backend server what has changed, and the end of the
+// lease. Calls at the same time share messages: 64 releases used to send 64
+// messages over two connections and waited up to 100 ms for their turn. The
+// error says that the backend server may not know.
+func (s *Server) SendGrants(ctx context.Context, until time.Time) error {
+	g := &s.grants
+	select {
+	case g.sending <- struct{}{}:
+	case <-ctx.Done():
+		return fmt.Errorf("wait for an earlier grant: %w", ctx.Err())
+	}
+	defer func() { <-g.sending }()
+	for again := true; again; {
+		g.mu.Lock()
+		message, some := g.sender.Next(s.cfg.Clock.Now(), until)
+		g.mu.Unlock()
+		if !some {
+			return nil
+		}
+		var answer lease.GrantAnswer
+		status, err := s.control(ctx, http.MethodPost, "/v1/grant", message, &answer)
+		g.mu.Lock()
+		if err != nil && status != http.StatusConflict {
+			g.sender.Failed()
+			g.mu.Unlock()
+			return err
+		}
+		again = g.sender.Answered(answer)
+		g.mu.Unlock()
+		if err != nil && !again {
+			return errors.Errorf("grant of version %d refused: %s", message.Version, answer.Error)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/internal/backend/grants_test.go
@@ -0,0 +1,127 @@
+package backend_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	"github.com/jujubeknot/jujubeknot/wire/boottime"
+)
+
+// grantee is a backend server that takes grants.
+type grantee struct {
+	mu       sync.Mutex
+	receiver lease.GrantReceiver
+	messages []lease.Grant
+	// arrived gets a value for each message, which is held until release is
+	// closed. Both may be nil.
+	arrived chan struct{}
+	release chan struct{}
+}
+
+func (b *grantee) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var g lease.Grant
+	if r.URL.Path != "/v1/grant" || json.NewDecoder(r.Body).Decode(&g) != nil {
+		return
+	}
+	if b.arrived != nil {
+		b.arrived <- struct{}{}
+		<-b.release
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.messages = append(b.messages, g)
+	answer := b.receiver.Take(time.Now(), g)
+	if answer.Error != "" {
+		w.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (b *grantee) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.receiver = lease.GrantReceiver{}
+}
+
+func partitions(n uint32) []lease.GrantedPartition {
+	list := make([]lease.GrantedPartition, n)
+	for i := range list {
+		list[i] = lease.GrantedPartition{Partition: uint32(i), Epoch: 1}
+	}
+	return list
+}
+
+// TestGrantsShareMessages guards against one message for each released
+// partition: 64 of them waited for two connections, and each release for its
+// own, which paused keys for 100 ms and more.
+func TestGrantsShareMessages(t *testing.T) {
+	b := &grantee{arrived: make(chan struct{}, 100), release: make(chan struct{})}
+	server := httptest.NewServer(b)
+	defer server.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := startServer(ctx, t, server.Listener.Addr())
+	until := boottime.Clock{}.Now().Add(time.Hour)
+	s.OpenGrants(1, "files", partitions(64))
+	var group sync.WaitGroup
+	send := func() {
+		group.Go(func() {
+			if err := s.SendGrants(ctx, until); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	send()
+	<-b.arrived
+	for _, p := range partitions(63) {
+		s.CloseGrants(p)
+		send()
+	}
+	close(b.release)
+	group.Wait()
+	if len(b.messages) != 2 || b.receiver.Granted() != 1 {
+		t.Errorf("%d messages, %d partitions granted, want 2 and 1", len(b.messages), b.receiver.Granted())
+	}
+}
+
+// TestExtensionIsShort guards against an extension of the lease that lists all
+// partitions again, and against a restarted backend server that is left with
+// nothing.
+func TestExtensionIsShort(t *testing.T) {
+	b := &grantee{}
+	server := httptest.NewServer(b)
+	defer server.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := startServer(ctx, t, server.Listener.Addr())
+	until := boottime.Clock{}.Now().Add(time.Hour)
+	extend := func() {
+		t.Helper()
+		until = until.Add(400 * time.Millisecond)
+		if err := s.SendGrants(ctx, until); err != nil {
+			t.Error(err)
+		}
+	}
+	s.OpenGrants(1, "files", partitions(64))
+	extend()
+	extend()
+	if last := b.messages[len(b.messages)-1]; len(b.messages) != 2 || last.Whole || len(last.Partitions) > 0 {
+		t.Errorf("%d messages, the last is %+v", len(b.messages), last)
+	}
+	b.restart()
+	extend()
+	if last := b.messages[len(b.messages)-1]; len(b.messages) != 4 || !last.Whole || b.receiver.Granted() != 64 {
+		t.Errorf("after a restart %d messages, %d partitions granted", len(b.messages), b.receiver.Granted())
+	}
+	s.EndGrants()
+	extend()
+	if b.receiver.Granted() != 0 {
+		t.Errorf("%d partitions granted after the end of the lease", b.receiver.Granted())
+	}
+}
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -65,6 +65,7 @@
 	unreachable atomic.Bool
 	// cancels are requests that the backend server is told to cancel.
 	cancels chan cancellation
+	grants  grants
 
 	mu        sync.Mutex
 	announced *wirev1.BackendServer
@@ -100,7 +101,8 @@
 	}
 	return &Server{
 		cfg: cfg, log: cfg.Log, pool: pool{timeout: cfg.ConnectTimeout}, cancels: make(chan cancellation, 256),
-		guard: newGuard(cfg.Clock, admission.Config{}),
+		guard:  newGuard(cfg.Clock, admission.Config{}),
+		grants: grants{sending: make(chan struct{}, 1)},
 		client: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true},
 		},
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -132,12 +132,14 @@
 	for id, p := range s.partitions {
 		if kept[id] != p {
 			p.stop()
+			s.cfg.Backend.CloseGrants(p.grant())
 		}
 	}
 	s.partitions = kept
+	s.openGrants(self, fresh)
 	s.mu.Unlock()
 	if len(fresh) > 0 {
-		s.grantFresh(ctx, fresh)
+		s.sendFresh(ctx, fresh)
 	}
 }
 
@@ -187,23 +189,23 @@
 func (s *Server) EndTerm(ctx context.Context) {
 	s.mu.Lock()
 	closing := s.clear()
+	s.cfg.Backend.EndGrants()
 	s.mu.Unlock()
-	if len(closing) > 0 {
-		s.cfg.Log.Warn().Int("partitions", len(closing)).Msg("lease ended, keyed work stopped")
-		s.sendGrants(ctx, closing, 0)
+	if closing > 0 {
+		s.cfg.Log.Warn().Int("partitions", closing).Msg("lease ended, keyed work stopped")
+		s.sendGrants(ctx)
 	}
 }
 
-// clear ends the term and returns the partitions whose grants are open. The
-// lock is held.
-func (s *Server) clear() []*partition {
+// clear ends the term and returns the number of partitions whose grants are
+// open. The lock is held.
+func (s *Server) clear() (closing int) {
 	if s.term != nil {
 		s.term.cancel()
 	}
-	closing := make([]*partition, 0, len(s.partitions))
 	for _, p := range s.partitions {
 		if p.state != stateReleased {
-			closing = append(closing, p)
+			closing++
 		}
 		p.stop()
 	}
--- a/node/internal/owner/release.go
+++ b/node/internal/owner/release.go
@@ -81,12 +81,13 @@
 	} else {
 		p.state = stateReleased
 		s.released[p.id] = report
+		s.cfg.Backend.CloseGrants(p.grant())
 	}
 	s.mu.Unlock()
 	release := Release{Partition: report}
 	if !report.PutOff {
 		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
-		s.sendGrants(ctx, []*partition{p}, 0)
+		s.sendGrants(ctx)
 		cancel()
 		release.Records = s.requests.export(s.cfg.Clock.Now(), p.id)
 	}
