core/placement: cold servers get work, and leaving servers wait for warm ones

A restarted node or backend server counts as cold, and only finished work ends cold start, but no move went to a cold server while one warm server was left. Servers stayed cold for as long as they were spared: after three stops one server had 986 of 1,024 partitions, and each stop or zone moved all of them to the next one, whose queue was full then (queueFull in 401 of 600 sendings within 250 ms). Cold servers are now given what they sustain, within the churn budget.

A stop that found only cold servers ended with 32 partitions of 50 requests/s, which no cold server sustains (36 requests/s), still there after its 15 s. Their keys had no owner to reach while the listeners closed: 1,236 ms. Ruled out: the log and the grants, which took under 40 ms of these moves.

--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -79,6 +79,35 @@
 	}
 }
 
+// TestColdTargets guards against partitions that go to cold servers which do
+// not sustain them while there is time to wait, against a zone that still has
+// work 3 s after it was taken out, and against a stop that runs into its limit
+// of 15 s because all others are cold.
+func TestColdTargets(t *testing.T) {
+	for _, c := range []struct {
+		what       string
+		leave      func(w *world)
+		wait, then time.Duration
+		all        string
+	}{
+		{"zone out", func(w *world) { w.applyRules(t, deskRules+"zone a out # t: test\n") }, time.Second, 2 * time.Second, "map[s3:4 s4:4]"},
+		{"stop", func(w *world) { w.nodes[0].draining, w.nodes[1].draining = true, true }, 9 * time.Second, 5 * time.Second, "map[s3:4 s4:4]"},
+	} {
+		w := settled(t)
+		w.nodes[2].cold, w.nodes[3].cold = true, true
+		w.run(t, 3*time.Second)
+		c.leave(w)
+		w.run(t, c.wait)
+		if got := fmt.Sprint(w.owners()); got != "map[s1:2 s2:2 s3:2 s4:2]" {
+			t.Errorf("%s: owners after %v: %s", c.what, c.wait, got)
+		}
+		w.run(t, c.then)
+		if got := fmt.Sprint(w.owners()); got != c.all {
+			t.Errorf("%s: owners after %v: %s", c.what, c.wait+c.then, got)
+		}
+	}
+}
+
 // TestNewLeaderWaits guards against a new leader that takes partitions from a
 // node which an earlier leader may have granted a lease.
 func TestNewLeaderWaits(t *testing.T) {
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -46,6 +46,9 @@
 	request *wirev1.RenewRequest
 }
 
+// draining reports whether the node itself wants to leave. A nil report says no.
+func (r *report) draining() bool { return r != nil && r.request.GetDraining() }
+
 // expire returns commands that remove nodes whose lease is over.
 func (l *Leader) expire(state *cluster.State, now time.Time) []*wirev1.Command {
 	var commands []*wirev1.Command
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -13,6 +13,11 @@
 // released for an earlier leader, whose plan is not known.
 const reasonReleased placement.Reason = "ownerReleased"
 
+// ruledLeave is how long partitions may wait for cold servers at a server that
+// the rules or an operator take out of service: half of the 3 s after which it
+// must get no new work. A node that stops by itself waits longer.
+const ruledLeave = 1500 * time.Millisecond
+
 // planner is the planner of one upstream with the policy that it was made for.
 type planner struct {
 	*placement.Planner
@@ -154,6 +159,9 @@
 			s.Weight = float64(u.Slots)
 		}
 		s.Leaving = s.LeaveReason != ""
+		if s.LeaveReason == placement.ReasonZoneOut || !l.reports[s.Incarnation].draining() {
+			s.LeaveWithin = ruledLeave
+		}
 		view.Servers = append(view.Servers, s)
 		byName[s.Name], alive[s.Incarnation] = s.Incarnation, !s.Lost
 	}
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -51,6 +51,62 @@
 	}
 }
 
+// warmUp gives cold servers what they sustain of the load of the warm ones,
+// within the churn budget. Cold start ends with finished work only: without
+// this, servers stayed cold for as long as one warm server was left, and that
+// one got all partitions.
+func (t *task) warmUp() {
+	b := &balance{task: t}
+	for _, to := range t.pool.cold {
+		for !t.pool.full(to) {
+			from := b.busiest()
+			if from < 0 {
+				return
+			}
+			i := b.pickCold(from, to)
+			if i < 0 || !t.churn() {
+				break
+			}
+			t.move(i, to, ReasonReturn, true)
+		}
+	}
+}
+
+// busiest returns the warm server with the highest utilization that takes part
+// in further moves, -1 if there is none.
+func (b *balance) busiest() int {
+	from := -1
+	for _, at := range b.pool.warm {
+		if !b.pool.full(at) && (from < 0 || b.pool.entries[at].utilization() > b.pool.entries[from].utilization()) {
+			from = at
+		}
+	}
+	return from
+}
+
+// pickCold returns the heaviest partition of a server that a cold server
+// sustains and that leaves it below the first, -1 if there is none. A cold
+// server without partitions gets the lightest that has load if none fits.
+func (b *balance) pickCold(from, to int) int {
+	f, t := &b.pool.entries[from], &b.pool.entries[to]
+	lightest := -1
+	for _, i := range b.ownedBy(from) {
+		part := &b.partitions[i]
+		cost := b.cost(part)
+		if part.Load <= 0 || !b.free(i) || part.PinnedTo != 0 && part.PinnedTo == part.Owner || f.utilization()-cost/f.Weight < t.utilization()+cost/t.Weight {
+			continue
+		}
+		if t.rate+part.Load <= b.config.ColdRate*t.Weight {
+			return i
+		}
+		lightest = i
+	}
+	if lightest >= 0 && b.pool.sustains(to, b.partitions[lightest].Load) {
+		return lightest
+	}
+	return -1
+}
+
 // even reports whether utilizations are close enough to stop.
 func (b *balance) even(high, low float64) bool {
 	return high < b.config.StopBelow && low > 1/b.config.StopBelow
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -1,6 +1,8 @@
 // Package placement decides which node owns which partition.
 package placement
 
+import "time"
+
 // Server is a backend server with its node, as a candidate owner.
 type Server struct {
 	Incarnation      uint64
@@ -14,6 +16,9 @@
 	// LeaveReason is the reason of moves away from a leaving server. Empty
 	// means ReasonDrain.
 	LeaveReason Reason
+	// LeaveWithin is how long partitions may wait at a leaving server for
+	// others to warm up. 0 means Config.ColdWait.
+	LeaveWithin time.Duration
 	// Lost servers have no lease; their partitions may be taken.
 	Lost bool
 }
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -21,6 +21,11 @@
 	// DefaultBaseLoad keeps the planner from chasing noise: at a few requests
 	// per second the number of partitions decides, not their load.
 	DefaultBaseLoad = 0.05
+	// DefaultColdWait is 10 of the 15 s that a stopping node waits for its
+	// partitions to be moved: cold servers get their moves while there is time
+	// to carry them out. A stop that ran into its limit interrupted keys for
+	// 1,236 ms.
+	DefaultColdWait = 10 * time.Second
 )
 
 // Config bounds what a planner does. The zero value means the defaults.
@@ -41,6 +46,10 @@
 	// BaseLoad is counted for each partition in addition to its load, in
 	// requests/s.
 	BaseLoad float64
+	// ColdWait is how long partitions stay at a leaving server because only
+	// cold servers are left that do not sustain them. Server.LeaveWithin
+	// takes precedence.
+	ColdWait time.Duration
 }
 
 // WithDefaults returns the configuration with defaults in place of zeros.
@@ -53,6 +62,7 @@
 		StopBelow:      cmp.Or(c.StopBelow, DefaultStopBelow),
 		ColdRate:       cmp.Or(c.ColdRate, DefaultColdRate),
 		BaseLoad:       cmp.Or(c.BaseLoad, DefaultBaseLoad),
+		ColdWait:       cmp.Or(c.ColdWait, DefaultColdWait),
 	}
 }
 
@@ -65,11 +75,13 @@
 	balancing bool
 	// churned has the times of moves that count against the churn budget.
 	churned []time.Time
+	// leaving has the time since which each leaving server leaves.
+	leaving map[uint64]time.Time
 }
 
 // NewPlanner returns a planner for one upstream.
 func NewPlanner(config Config, policy Policy[Partition]) *Planner {
-	return &Planner{config: config.WithDefaults(), policy: policy}
+	return &Planner{config: config.WithDefaults(), policy: policy, leaving: map[uint64]time.Time{}}
 }
 
 // SetChurn changes the churn budget; moves of the last minute still count.
@@ -83,6 +95,7 @@
 // that even out load. Each returned move counts as begun.
 func (p *Planner) Plan(now time.Time, view View) []Move {
 	p.forget(now)
+	p.noteLeaving(now, view.Servers)
 	t := newTask(p, now, view)
 	t.placeLost()
 	t.placePinned()
@@ -92,6 +105,7 @@
 		// Loads are about to change or not known yet.
 	case p.policy.Mode() == ModeBalance:
 		t.balance()
+		t.warmUp()
 	case p.policy.Mode() == ModeFollow:
 		t.follow()
 	}
@@ -107,6 +121,21 @@
 	p.churned = slices.Delete(p.churned, 0, first)
 }
 
+// noteLeaving remembers since when servers leave.
+func (p *Planner) noteLeaving(now time.Time, servers []Server) {
+	since := make(map[uint64]time.Time, len(p.leaving))
+	for _, s := range servers {
+		if !s.Leaving {
+			continue
+		}
+		since[s.Incarnation] = now
+		if t, known := p.leaving[s.Incarnation]; known {
+			since[s.Incarnation] = t
+		}
+	}
+	p.leaving = since
+}
+
 // task is the work on one plan.
 type task struct {
 	planner    *Planner
@@ -256,13 +285,17 @@
 	}
 }
 
-// empty moves partitions away from leaving servers.
+// empty moves partitions away from leaving servers. Those that no server
+// sustains stay until the time to leave has passed.
 func (t *task) empty() {
+	defer func() { t.pool.urgent = false }()
 	for i := range t.partitions {
 		at := t.owners[i]
 		if at < 0 || !t.pool.entries[at].Leaving || !t.free(i) {
 			continue
 		}
+		e := &t.pool.entries[at]
+		t.pool.urgent = t.now.Sub(t.planner.leaving[e.Incarnation]) >= cmp.Or(e.LeaveWithin, t.config.ColdWait)
 		if to := t.planner.policy.Choose(t.partitions[i], t.pool); to >= 0 {
 			t.move(i, to, cmp.Or(t.pool.entries[at].LeaveReason, ReasonDrain), true)
 		}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -17,6 +17,9 @@
 	queue      queue
 	// unowned is set while partitions without an owner are placed.
 	unowned bool
+	// urgent is set while partitions are placed whose owner leaves and has no
+	// time left to wait for servers to warm up.
+	urgent bool
 }
 
 type entry struct {
@@ -123,7 +126,7 @@
 	if !e.eligible || p.full(at) {
 		return false
 	}
-	return !e.Cold || e.partitions == 0 || e.rate+rate <= p.config.ColdRate*e.Weight
+	return !e.Cold || p.urgent || e.partitions == 0 || e.rate+rate <= p.config.ColdRate*e.Weight
 }
 
 // full reports whether a server takes no more planned moves in this plan.
