node/internal/peer: calls in memory go on framed connections

Calls whose body is in memory now go in frames on one TCP connection per pair and direction. One goroutine writes what others queue; it yields once before each write, so that ready calls share a write call. Goroutines that serve calls are reused, because new ones grew their stacks at each call. Streamed bodies and settlements stay on HTTP/2 on the same port. Kept: ping after 250 ms and close after 500 ms without an answer, check of incarnation and secret for each call, sending id in answers, 256 KiB and 4 MiB windows, settlement on a fresh connection, graceful end by goAway and done.

--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -35,6 +35,9 @@
 
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = time.Minute
+	// connectTries bounds the connections that are opened for one call when
+	// each has ended before the call could be sent.
+	connectTries = 3
 	// verdictGrace lets a refusal of the owner's node, which says more than the
 	// passing of the deadline, still arrive.
 	verdictGrace = 50 * time.Millisecond
@@ -61,8 +64,10 @@
 type Client struct {
 	clock clock.Clock
 	view  *view.View
-	// shared has the connections that requests are multiplexed on; fresh opens
-	// a connection for each question about a lost one.
+	// framed has the connections for calls whose body is in memory, shared those
+	// for streamed bodies; fresh opens a connection for each question about a
+	// lost call.
+	framed framedClient
 	shared *http.Transport
 	fresh  *http.Transport
 	open   openConnections
@@ -74,26 +79,20 @@
 	p.shared = p.transport()
 	p.fresh = p.transport()
 	p.fresh.DisableKeepAlives = true
+	p.framed.dial, p.framed.peers = p.dial, map[string]*dialed{}
 	return p
 }
 
 func (p *Client) transport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		Protocols: protocols,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: PingAfter, PingTimeout: PingTimeout, MaxEncoderHeaderTableSize: headerTable,
 			MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
 		},
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return p.open.add(nc), nil
-		},
+		DialContext:        p.dial,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		// The transport must never send a body before the owner's node asks
@@ -103,14 +102,24 @@
 	}
 }
 
+func (p *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return p.open.add(nc), nil
+}
+
 // dialError marks failures before any byte was sent.
 type dialError struct{ error }
 
 // Unwrap returns the cause.
 func (e *dialError) Unwrap() error { return e.error }
 
-// Close closes idle connections.
+// Close closes the connections. No call may be running.
 func (p *Client) Close() {
+	p.framed.close()
 	p.shared.CloseIdleConnections()
 	p.fresh.CloseIdleConnections()
 }
@@ -125,26 +134,91 @@
 	if left <= 0 {
 		return nil, relay.NotRun(outcome.ReasonDeadline)
 	}
-	sendCtx, cancel := context.WithTimeout(ctx, left+verdictGrace)
-	answer, refusal, err := p.send(sendCtx, to, c, left)
+	send := p.sendFramed
+	if c.Body.Streamed() {
+		send = p.sendStreamed
+	}
+	answer, refusal, err := send(ctx, to, c, left)
 	if err == nil {
-		if refusal != nil || isKept(answer) {
-			cancel()
-			return answer, refusal
-		}
-		answer.Body = &cancelBody{answer.Body, cancel}
-		return answer, nil
+		return answer, refusal
 	}
-	cancel()
 	if refusal.Outcome == outcome.OutcomeNotRun || c.Idempotent || ctx.Err() != nil {
 		return nil, refusal
 	}
 	return p.settle(ctx, to, c, refusal)
 }
 
-func isKept(a *relay.Answer) bool {
-	_, ok := a.Kept()
-	return ok || a.Body == http.NoBody
+// sendFramed makes one sending on the framed connection to a node. With an
+// error the refusal says what is known without asking.
+func (p *Client) sendFramed(ctx context.Context, to *wirev1.Node, c *relay.Call, left time.Duration) (*relay.Answer, *outcome.Refusal, error) {
+	expired := time.NewTimer(left + verdictGrace)
+	defer expired.Stop()
+	var link *clientLink
+	var s *stream
+	var id uint32
+	for try, sent := 0, false; !sent; try++ {
+		if try == connectTries {
+			return nil, relay.NotRun(outcome.ReasonUnreachable), errLinkClosed
+		}
+		var err error
+		if link, err = p.framed.connect(ctx, expired.C, to.GetPeerAddress()); err != nil {
+			return nil, relay.NotRun(outcome.ReasonUnreachable), err
+		}
+		if s, id, sent = link.begin(p.view.Identity(), c, left); !sent {
+			// The connection has ended or takes no more calls.
+			link.left()
+		}
+	}
+	unknown := relay.Unknown(outcome.ReasonCancelled)
+	select {
+	case r := <-s.replied:
+		switch {
+		case r.err != nil && r.refusal == nil:
+			return nil, relay.Unknown(outcome.ReasonConnectionLost), r.err
+		case r.answer != nil:
+			watchBody(ctx, r.answer, left+verdictGrace)
+		}
+		return r.answer, r.refusal, r.err
+	case <-ctx.Done():
+	case <-expired.C:
+		unknown.Reason = outcome.ReasonDeadline
+	}
+	link.cancel(id)
+	select {
+	case r := <-s.replied:
+		if r.answer != nil {
+			_ = r.answer.Body.Close()
+		}
+	default:
+	}
+	return nil, unknown, errCancelled
+}
+
+// watchBody ends a streamed body with the context, or when its time is over.
+func watchBody(ctx context.Context, a *relay.Answer, left time.Duration) {
+	b, ok := a.Body.(*incoming)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	stop := context.AfterFunc(ctx, func() { b.end(ctx.Err(), nil) })
+	b.watched(func() {
+		stop()
+		cancel()
+	})
+}
+
+// sendStreamed makes one sending over HTTP/2, which waits for admission before
+// the body.
+func (p *Client) sendStreamed(ctx context.Context, to *wirev1.Node, c *relay.Call, left time.Duration) (*relay.Answer, *outcome.Refusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, left+verdictGrace)
+	answer, refusal, err := p.send(ctx, to, c, left)
+	if answer == nil {
+		cancel()
+		return nil, refusal, err
+	}
+	answer.OnClose(cancel)
+	return answer, refusal, err
 }
 
 // send makes one sending. With an error the refusal says what is known without
@@ -214,14 +288,8 @@
 
 func attachBody(q *http.Request, b *relay.Body) {
 	q.ContentLength = b.Size()
-	switch {
-	case b.Streamed():
-		q.Header["Expect"] = []string{"100-continue"}
-		q.Body = &streamBody{Reader: b.Reader(), abort: b.Abort}
-	case len(b.Kept) > 0:
-		q.Body = io.NopCloser(bytes.NewReader(b.Kept))
-		q.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(b.Kept)), nil }
-	}
+	q.Header["Expect"] = []string{"100-continue"}
+	q.Body = &streamBody{Reader: b.Reader(), abort: b.Abort}
 }
 
 func (p *Client) present(h http.Header) {
@@ -253,18 +321,6 @@
 	return nil
 }
 
-type cancelBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the body and ends the stream.
-func (b *cancelBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
-}
-
 // settle asks the node that a lost call was sent to what became of it, until
 // it knows or the deadline passes.
 func (p *Client) settle(ctx context.Context, to *wirev1.Node, c *relay.Call, lost *outcome.Refusal) (*relay.Answer, *outcome.Refusal) {
--- /dev/null
+++ b/node/internal/peer/export_test.go
@@ -0,0 +1,20 @@
+package peer
+
+// For tests of the frames' decoders.
+var (
+	DecodeFramedCall   = decodeCall
+	DecodeFramedAnswer = decodeAnswer
+	DecodeRefusal      = decodeRefusal
+	AppendFramedCall   = appendCall
+	AppendString       = appendString
+)
+
+// For tests of framed connections.
+const (
+	Preface       = preface
+	StreamWindow  = streamWindow
+	MaxFrameBytes = maxFrameBytes
+	FrameHello    = byte(frameHello)
+	FrameCall     = byte(frameCall)
+	FrameRefusal  = byte(frameRefusal)
+)
--- /dev/null
+++ b/node/internal/peer/framed.go
@@ -0,0 +1,313 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+)
+
+// idleWorkers is how many goroutines of a connection wait for the next call.
+// Their stacks have grown already, which new ones do with each call.
+const idleWorkers = 64
+
+var errCancelled = errors.New("call was cancelled")
+
+// serverLink is a framed connection from another node.
+type serverLink struct {
+	link
+	h *Handler
+	// incarnation and secret as shown last. Only the reader uses them.
+	incarnation, secret string
+	work                chan *served
+	parts               sync.WaitGroup
+
+	mu sync.Mutex
+	// credits is signalled when a window grows and when a call is cancelled.
+	credits sync.Cond
+	streams map[uint32]*served
+	idle    int
+	window  int
+	done    bool
+}
+
+// served is a call that runs here.
+type served struct {
+	l      *serverLink
+	id     uint32
+	from   string
+	call   *relay.Call
+	ctx    context.Context
+	cancel context.CancelFunc
+	// window is what may be sent of the body. The link's lock guards it.
+	window int
+	over   bool
+}
+
+func newServerLink(h *Handler, nc net.Conn) *serverLink {
+	l := &serverLink{h: h, work: make(chan *served), streams: map[uint32]*served{}, window: connectionWindow}
+	l.credits.L = &l.mu
+	l.start(nc)
+	return l
+}
+
+// run serves the connection until it ends and its calls have ended.
+func (l *serverLink) run() {
+	l.parts.Go(l.write)
+	for {
+		f, err := l.next()
+		if err == nil {
+			err = l.receive(f)
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				l.h.Log.Debug().Err(err).Str("remote", l.nc.RemoteAddr().String()).Msg("framed connection ended")
+			}
+			break
+		}
+	}
+	l.close()
+	l.mu.Lock()
+	for _, s := range l.streams {
+		s.over = true
+		s.cancel()
+	}
+	l.credits.Broadcast()
+	l.mu.Unlock()
+	l.parts.Wait()
+}
+
+func (l *serverLink) receive(f frame) error {
+	switch f.kind {
+	case frameHello:
+		h := fields{text: string(f.payload)}
+		l.incarnation, l.secret = h.string(), h.string()
+		if h.bad || h.text != "" {
+			return errMalformed
+		}
+	case frameCall:
+		l.begin(f)
+	case frameCancel:
+		l.cancelled(f.stream)
+	case frameWindow:
+		n, size := binary.Uvarint(f.payload)
+		if size <= 0 || n > connectionWindow {
+			return errMalformed
+		}
+		l.mu.Lock()
+		l.window += int(n)
+		if s := l.streams[f.stream]; s != nil {
+			s.window += int(n)
+		}
+		l.credits.Broadcast()
+		l.mu.Unlock()
+	case frameDone:
+		l.mu.Lock()
+		l.done = true
+		last := len(l.streams) == 0
+		l.mu.Unlock()
+		if last {
+			l.finish()
+		}
+	default:
+		return errors.Errorf("unexpected %v frame", f.kind)
+	}
+	return nil
+}
+
+// begin checks the sender of a call and hands the call to a goroutine.
+func (l *serverLink) begin(f frame) {
+	if refusal := l.h.trust(l.incarnation, l.secret, l.nc.RemoteAddr().String()); refusal != nil {
+		l.refuse(f.stream, refusal)
+		return
+	}
+	c, left, err := decodeCall(f.payload)
+	if err != nil {
+		l.h.Log.Warn().Err(err).Str("remote", l.nc.RemoteAddr().String()).Msg("request of another node cannot be read")
+		l.refuse(f.stream, relay.NotRun(outcome.ReasonBadRequest))
+		return
+	}
+	c.Deadline = l.h.Clock.Now().Add(left)
+	s := &served{l: l, id: f.stream, from: l.incarnation, call: c, window: streamWindow}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	l.mu.Lock()
+	_, twice := l.streams[f.stream]
+	full := len(l.streams) >= maxStreams
+	if !twice && !full {
+		l.streams[f.stream] = s
+	}
+	l.mu.Unlock()
+	switch {
+	case twice:
+		s.cancel()
+		l.close()
+	case full:
+		s.cancel()
+		l.refuse(f.stream, relay.NotRun(outcome.ReasonQueueFull))
+	default:
+		select {
+		case l.work <- s:
+		default:
+			l.parts.Go(func() { l.worker(s) })
+		}
+	}
+}
+
+func (l *serverLink) refuse(id uint32, r *outcome.Refusal) {
+	l.send(frameRefusal, id, appendRefusal(nil, r))
+}
+
+func (l *serverLink) cancelled(id uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.streams[id]; s != nil {
+		s.over = true
+		s.cancel()
+		l.credits.Broadcast()
+	}
+}
+
+// worker runs a call and then others, until enough goroutines wait.
+func (l *serverLink) worker(s *served) {
+	for {
+		s.run()
+		l.mu.Lock()
+		enough := l.idle >= idleWorkers
+		if !enough {
+			l.idle++
+		}
+		l.mu.Unlock()
+		if enough {
+			return
+		}
+		select {
+		case s = <-l.work:
+		case <-l.closed:
+			s = nil
+		}
+		l.mu.Lock()
+		l.idle--
+		l.mu.Unlock()
+		if s == nil {
+			return
+		}
+	}
+}
+
+func (s *served) run() {
+	defer s.end()
+	defer func() {
+		if p := recover(); p != nil {
+			s.l.h.Log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Str("requestId", s.call.ID).Msg("call of another node failed")
+			s.l.send(frameReset, s.id)
+		}
+	}()
+	h := s.l.h
+	started := h.Clock.Now()
+	answer, refusal := h.Owner.Do(s.ctx, s.call)
+	h.logCall(s.from, s.call, answer, refusal, h.Clock.Now().Sub(started))
+	if refusal != nil {
+		s.l.refuse(s.id, refusal)
+		return
+	}
+	if err := s.answer(answer); err != nil {
+		// The entry node sees an incomplete answer.
+		s.l.send(frameReset, s.id)
+	}
+}
+
+// end takes the call off the connection, and ends the connection if it was the
+// last one that will come.
+func (s *served) end() {
+	l := s.l
+	s.cancel()
+	l.mu.Lock()
+	delete(l.streams, s.id)
+	last := l.done && len(l.streams) == 0
+	l.mu.Unlock()
+	if last {
+		l.finish()
+	}
+}
+
+// answer sends an answer and closes its body. The error means that it was cut
+// short.
+func (s *served) answer(a *relay.Answer) error {
+	defer func() { _ = a.Body.Close() }()
+	kept, whole := a.Kept()
+	var flags uint64
+	switch {
+	case s.call.Method == http.MethodHead || a.Body == http.NoBody:
+		flags, kept = answerNoBody, nil
+	case !whole:
+		flags = answerStreamed
+	}
+	buffer := payloads.Get().(*[]byte)
+	*buffer = appendAnswer((*buffer)[:0], a, s.call.Sending, flags)
+	var size [binary.MaxVarintLen64]byte
+	n := binary.PutUvarint(size[:], uint64(len(*buffer)))
+	fits := n+len(*buffer)+len(kept) <= maxFrameBytes
+	s.l.waitRoom()
+	if fits {
+		s.l.send(frameAnswer, s.id, size[:n], *buffer, kept)
+	}
+	payloads.Put(buffer)
+	if !fits {
+		return errMalformed
+	}
+	if flags != answerStreamed {
+		return nil
+	}
+	return s.stream(a)
+}
+
+// stream sends the body in data frames and then the trailer.
+func (s *served) stream(a *relay.Answer) error {
+	total, err := relay.Copy(s, a.Body, nil)
+	if err != nil {
+		return err
+	}
+	if a.Length >= 0 && total != a.Length {
+		return io.ErrUnexpectedEOF
+	}
+	var trailer http.Header
+	if a.Trailer != nil {
+		trailer = a.Trailer()
+	}
+	s.l.send(frameEnd, s.id, appendHeader(nil, trailer))
+	return nil
+}
+
+// Write sends a part of the body as far as the windows allow, and waits for
+// them to grow.
+func (s *served) Write(p []byte) (int, error) {
+	l, total := s.l, len(p)
+	for len(p) > 0 {
+		l.waitRoom()
+		l.mu.Lock()
+		for min(s.window, l.window) <= 0 && !s.over {
+			l.credits.Wait()
+		}
+		n := min(len(p), s.window, l.window)
+		if s.over {
+			l.mu.Unlock()
+			return total - len(p), errCancelled
+		}
+		s.window -= n
+		l.window -= n
+		l.mu.Unlock()
+		if !l.send(frameData, s.id, p[:n]) {
+			return total - len(p), errLinkClosed
+		}
+		p = p[n:]
+	}
+	return total, nil
+}
--- /dev/null
+++ b/node/internal/peer/link.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readBufferBytes = 16 << 10
+	// maxQueuedBytes is how much may wait to be written before calls and data
+	// wait too. Memory for a slow reader stays bounded by it.
+	maxQueuedBytes = 1 << 20
+	// keptBufferBytes bounds the write buffers that an idle connection keeps.
+	keptBufferBytes = 64 << 10
+)
+
+var errLinkClosed = errors.New("connection between nodes is closed")
+
+// link is a framed connection: frames are queued by any goroutine and written
+// together by one, and pings find out whether the other side still answers.
+type link struct {
+	nc     net.Conn
+	br     *bufio.Reader
+	opened time.Time
+	// heard is when the last frame came, pinged when a ping was sent that is
+	// not answered, 0 if there is none. Both count from opened, in nanoseconds.
+	heard  atomic.Int64
+	pinged atomic.Int64
+	timer  *time.Timer
+	closed chan struct{}
+	once   sync.Once
+	wake   chan struct{}
+
+	mu sync.Mutex
+	// room is signalled when the queue was taken, and at the end.
+	room sync.Cond
+	// queue has the frames to write, spare is the buffer written before.
+	queue, spare []byte
+	// ending means that the connection is closed once the queue is written.
+	ending bool
+	ended  bool
+}
+
+// start sets up a connection and its pings. The caller runs write.
+func (l *link) start(nc net.Conn) {
+	l.nc, l.br, l.opened = nc, bufio.NewReaderSize(nc, readBufferBytes), time.Now()
+	l.closed, l.wake = make(chan struct{}), make(chan struct{}, 1)
+	l.room.L = &l.mu
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timer = time.AfterFunc(PingAfter, l.check)
+}
+
+// close closes the connection at once.
+func (l *link) close() {
+	l.once.Do(func() {
+		l.mu.Lock()
+		l.ended = true
+		l.timer.Stop()
+		l.room.Broadcast()
+		l.mu.Unlock()
+		close(l.closed)
+		_ = l.nc.Close()
+	})
+}
+
+// finish closes the connection once everything queued has been written.
+func (l *link) finish() {
+	l.mu.Lock()
+	l.ending = true
+	l.mu.Unlock()
+	l.signal()
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// waitRoom returns when the queue is short, or the connection has ended.
+func (l *link) waitRoom() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.queue) > maxQueuedBytes && !l.ended {
+		l.room.Wait()
+	}
+}
+
+// send queues a frame. It returns false, and sends nothing, if the connection
+// has ended. It never waits.
+func (l *link) send(t frameType, stream uint32, parts ...[]byte) bool {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	l.mu.Lock()
+	if l.ended || l.ending {
+		l.mu.Unlock()
+		return false
+	}
+	idle := len(l.queue) == 0
+	l.queue = binary.BigEndian.AppendUint32(l.queue, uint32(size))
+	l.queue = append(l.queue, byte(t))
+	l.queue = binary.BigEndian.AppendUint32(l.queue, stream)
+	for _, p := range parts {
+		l.queue = append(l.queue, p...)
+	}
+	l.mu.Unlock()
+	if idle {
+		l.signal()
+	}
+	return true
+}
+
+// write writes queued frames until the connection ends.
+func (l *link) write() {
+	defer l.close()
+	for {
+		select {
+		case <-l.wake:
+		case <-l.closed:
+			return
+		}
+		// Goroutines that are ready may add frames, which saves them a write
+		// call of their own.
+		runtime.Gosched()
+		l.mu.Lock()
+		out, ending := l.queue, l.ending
+		l.queue, l.spare = l.spare[:0], nil
+		l.room.Broadcast()
+		l.mu.Unlock()
+		if len(out) > 0 {
+			if _, err := l.nc.Write(out); err != nil {
+				return
+			}
+		}
+		if ending {
+			return
+		}
+		if cap(out) <= keptBufferBytes {
+			l.mu.Lock()
+			l.spare = out
+			l.mu.Unlock()
+		}
+	}
+}
+
+// frame is one frame as read. The payload is the receiver's to keep.
+type frame struct {
+	kind    frameType
+	stream  uint32
+	payload []byte
+}
+
+// next reads the next frame that is not a ping or its answer.
+func (l *link) next() (frame, error) {
+	for {
+		head, err := l.br.Peek(frameHeaderBytes)
+		if err != nil {
+			return frame{}, err
+		}
+		f := frame{kind: frameType(head[4]), stream: binary.BigEndian.Uint32(head[5:])}
+		size := binary.BigEndian.Uint32(head)
+		if size > maxFrameBytes {
+			return frame{}, errors.Errorf("%v frame of %d bytes", f.kind, size)
+		}
+		_, _ = l.br.Discard(frameHeaderBytes)
+		if size > 0 {
+			f.payload = make([]byte, size)
+			if err := l.fill(f.payload); err != nil {
+				return frame{}, err
+			}
+		}
+		l.heard.Store(int64(time.Since(l.opened)))
+		switch f.kind {
+		case framePing:
+			l.send(framePong, 0)
+		case framePong:
+			l.pinged.Store(0)
+		default:
+			return f, nil
+		}
+	}
+}
+
+// fill reads a payload. Each part of it is a sign of life.
+func (l *link) fill(p []byte) error {
+	for len(p) > 0 {
+		n, err := l.br.Read(p)
+		if p = p[n:]; err != nil && len(p) > 0 {
+			return err
+		}
+		l.heard.Store(int64(time.Since(l.opened)))
+	}
+	return nil
+}
+
+// check sends a ping after PingAfter without a frame, and closes the
+// connection if the ping is not answered within PingTimeout.
+func (l *link) check() {
+	now := time.Since(l.opened)
+	wait := PingAfter
+	if sent := time.Duration(l.pinged.Load()); sent > 0 {
+		wait = sent + PingTimeout - now
+		if wait <= 0 {
+			l.close()
+			return
+		}
+	} else if idle := now - time.Duration(l.heard.Load()); idle >= PingAfter {
+		l.pinged.Store(int64(now))
+		l.send(framePing, 0)
+		wait = PingTimeout
+	} else {
+		wait -= idle
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.timer.Reset(wait)
+	}
+}
--- /dev/null
+++ b/node/internal/peer/listen.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// acceptPause is the time after a failure to accept that may pass, such as too
+// many open files.
+const acceptPause = 10 * time.Millisecond
+
+// Server serves framed connections and HTTP/2 on one listener. The first bytes
+// of a connection tell them apart.
+type Server struct {
+	h    *Handler
+	http *http.Server
+
+	mu sync.Mutex
+	// links are the framed connections, opening those that have not shown yet
+	// what they are.
+	links    map[*serverLink]struct{}
+	opening  map[net.Conn]struct{}
+	listener net.Listener
+	stopping bool
+	running  sync.WaitGroup
+}
+
+// NewServer returns a server for the handler with the bounds and pings of
+// connections between nodes. Failures of single connections go to the log.
+func NewServer(h *Handler, errorLog *log.Logger) *Server {
+	s := &Server{h: h, http: h.httpServer(), links: map[*serverLink]struct{}{}, opening: map[net.Conn]struct{}{}}
+	s.http.ErrorLog = errorLog
+	return s
+}
+
+// Serve accepts connections until Shutdown or Close, and returns
+// http.ErrServerClosed then. It must be called once.
+func (s *Server) Serve(l net.Listener) error {
+	others := &passedOn{Listener: l, conns: make(chan net.Conn), ended: make(chan struct{})}
+	s.mu.Lock()
+	s.listener = l
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping {
+		return http.ErrServerClosed
+	}
+	end := make(chan error, 1)
+	go func() { end <- s.http.Serve(others) }()
+	err := s.accept(l, others)
+	_ = others.Close()
+	<-end
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+func (s *Server) accept(l net.Listener, others *passedOn) error {
+	for {
+		nc, err := l.Accept()
+		switch {
+		case err == nil:
+			s.running.Go(func() { s.sort(nc, others) })
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
+			time.Sleep(acceptPause)
+		default:
+			return fmt.Errorf("accepting nodes: %w", err)
+		}
+	}
+}
+
+// sort reads the first bytes of a connection and serves it, or passes it on.
+func (s *Server) sort(nc net.Conn, others *passedOn) {
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		_ = nc.Close()
+		return
+	}
+	s.opening[nc] = struct{}{}
+	s.mu.Unlock()
+	first := make([]byte, len(preface))
+	_ = nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_, err := io.ReadFull(nc, first)
+	_ = nc.SetReadDeadline(time.Time{})
+	framed := err == nil && string(first) == preface
+	s.mu.Lock()
+	delete(s.opening, nc)
+	var l *serverLink
+	if framed && !s.stopping {
+		l = newServerLink(s.h, nc)
+		s.links[l] = struct{}{}
+	}
+	s.mu.Unlock()
+	switch {
+	case l != nil:
+		l.run()
+		s.mu.Lock()
+		delete(s.links, l)
+		s.mu.Unlock()
+	case err == nil && !framed:
+		others.pass(&begunConn{nc, io.MultiReader(bytes.NewReader(first), nc)})
+	default:
+		_ = nc.Close()
+	}
+}
+
+// stop keeps new connections away and ends those that have not begun. It
+// returns the framed ones.
+func (s *Server) stop() []*serverLink {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for nc := range s.opening {
+		_ = nc.Close()
+	}
+	links := make([]*serverLink, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// Shutdown tells the other nodes to send no more calls, and returns when the
+// calls that they have sent are answered or the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	for _, l := range s.stop() {
+		l.send(frameGoAway, 0)
+	}
+	err := s.http.Shutdown(ctx)
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() error {
+	for _, l := range s.stop() {
+		l.close()
+	}
+	return s.http.Close()
+}
+
+// passedOn is a listener for connections that another one has accepted.
+type passedOn struct {
+	net.Listener
+	conns chan net.Conn
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (p *passedOn) pass(nc net.Conn) {
+	select {
+	case p.conns <- nc:
+	case <-p.ended:
+		_ = nc.Close()
+	}
+}
+
+// Accept returns the next connection.
+func (p *passedOn) Accept() (net.Conn, error) {
+	select {
+	case nc := <-p.conns:
+		return nc, nil
+	case <-p.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept, and the listener below.
+func (p *passedOn) Close() error {
+	p.once.Do(func() { close(p.ended) })
+	return p.Listener.Close()
+}
+
+// begunConn is a connection of which the first bytes have been read.
+type begunConn struct {
+	net.Conn
+	r io.Reader
+}
+
+// Read reads the first bytes again and then the connection.
+func (c *begunConn) Read(p []byte) (int, error) { return c.r.Read(p) }
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -64,9 +64,8 @@
 	own []uint64
 }
 
-// Server returns an HTTP server for the handler with the bounds and pings of
-// connections between nodes.
-func (h *Handler) Server() *http.Server {
+// httpServer serves calls whose body is streamed, and questions about lost ones.
+func (h *Handler) httpServer() *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
@@ -92,7 +91,8 @@
 
 // ServeHTTP runs a call of another node or settles one.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if refusal := h.trust(r); refusal != nil {
+	from := r.Header.Get(headers.PeerIncarnation)
+	if refusal := h.trust(from, r.Header.Get(headers.PeerSecret), r.RemoteAddr); refusal != nil {
 		relay.WriteRefusal(w, refusal)
 		return
 	}
@@ -107,7 +107,7 @@
 	}
 	started := h.Clock.Now()
 	answer, refusal := h.Owner.Do(r.Context(), c)
-	h.logCall(r, c, answer, refusal, h.Clock.Now().Sub(started))
+	h.logCall(from, c, answer, refusal, h.Clock.Now().Sub(started))
 	if refusal != nil {
 		refusal.RequestID = c.ID
 		relay.WriteRefusal(w, refusal)
@@ -120,11 +120,10 @@
 }
 
 // trust checks that the sender is a registered incarnation.
-func (h *Handler) trust(r *http.Request) *outcome.Refusal {
-	incarnation, err := strconv.ParseUint(r.Header.Get(headers.PeerIncarnation), 10, 64)
-	secret := r.Header.Get(headers.PeerSecret)
+func (h *Handler) trust(shown, secret, remote string) *outcome.Refusal {
+	incarnation, err := strconv.ParseUint(shown, 10, 64)
 	if err != nil || incarnation == 0 || secret == "" {
-		h.Log.Warn().Str("remote", r.RemoteAddr).Msg("request without a node's credentials on the peer port")
+		h.Log.Warn().Str("remote", remote).Msg("request without a node's credentials on the peer port")
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
 	n := h.View.Table().Node(incarnation)
@@ -133,7 +132,7 @@
 		return relay.NotRun(outcome.ReasonNoLease)
 	}
 	if subtle.ConstantTimeCompare([]byte(n.GetPeerSecret()), []byte(secret)) != 1 {
-		h.Log.Warn().Str("remote", r.RemoteAddr).Uint64("incarnation", incarnation).Msg("request with a wrong secret on the peer port")
+		h.Log.Warn().Str("remote", remote).Uint64("incarnation", incarnation).Msg("request with a wrong secret on the peer port")
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
 	return nil
@@ -200,8 +199,8 @@
 	_ = json.NewEncoder(w).Encode(s)
 }
 
-func (h *Handler) logCall(r *http.Request, c *relay.Call, a *relay.Answer, refusal *outcome.Refusal, took time.Duration) {
-	e := h.Log.Info().Str("requestId", c.ID).Str("sending", c.Sending).Str("from", r.Header.Get(headers.PeerIncarnation)).
+func (h *Handler) logCall(from string, c *relay.Call, a *relay.Answer, refusal *outcome.Refusal, took time.Duration) {
+	e := h.Log.Info().Str("requestId", c.ID).Str("sending", c.Sending).Str("from", from).
 		Str("upstream", c.Upstream).Int64("tookMicros", took.Microseconds())
 	if c.Keyed {
 		e = e.Uint32("partition", c.Partition).Uint64("epoch", c.Epoch)
--- a/node/internal/relay/header.go
+++ b/node/internal/relay/header.go
@@ -22,7 +22,7 @@
 func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h)+8)
 	for name, values := range h {
-		if hopByHop[name] || own(name) {
+		if Reserved(name) {
 			continue
 		}
 		out[name] = values
@@ -41,7 +41,7 @@
 func Strip(h http.Header) {
 	lines := h["Connection"]
 	for name := range h {
-		if hopByHop[name] || own(name) {
+		if Reserved(name) {
 			delete(h, name)
 		}
 	}
@@ -52,6 +52,10 @@
 	}
 }
 
+// Reserved reports whether a header must not go on to the next hop: it concerns
+// one connection, or it is one of the project's own.
+func Reserved(name string) bool { return hopByHop[name] || own(name) }
+
 // own reports whether a name is one of the project's own headers. Underscores
 // count as hyphens, because some backend servers do not tell them apart.
 func own(name string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,14 @@
 	killOnce sync.Once
 
 	listeners [4]net.Listener
-	servers   [4]*http.Server
+	servers   [4]server
+}
+
+// server is an http.Server or one like it.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
 }
 
 // Places of listeners and servers.
@@ -133,13 +140,15 @@
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
-	n.servers = [4]*http.Server{
-		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
-		placeOperator: figures.Server(),
+	// What net/http reports is about single connections.
+	errorLog := stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+	quiet := func(s *http.Server) *http.Server {
+		s.ErrorLog = errorLog
+		return s
 	}
-	for _, s := range n.servers {
-		// What net/http reports is about single connections.
-		s.ErrorLog = stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+	n.servers = [4]server{
+		placeCallers: quiet(callers.Server()), placePeer: peer.NewServer(n.peer, errorLog),
+		placeBackend: quiet(n.backend.HTTPServer()), placeOperator: quiet(figures.Server()),
 	}
 }
 
