wire/boottime: read the clock without telling the scheduler

Cause: the profile of the owner's node showed 7.5% of its time in CLOCK_BOOTTIME, read about ten times per request, a part of it in entersyscall and exitsyscall. The call never blocks.

Ruled out: time.Now, which does not count through suspension, and a cached offset, which cannot notice one.

--- a/wire/boottime/boottime.go
+++ b/wire/boottime/boottime.go
@@ -3,6 +3,7 @@
 
 import (
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,8 +16,10 @@
 // monotonic reading. It panics if the kernel has no such clock.
 func (Clock) Now() time.Time {
 	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("boottime: " + err.Error())
+	// The call never blocks, so the scheduler need not be told of it. Telling it
+	// took 85 of 285 ns, and a request reads the clock about ten times.
+	if _, _, e := unix.RawSyscall(unix.SYS_CLOCK_GETTIME, unix.CLOCK_BOOTTIME, uintptr(unsafe.Pointer(&ts)), 0); e != 0 {
+		panic("boottime: " + e.Error())
 	}
 	return time.Unix(ts.Sec, ts.Nsec)
 }
