--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -24,6 +24,7 @@
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
@@ -58,7 +59,7 @@
 }
 
 // Config has the parts and settings of a Handler. The parts are required but
-// for Nested; the zero value of the settings means the default.
+// for Nested and Pressure; the zero value of the settings means the default.
 type Config struct {
 	Log     zerolog.Logger
 	Clock   clock.Clock
@@ -66,6 +67,8 @@
 	Owner   relay.Target
 	Remote  Remote
 	Metrics *metrics.Set
+	// Pressure refuses requests while the processor is overloaded.
+	Pressure *pressure.Monitor
 	// AvailabilityZone is this node's own.
 	AvailabilityZone string
 	// Nested reports whether an address is the backend server's, whose calls
@@ -96,6 +99,9 @@
 	if cfg.Clock == nil || cfg.View == nil || cfg.Owner == nil || cfg.Remote == nil || cfg.Metrics == nil {
 		panic("caller: clock, view, owner, remote and metrics are required")
 	}
+	if cfg.Pressure == nil {
+		cfg.Pressure = pressure.New()
+	}
 	if cfg.Nested == nil {
 		cfg.Nested = func(netip.Addr) bool { return false }
 	}
@@ -149,6 +155,8 @@
 	defer h.cfg.Metrics.InFlight.Add(-1)
 	place := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	h.cfg.Pressure.Enter()
+	defer h.cfg.Pressure.Leave()
 	q := &request{h: h, w: w, r: r, control: http.NewResponseController(w), started: h.cfg.Clock.Now(), place: place}
 	q.call.ID = h.ids.next()
 	answer, refusal := q.serve()
@@ -208,7 +216,8 @@
 	if refusal := q.readOwn(t); refusal != nil {
 		return refusal
 	}
-	if crowd := int64(q.h.cfg.MaxInFlight); q.place > crowd && (c.Depth == 0 || q.place > 2*crowd) {
+	crowd := int64(q.h.cfg.MaxInFlight)
+	if q.place > crowd && (c.Depth == 0 || q.place > 2*crowd) || q.h.cfg.Pressure.Over(c.Depth) {
 		refusal := relay.NotRun(outcome.ReasonQueueFull)
 		refusal.RetryAfter = crowdedRetryAfter
 		return refusal
--- a/node/internal/peer/framed.go
+++ b/node/internal/peer/framed.go
@@ -212,7 +212,9 @@
 	}()
 	h := s.l.h
 	started := h.Clock.Now()
-	answer, refusal := h.Owner.Do(s.ctx, s.call)
+	h.Pressure.Enter()
+	defer h.Pressure.Leave()
+	answer, refusal := h.do(s.ctx, s.call)
 	h.logCall(s.from, s.call, answer, refusal, h.Clock.Now().Sub(started))
 	if refusal != nil {
 		s.l.refuse(s.id, refusal)
--- a/node/internal/peer/framed_test.go
+++ b/node/internal/peer/framed_test.go
@@ -36,9 +36,10 @@
 
 // nodes are a client with incarnation 1 and a server that knows it.
 type nodes struct {
-	client *peer.Client
-	server *peer.Server
-	node   *wirev1.Node
+	handler *peer.Handler
+	client  *peer.Client
+	server  *peer.Server
+	node    *wirev1.Node
 }
 
 func start(t testing.TB, owner fakeOwner) *nodes {
@@ -54,7 +55,7 @@
 		t.Fatal(err)
 	}
 	h := &peer.Handler{Log: zerolog.Nop(), Clock: boottime.Clock{}, View: v, Owner: owner}
-	n := &nodes{peer.NewClient(boottime.Clock{}, v), peer.NewServer(h, nil), &wirev1.Node{Incarnation: 2, PeerAddress: l.Addr().String()}}
+	n := &nodes{h, peer.NewClient(boottime.Clock{}, v), peer.NewServer(h, nil), &wirev1.Node{Incarnation: 2, PeerAddress: l.Addr().String()}}
 	served := make(chan error, 1)
 	go func() { served <- n.server.Serve(l) }()
 	t.Cleanup(func() {
@@ -191,6 +192,35 @@
 	}
 }
 
+// TestPressureRefusesCalls guards against a node that goes on taking calls of
+// other nodes while its processor is overloaded, and against nested calls that
+// are refused together with those above them.
+func TestPressureRefusesCalls(t *testing.T) {
+	n := start(t, func(context.Context, *relay.Call) (*relay.Answer, *outcome.Refusal) {
+		return relay.KeptAnswer(200, nil, nil), nil
+	})
+	p := n.handler.Pressure
+	p.Observe(time.Minute)
+	limit, _ := p.Limit()
+	for range limit {
+		p.Enter()
+	}
+	_, refusal := n.do(t.Context(), "/")
+	if refusal == nil || refusal.Outcome != outcome.OutcomeNotRun || refusal.Reason != outcome.ReasonQueueFull || refusal.RetryAfter == 0 {
+		t.Errorf("refusal %+v, want notRun, queueFull and when to come again", refusal)
+	}
+	if p.Over(1) {
+		t.Error("nested calls are refused too")
+	}
+	p.Leave()
+	if _, refusal := n.do(t.Context(), "/"); refusal != nil {
+		t.Errorf("under the limit: %+v", refusal)
+	}
+	if _, inFlight := p.Limit(); inFlight != limit-1 {
+		t.Errorf("%d in flight, want %d", inFlight, limit-1)
+	}
+}
+
 // TestShutdownAnswersWhatWasSent guards against a graceful stop that cuts calls
 // off, or never ends because connections stay open.
 func TestShutdownAnswersWhatWasSent(t *testing.T) {
--- a/node/internal/peer/listen.go
+++ b/node/internal/peer/listen.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 )
 
 // acceptPause is the time after a failure to accept that may pass, such as too
@@ -38,6 +40,9 @@
 // NewServer returns a server for the handler with the bounds and pings of
 // connections between nodes. Failures of single connections go to the log.
 func NewServer(h *Handler, errorLog *log.Logger) *Server {
+	if h.Pressure == nil {
+		h.Pressure = pressure.New()
+	}
 	s := &Server{h: h, http: h.httpServer(), links: map[*serverLink]struct{}{}, opening: map[net.Conn]struct{}{}}
 	s.http.ErrorLog = errorLog
 	return s
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
@@ -25,6 +27,8 @@
 	settleBytes = 256 << 10
 	// maxTrusted bounds the own incarnations that are remembered.
 	maxTrusted = 64
+	// overRetryAfter is told to callers who were refused for overload.
+	overRetryAfter = 100 * time.Millisecond
 	// bodyTimeout bounds the time for a body in memory to arrive. The other
 	// node sends it at once.
 	bodyTimeout = 5 * time.Second
@@ -58,6 +62,9 @@
 	Clock clock.Clock
 	View  *view.View
 	Owner Owner
+	// Pressure refuses calls while the processor is overloaded. Nil means one
+	// that refuses none.
+	Pressure *pressure.Monitor
 
 	mu sync.Mutex
 	// own has the incarnations of this process, the latest last.
@@ -106,7 +113,9 @@
 		return
 	}
 	started := h.Clock.Now()
-	answer, refusal := h.Owner.Do(r.Context(), c)
+	h.Pressure.Enter()
+	defer h.Pressure.Leave()
+	answer, refusal := h.do(r.Context(), c)
 	h.logCall(from, c, answer, refusal, h.Clock.Now().Sub(started))
 	if refusal != nil {
 		refusal.RequestID = c.ID
@@ -119,6 +128,17 @@
 	}
 }
 
+// do runs a call unless the processor is overloaded. The call must have been
+// counted.
+func (h *Handler) do(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
+	if h.Pressure.Over(c.Depth) {
+		r := relay.NotRun(outcome.ReasonQueueFull)
+		r.RetryAfter = overRetryAfter
+		return nil, r
+	}
+	return h.Owner.Do(ctx, c)
+}
+
 // trust checks that the sender is a registered incarnation.
 func (h *Handler) trust(shown, secret, remote string) *outcome.Refusal {
 	incarnation, err := strconv.ParseUint(shown, 10, 64)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/peer"
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/boottime"
 	"github.com/jujubeknot/jujubeknot/wire/tasks"
@@ -49,7 +50,9 @@
 	peer    *peer.Handler
 	session *controlclient.Session
 	metrics *metrics.Set
-	started time.Time
+	// pressure is shared by callers and other nodes.
+	pressure *pressure.Monitor
+	started  time.Time
 
 	killed   chan struct{}
 	killOnce sync.Once
@@ -79,7 +82,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
-	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New()), killed: make(chan struct{})}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), pressure: pressure.New(), view: view.New(routing.New()), killed: make(chan struct{})}
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -125,7 +128,7 @@
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend})
 	n.backend.OnLeave(n.owner.Partitions)
 	n.peers = peer.NewClient(clock, n.view)
-	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner}
+	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -135,7 +138,7 @@
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
 	})
 	callers := caller.New(caller.Config{
-		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
+		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
@@ -191,8 +194,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
-	parts := tasks.New(2 + len(n.servers))
+	parts := tasks.New(3 + len(n.servers))
 	parts.Go(work, "backend server", tasks.Quiet(n.backend.Run))
+	parts.Go(work, "pressure", tasks.Quiet(n.pressure.Run))
 	parts.Go(work, "control session", tasks.Quiet(n.session.Run))
 	for i, s := range n.servers {
 		parts.Go(work, "listener", func(context.Context) error {
--- a/node/vars.go
+++ b/node/vars.go
@@ -16,6 +16,7 @@
 	Requests         json.RawMessage `json:"requests"`
 	Attempts         json.RawMessage `json:"attempts"`
 	InFlight         int64           `json:"inFlight"`
+	InFlightLimit    int64           `json:"inFlightLimit"`
 	LatencyMicros    metrics.Latency `json:"latencyMicros"`
 	Backend          backend.Stats   `json:"backend"`
 	PeerConnections  int             `json:"peerConnections"`
@@ -47,6 +48,7 @@
 		Partitions: n.owner.Partitions(), Goroutines: runtime.NumGoroutine(),
 		Lease: leaseVars{Incarnation: i.Incarnation, Valid: n.view.Leased(now), LeftMs: max(i.Until.Sub(now).Milliseconds(), 0)},
 	}
+	v.InFlightLimit, _ = n.pressure.Limit()
 	v.RequestIDs, v.RequestIDBytes = n.owner.RequestIDs()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
