--- a/node/internal/peer/liveness.go
+++ b/node/internal/peer/liveness.go
@@ -50,6 +50,9 @@
 	net.Conn
 	set    *connections
 	target *target
+	// ping sends one on this connection. Nil means that the watcher's ping is
+	// used, which picks a connection by the address.
+	ping   func()
 	reads  atomic.Uint64
 	writes atomic.Uint64
 	once   sync.Once
@@ -182,7 +185,7 @@
 }
 
 // add watches a connection. An empty address gives it a target of its own.
-func (s *connections) add(nc net.Conn, address string) *watchedConn {
+func (s *connections) add(nc net.Conn, address string, ping func()) *watchedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &target{}
@@ -190,7 +193,7 @@
 		t = s.find(address)
 	}
 	t.open++
-	c := &watchedConn{Conn: nc, set: s, target: t}
+	c := &watchedConn{Conn: nc, set: s, target: t, ping: ping}
 	if s.open == nil {
 		s.open = make(map[*watchedConn]struct{})
 	}
@@ -306,7 +309,11 @@
 			clear(all)
 			all = w.set.samples(all[:0])
 			for _, c := range all {
-				if w.step(c) && running < maxPings {
+				switch {
+				case !w.step(c):
+				case c.conn.ping != nil:
+					c.conn.ping()
+				case running < maxPings:
 					running++
 					pings.Go(ctx, "ping", tasks.Quiet(func(ctx context.Context) { w.ping(ctx, c.conn.target.address) }))
 				}
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
@@ -30,6 +31,8 @@
 	settleBytes = 256 << 10
 	// maxTrusted bounds the own incarnations that are remembered.
 	maxTrusted = 64
+	// overRetryAfter is told to callers who were refused for overload.
+	overRetryAfter = 100 * time.Millisecond
 	// bodyTimeout bounds the time for a body in memory to arrive. The other
 	// node sends it at once.
 	bodyTimeout = 5 * time.Second
@@ -63,6 +66,9 @@
 	Clock clock.Clock
 	View  *view.View
 	Owner Owner
+	// Pressure refuses calls while the processor is overloaded. Nil means one
+	// that refuses none.
+	Pressure *pressure.Monitor
 
 	mu sync.Mutex
 	// own has the incarnations of this process, the latest last.
@@ -75,14 +81,13 @@
 type connKey struct{}
 
 func withConn(ctx context.Context, nc net.Conn) context.Context {
+	if b, ok := nc.(*begunConn); ok {
+		nc = b.Conn
+	}
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
-// Watch returns a listener whose connections Run watches.
-func (h *Handler) Watch(l net.Listener) net.Listener {
-	return &watchedListener{Listener: l, watched: &h.watched}
-}
-
+// watchedListener has connections that Handler.Run watches.
 type watchedListener struct {
 	net.Listener
 	watched *connections
@@ -95,7 +100,7 @@
 		// Serve of net/http looks at the type of the error.
 		return nil, err
 	}
-	return l.watched.add(nc, ""), nil
+	return l.watched.add(nc, "", nil), nil
 }
 
 // Run closes connections that have calls under way and went silent, until the
@@ -105,9 +110,8 @@
 	w.run(ctx)
 }
 
-// Server returns an HTTP server for the handler with the bounds and pings of
-// connections between nodes.
-func (h *Handler) Server() *http.Server {
+// httpServer serves calls whose body is streamed, and questions about lost ones.
+func (h *Handler) httpServer() *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
@@ -141,7 +145,8 @@
 	if c, ok := r.Context().Value(connKey{}).(*watchedConn); ok {
 		defer h.watched.end(h.watched.on(c))
 	}
-	if refusal := h.trust(r); refusal != nil {
+	from := r.Header.Get(headers.PeerIncarnation)
+	if refusal := h.trust(from, r.Header.Get(headers.PeerSecret), r.RemoteAddr); refusal != nil {
 		relay.WriteRefusal(w, refusal)
 		return
 	}
@@ -155,8 +160,10 @@
 		return
 	}
 	started := h.Clock.Now()
-	answer, refusal := h.Owner.Do(r.Context(), c)
-	h.logCall(r, c, answer, refusal, h.Clock.Now().Sub(started))
+	h.Pressure.Enter()
+	defer h.Pressure.Leave()
+	answer, refusal := h.do(r.Context(), c)
+	h.logCall(from, c, answer, refusal, h.Clock.Now().Sub(started))
 	if refusal != nil {
 		refusal.RequestID = c.ID
 		relay.WriteRefusal(w, refusal)
@@ -168,12 +175,22 @@
 	}
 }
 
+// do runs a call unless the processor is overloaded. The call must have been
+// counted.
+func (h *Handler) do(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
+	if h.Pressure.Over(c.Depth) {
+		r := relay.NotRun(outcome.ReasonQueueFull)
+		r.RetryAfter = overRetryAfter
+		return nil, r
+	}
+	return h.Owner.Do(ctx, c)
+}
+
 // trust checks that the sender is a registered incarnation.
-func (h *Handler) trust(r *http.Request) *outcome.Refusal {
-	incarnation, err := strconv.ParseUint(r.Header.Get(headers.PeerIncarnation), 10, 64)
-	secret := r.Header.Get(headers.PeerSecret)
+func (h *Handler) trust(shown, secret, remote string) *outcome.Refusal {
+	incarnation, err := strconv.ParseUint(shown, 10, 64)
 	if err != nil || incarnation == 0 || secret == "" {
-		h.Log.Warn().Str("remote", r.RemoteAddr).Msg("request without a node's credentials on the peer port")
+		h.Log.Warn().Str("remote", remote).Msg("request without a node's credentials on the peer port")
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
 	n := h.View.Table().Node(incarnation)
@@ -182,7 +199,7 @@
 		return relay.NotRun(outcome.ReasonNoLease)
 	}
 	if subtle.ConstantTimeCompare([]byte(n.GetPeerSecret()), []byte(secret)) != 1 {
-		h.Log.Warn().Str("remote", r.RemoteAddr).Uint64("incarnation", incarnation).Msg("request with a wrong secret on the peer port")
+		h.Log.Warn().Str("remote", remote).Uint64("incarnation", incarnation).Msg("request with a wrong secret on the peer port")
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
 	return nil
@@ -249,8 +266,8 @@
 	_ = json.NewEncoder(w).Encode(s)
 }
 
-func (h *Handler) logCall(r *http.Request, c *relay.Call, a *relay.Answer, refusal *outcome.Refusal, took time.Duration) {
-	e := h.Log.Info().Str("requestId", c.ID).Str("sending", c.Sending).Str("from", r.Header.Get(headers.PeerIncarnation)).
+func (h *Handler) logCall(from string, c *relay.Call, a *relay.Answer, refusal *outcome.Refusal, took time.Duration) {
+	e := h.Log.Info().Str("requestId", c.ID).Str("sending", c.Sending).Str("from", from).
 		Str("upstream", c.Upstream).Int64("tookMicros", took.Microseconds())
 	if c.Keyed {
 		e = e.Uint32("partition", c.Partition).Uint64("epoch", c.Epoch)
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"fmt"
 	stdlog "log"
 	"net"
@@ -26,6 +27,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/peer"
+	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/boottime"
 	"github.com/jujubeknot/jujubeknot/wire/tasks"
@@ -52,7 +54,9 @@
 	peer    *peer.Handler
 	session *controlclient.Session
 	metrics *metrics.Set
-	started time.Time
+	// pressure is shared by callers and other nodes.
+	pressure *pressure.Monitor
+	started  time.Time
 
 	killed   chan struct{}
 	killOnce sync.Once
@@ -62,7 +66,14 @@
 
 	// listeners and servers have nil at places that the settings leave out.
 	listeners [places]net.Listener
-	servers   [places]*http.Server
+	servers   [places]server
+}
+
+// server is an http.Server or one like it.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
 }
 
 // Places of listeners and servers.
@@ -81,7 +92,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
-	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), view: view.New(routing.New()), killed: make(chan struct{})}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), pressure: pressure.New(), view: view.New(routing.New()), killed: make(chan struct{})}
 	if cfg.CallersTLS.IsValid() {
 		files, err := certificate.Load(certificate.Config{CertificateFile: cfg.CertificateFile, KeyFile: cfg.KeyFile, Log: cfg.Log})
 		if err != nil {
@@ -139,8 +150,7 @@
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend})
 	n.backend.OnLeave(n.owner.Partitions)
 	n.peers = peer.NewClient(peer.ClientConfig{Clock: clock, Log: log, View: n.view})
-	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner}
-	n.listeners[placePeer] = n.peer.Watch(n.listeners[placePeer])
+	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -150,27 +160,26 @@
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
 	})
 	callers := caller.New(caller.Config{
-		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics,
+		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
-	n.servers = [places]*http.Server{
-		placeCallers: callers.Server(), placePeer: n.peer.Server(), placeBackend: n.backend.HTTPServer(),
-		placeOperator: figures.Server(),
+	// What net/http reports is about single connections.
+	errorLog := stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+	quiet := func(s *http.Server) *http.Server {
+		s.ErrorLog = errorLog
+		return s
+	}
+	n.servers = [places]server{
+		placeCallers: quiet(callers.Server()), placePeer: peer.NewServer(n.peer, errorLog),
+		placeBackend: quiet(n.backend.HTTPServer()), placeOperator: quiet(figures.Server()),
 	}
 	if n.certificates != nil {
+		n.listeners[placeCallersTLS] = tls.NewListener(n.listeners[placeCallersTLS], n.certificates.TLS())
 		s := callers.Server()
 		s.Protocols.SetHTTP2(true)
-		s.TLSConfig = n.certificates.TLS()
-		n.servers[placeCallersTLS] = s
-	}
-	for _, s := range n.servers {
-		if s == nil {
-			continue
-		}
-		// What net/http reports is about single connections.
-		s.ErrorLog = stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
+		n.servers[placeCallersTLS] = quiet(s)
 	}
 }
 
@@ -217,8 +226,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
-	parts := tasks.New(5 + len(n.servers))
+	parts := tasks.New(6 + len(n.servers))
 	parts.Go(work, "backend server", tasks.Quiet(n.backend.Run))
+	parts.Go(work, "pressure", tasks.Quiet(n.pressure.Run))
 	parts.Go(work, "control session", tasks.Quiet(n.session.Run))
 	parts.Go(work, "connections to nodes", tasks.Quiet(n.peers.Run))
 	parts.Go(work, "connections from nodes", tasks.Quiet(n.peer.Run))
@@ -229,12 +239,8 @@
 		if s == nil {
 			continue
 		}
-		serve := s.Serve
-		if s.TLSConfig != nil {
-			serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
-		}
 		parts.Go(work, "listener", func(context.Context) error {
-			if err := serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("serving at %s: %w", n.listeners[i].Addr(), err)
 			}
 			return nil
