--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -29,6 +29,9 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = time.Minute
+	// connectTries bounds the connections that are opened for one call when
+	// each has ended before the call could be sent.
+	connectTries = 3
 	// verdictGrace lets a refusal of the owner's node, which says more than the
 	// passing of the deadline, still arrive.
 	verdictGrace = 50 * time.Millisecond
@@ -56,8 +59,10 @@
 	clock clock.Clock
 	view  *view.View
 	log   zerolog.Logger
-	// shared has the connections that requests are multiplexed on; fresh opens
-	// a connection for each question about a lost one.
+	// framed has the connections for calls whose body is in memory, shared those
+	// for streamed bodies; fresh opens a connection for each question about a
+	// lost call.
+	framed framedClient
 	shared *http.Transport
 	fresh  *http.Transport
 	// watched are the shared connections.
@@ -75,9 +80,16 @@
 // NewClient returns a client. Half-open connections are found while Run runs.
 func NewClient(cfg ClientConfig) *Client {
 	p := &Client{clock: cfg.Clock, view: cfg.View, log: cfg.Log}
-	p.shared = transport(func(nc net.Conn, address string) net.Conn { return p.watched.add(nc, address) })
-	p.fresh = transport(func(nc net.Conn, _ string) net.Conn { return nc })
+	p.shared = transport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return p.watched.add(nc, address, nil), nil
+	})
+	p.fresh = transport(dial)
 	p.fresh.DisableKeepAlives = true
+	p.framed = framedClient{watched: &p.watched, peers: map[string]*dialed{}}
 	return p
 }
 
@@ -106,22 +118,15 @@
 	_ = response.Body.Close()
 }
 
-func transport(opened func(nc net.Conn, address string) net.Conn) *http.Transport {
+func transport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		Protocols: protocols,
 		HTTP2: &http.HTTP2Config{
 			MaxEncoderHeaderTableSize: headerTable, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
 		},
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return opened(nc, address), nil
-		},
+		DialContext:        dial,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		// The transport must never send a body before the owner's node asks
@@ -131,14 +136,25 @@
 	}
 }
 
+// dial opens a connection. The error is a dialError.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return nc, nil
+}
+
 // dialError marks failures before any byte was sent.
 type dialError struct{ error }
 
 // Unwrap returns the cause.
 func (e *dialError) Unwrap() error { return e.error }
 
-// Close closes idle connections.
+// Close closes the connections. No call may be running.
 func (p *Client) Close() {
+	p.framed.close()
 	p.shared.CloseIdleConnections()
 	p.fresh.CloseIdleConnections()
 }
@@ -154,31 +170,111 @@
 	if left <= 0 {
 		return nil, relay.NotRun(outcome.ReasonDeadline)
 	}
-	sendCtx, cancelSend := context.WithTimeout(ctx, left+verdictGrace)
-	target := p.watched.call(to.GetPeerAddress())
-	cancel := sync.OnceFunc(func() {
-		cancelSend()
-		p.watched.end(target)
-	})
-	answer, refusal, err := p.send(sendCtx, to, c, left)
+	send := p.sendFramed
+	if c.Body.Streamed() {
+		send = p.sendStreamed
+	}
+	answer, refusal, err := send(ctx, to, c, left)
 	if err == nil {
-		if refusal != nil || isKept(answer) {
-			cancel()
-			return answer, refusal
-		}
-		answer.Body = &cancelBody{answer.Body, cancel}
-		return answer, nil
+		return answer, refusal
 	}
-	cancel()
 	if refusal.Outcome == outcome.OutcomeNotRun || c.Idempotent || ctx.Err() != nil {
 		return nil, refusal
 	}
 	return p.settle(ctx, to, c, refusal)
 }
 
-func isKept(a *relay.Answer) bool {
-	_, ok := a.Kept()
-	return ok || a.Body == http.NoBody
+// sendFramed makes one sending on the framed connection to a node. With an
+// error the refusal says what is known without asking.
+func (p *Client) sendFramed(ctx context.Context, to *wirev1.Node, c *relay.Call, left time.Duration) (*relay.Answer, *outcome.Refusal, error) {
+	expired := time.NewTimer(left + verdictGrace)
+	defer expired.Stop()
+	target := p.watched.call(framedTarget(to.GetPeerAddress()))
+	end := sync.OnceFunc(func() { p.watched.end(target) })
+	streamed := false
+	defer func() {
+		if !streamed {
+			end()
+		}
+	}()
+	var link *clientLink
+	var s *stream
+	var id uint32
+	for try := 0; s == nil; try++ {
+		if try == connectTries {
+			return nil, relay.NotRun(outcome.ReasonUnreachable), errLinkClosed
+		}
+		var err error
+		if link, err = p.framed.connect(ctx, expired.C, to.GetPeerAddress()); err != nil {
+			return nil, relay.NotRun(outcome.ReasonUnreachable), err
+		}
+		s, id, err = link.begin(p.view.Identity(), c, left)
+		switch {
+		case errors.Is(err, errLinkClosed):
+			// The connection has ended or takes no more calls.
+			link.left()
+		case err != nil:
+			return nil, relay.NotRun(outcome.ReasonBadRequest), err
+		}
+	}
+	unknown := relay.Unknown(outcome.ReasonCancelled)
+	select {
+	case r := <-s.replied:
+		switch {
+		case r.err != nil && r.refusal == nil:
+			return nil, relay.Unknown(outcome.ReasonConnectionLost), r.err
+		case r.answer != nil:
+			streamed = watchBody(ctx, r.answer, left+verdictGrace, end)
+		}
+		return r.answer, r.refusal, r.err
+	case <-ctx.Done():
+	case <-expired.C:
+		unknown.Reason = outcome.ReasonDeadline
+	}
+	link.cancel(id)
+	select {
+	case r := <-s.replied:
+		if r.answer != nil {
+			_ = r.answer.Body.Close()
+		}
+	default:
+	}
+	return nil, unknown, errCancelled
+}
+
+// watchBody ends a streamed body with the context, or when its time is over, and
+// calls closed when it is closed. It reports whether the body is a streamed one.
+func watchBody(ctx context.Context, a *relay.Answer, left time.Duration, closed func()) bool {
+	b, ok := a.Body.(*incoming)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	stop := context.AfterFunc(ctx, func() { b.end(ctx.Err(), nil) })
+	b.watched(func() {
+		stop()
+		cancel()
+		closed()
+	})
+	return true
+}
+
+// sendStreamed makes one sending over HTTP/2, which waits for admission before
+// the body.
+func (p *Client) sendStreamed(ctx context.Context, to *wirev1.Node, c *relay.Call, left time.Duration) (*relay.Answer, *outcome.Refusal, error) {
+	ctx, cancelSend := context.WithTimeout(ctx, left+verdictGrace)
+	target := p.watched.call(to.GetPeerAddress())
+	cancel := sync.OnceFunc(func() {
+		cancelSend()
+		p.watched.end(target)
+	})
+	answer, refusal, err := p.send(ctx, to, c, left)
+	if answer == nil {
+		cancel()
+		return nil, refusal, err
+	}
+	answer.OnClose(cancel)
+	return answer, refusal, err
 }
 
 // send makes one sending. With an error the refusal says what is known without
@@ -248,14 +344,8 @@
 
 func attachBody(q *http.Request, b *relay.Body) {
 	q.ContentLength = b.Size()
-	switch {
-	case b.Streamed():
-		q.Header["Expect"] = []string{"100-continue"}
-		q.Body = &streamBody{Reader: b.Reader(), abort: b.Abort}
-	case len(b.Kept) > 0:
-		q.Body = io.NopCloser(bytes.NewReader(b.Kept))
-		q.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(b.Kept)), nil }
-	}
+	q.Header["Expect"] = []string{"100-continue"}
+	q.Body = &streamBody{Reader: b.Reader(), abort: b.Abort}
 }
 
 func (p *Client) present(h http.Header) {
@@ -287,18 +377,6 @@
 	return nil
 }
 
-type cancelBody struct {
-	io.ReadCloser
-	cancel func()
-}
-
-// Close closes the body and ends the stream.
-func (b *cancelBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
-}
-
 // settle asks the node that a lost call was sent to what became of it, until
 // it knows or the deadline passes.
 func (p *Client) settle(ctx context.Context, to *wirev1.Node, c *relay.Call, lost *outcome.Refusal) (*relay.Answer, *outcome.Refusal) {
--- a/node/internal/peer/liveness_test.go
+++ b/node/internal/peer/liveness_test.go
@@ -142,7 +142,7 @@
 func TestTargetsAreForgotten(t *testing.T) {
 	var s connections
 	first := s.call("a:1")
-	c := s.add(nil, "a:1")
+	c := s.add(nil, "a:1", nil)
 	s.end(first)
 	if second := s.call("a:1"); second != c.target {
 		t.Fatal("a second target for the same address")
--- a/node/internal/peer/quiet_test.go
+++ b/node/internal/peer/quiet_test.go
@@ -38,19 +38,21 @@
 	for b.Loop() {
 		ctx, cancel := context.WithCancel(b.Context())
 		h := &peer.Handler{Log: zerolog.Nop(), Clock: wallClock{}, View: view.New(routing.New())}
-		s := h.Server()
 		client := peer.NewClient(peer.ClientConfig{Clock: wallClock{}, View: view.New(routing.New())})
 		parts := tasks.New(benchPeers + 2)
 		parts.Go(ctx, "server", tasks.Quiet(h.Run))
 		parts.Go(ctx, "client", tasks.Quiet(client.Run))
 		var addresses []string
+		var servers []*peer.Server
 		for range benchPeers {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
 			}
 			addresses = append(addresses, l.Addr().String())
-			parts.Go(ctx, "listener", func(context.Context) error { return s.Serve(h.Watch(l)) })
+			s := peer.NewServer(h, nil)
+			servers = append(servers, s)
+			parts.Go(ctx, "listener", func(context.Context) error { return s.Serve(l) })
 		}
 		// Lets the listeners begin, so that their stacks count before.
 		time.Sleep(100 * time.Millisecond)
@@ -71,8 +73,10 @@
 		b.ReportMetric(float64((processorTime(b)-used).Microseconds())/time.Since(started).Seconds()/benchPeers, "us/s/peer")
 		cancel()
 		client.Close()
-		if err := s.Close(); err != nil {
-			b.Fatal(err)
+		for _, s := range servers {
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
 		}
 		if err := parts.Wait(); !errors.Is(err, http.ErrServerClosed) {
 			b.Fatal(err)
--- a/node/vars.go
+++ b/node/vars.go
@@ -17,6 +17,7 @@
 	Requests         json.RawMessage `json:"requests"`
 	Attempts         json.RawMessage `json:"attempts"`
 	InFlight         int64           `json:"inFlight"`
+	InFlightLimit    int64           `json:"inFlightLimit"`
 	LatencyMicros    metrics.Latency `json:"latencyMicros"`
 	Backend          backend.Stats   `json:"backend"`
 	PeerConnections  int             `json:"peerConnections"`
@@ -50,6 +51,7 @@
 		Partitions: n.owner.Partitions(), Goroutines: runtime.NumGoroutine(),
 		Lease: leaseVars{Incarnation: i.Incarnation, Valid: n.view.Leased(now), LeftMs: max(i.Until.Sub(now).Milliseconds(), 0)},
 	}
+	v.InFlightLimit, _ = n.pressure.Limit()
 	v.RequestIDs, v.RequestIDBytes = n.owner.RequestIDs()
 	if n.certificates != nil {
 		v.CertificateEnds = n.certificates.Expires().UTC().Format(time.RFC3339)
