--- a/control/inspect/inspect.go
+++ b/control/inspect/inspect.go
@@ -23,6 +23,9 @@
 	To   uint64
 	// SkipEntries leaves out the entries.
 	SkipEntries bool
+	// Rules prints only the text of the last rules. Those of an entry that was
+	// not committed are among them.
+	Rules bool
 }
 
 // ErrDamaged is returned after a report that lists damage.
@@ -55,11 +58,14 @@
 		return ErrNoData
 	}
 	r := newReport(survey, options)
-	if options.JSON {
+	switch {
+	case options.Rules:
+		_, err = io.WriteString(w, lastRules(survey))
+	case options.JSON:
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
 		err = encoder.Encode(r)
-	} else {
+	default:
 		err = r.writeText(w)
 	}
 	if err != nil {
--- a/control/inspect/inspect_test.go
+++ b/control/inspect/inspect_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+// TestRules guards against a folder whose last rules cannot be had after the
+// majority of the disks is lost: those of a snapshot, and those of entries
+// after it.
+func TestRules(t *testing.T) {
+	const first, second = "# first\nupstream a keyed # t: test\n", "upstream b keyed # t: test\n"
+	dir, d := fill(t)
+	state := &wirev1.ClusterState{AppliedIndex: 8, Rules: &wirev1.RulesRevision{Revision: 3, Text: first}}
+	must(t, d.PersistSnapshot(raft.PersistSnapshot{FirstIndex: 9, Snapshot: &wirev1.Snapshot{
+		Index: 8, Term: 2, Data: encode(t, state), Membership: &wirev1.Membership{Members: []*wirev1.Member{{Id: 2, Address: "10.0.0.2:7000", Folder: 0xabc}}},
+	}}))
+	read := func(want string) {
+		t.Helper()
+		must(t, d.Close())
+		var out bytes.Buffer
+		must(t, inspect.Run(dir, inspect.Options{Rules: true}, &out))
+		if out.String() != want {
+			t.Errorf("rules: %q, want %q", out.String(), want)
+		}
+		files, err := disk.Folder(dir)
+		must(t, err)
+		d, _, err = disk.Open(files, disk.Options{})
+		must(t, err)
+	}
+	read(first)
+	for index, change := range []*wirev1.ApplyRules{{BaseRevision: 3, Text: second}, {BaseRevision: 3, Text: "conflict"}} {
+		command := &wirev1.Command{Kind: &wirev1.Command_ApplyRules{ApplyRules: change}}
+		must(t, d.Persist(raft.Persist{PreviousTerm: 2, Entries: []*wirev1.Entry{{Index: uint64(index + 9), Term: 2, Data: encode(t, command)}}}))
+	}
+	read(second)
+	must(t, d.Close())
+}
+
 // TestNoDataFolder guards against "no damage" for a folder that was mistyped or
 // whose disk was emptied, and against "no data" for one whose identity is
 // damaged or gone while the log is there.
