bench/operator, lab, slope, fleet: one client for operators, with tests

The loop that looks for the leader stood twice, in bench/lab and bench/slope, and both asked members in turn although a member names the leader now. bench/operator has the client of both: the last leader first, then the one that is named, rules proposed until accepted with one request id for each sending, waits for a condition. Rules that control finds invalid end the wait at once; before, lab and slope tried them until the context ended.

bench/slope and bench/fleet had no tests. Now tested without long runs: ranges and medians, rates, the table of recovery times, rules texts, the condition "settled", the size of the log, orders; registration, zones and orders of a fleet against a fake control member. What is not tested: figures of running processes (idle, changes, losses, restarts).

Seen to fail: TestFindsLeader without the hint, TestSpread and TestTable with the least time as the median, TestFleet with Stop as Kill.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/bench/backend"
+	"github.com/jujubeknot/jujubeknot/bench/operator"
 	"github.com/jujubeknot/jujubeknot/control"
 	"github.com/jujubeknot/jujubeknot/core/placement"
 	"github.com/jujubeknot/jujubeknot/core/settings"
@@ -29,7 +30,8 @@
 	config  Config
 	records *backend.Recorder
 	// attached are operators' addresses of members that others run.
-	attached []string
+	attached  []string
+	operators *operator.Client
 
 	mu      sync.Mutex
 	members []*Member
@@ -72,6 +74,7 @@
 		config.Members = DefaultMembers
 	}
 	l := &Lab{config: config, records: backend.NewRecorder(0)}
+	l.operators = newOperators(l)
 	l.rules.text = config.Deployment.Rules
 	if err := l.start(); err != nil {
 		l.Close()
@@ -82,8 +85,14 @@
 
 // Attach returns a Lab without roles of its own that operates a system through
 // the operators' address of its only control member.
-func Attach(rules, operator string) *Lab {
-	return &Lab{attached: []string{operator}, rules: rulesFile{text: rules}, records: backend.NewRecorder(0)}
+func Attach(rules, address string) *Lab {
+	l := &Lab{attached: []string{address}, rules: rulesFile{text: rules}, records: backend.NewRecorder(0)}
+	l.operators = newOperators(l)
+	return l
+}
+
+func newOperators(l *Lab) *operator.Client {
+	return operator.New(operator.Config{Addresses: l.operatorAddresses, CallTimeout: callTimeout, Poll: poll})
 }
 
 func (l *Lab) start() error {
--- a/bench/slope/recovery.go
+++ b/bench/slope/recovery.go
@@ -17,6 +17,7 @@
 	"github.com/jujubeknot/jujubeknot/bench/check"
 	"github.com/jujubeknot/jujubeknot/bench/lab"
 	"github.com/jujubeknot/jujubeknot/bench/load"
+	"github.com/jujubeknot/jujubeknot/bench/operator"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -47,7 +48,7 @@
 // Recovery probes keys through nodes while a script makes events happen.
 type Recovery struct {
 	config RecoveryConfig
-	group  *group
+	group  *operator.Client
 	finish chan struct{}
 	once   sync.Once
 
@@ -61,7 +62,7 @@
 
 // NewRecovery returns a Recovery that does not run.
 func NewRecovery(config RecoveryConfig) *Recovery {
-	return &Recovery{config: config, group: newGroup(config.Operators), finish: make(chan struct{}), times: map[string][]time.Duration{}}
+	return &Recovery{config: config, group: newOperators(config.Operators), finish: make(chan struct{}), times: map[string][]time.Duration{}}
 }
 
 // Run sends requests until the order to finish, then writes a table and checks
@@ -96,9 +97,9 @@
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.config.Out, "| event | repetitions | least | median | worst |\n|---|---|---|---|---|\n")
 	for _, name := range r.order {
-		t := slices.Sorted(slices.Values(r.times[name]))
-		fmt.Fprintf(r.config.Out, "| %s | %d | %d ms | %d ms | %d ms |\n", name, len(t), t[0].Milliseconds(),
-			t[len(t)/2].Milliseconds(), t[len(t)-1].Milliseconds())
+		q := spreadOf(r.times[name])
+		fmt.Fprintf(r.config.Out, "| %s | %d | %d ms | %d ms | %d ms |\n", name, q.count, q.least.Milliseconds(),
+			q.median.Milliseconds(), q.worst.Milliseconds())
 	}
 }
 
@@ -152,7 +153,7 @@
 	handle("/settled", r.settled)
 	handle("/victim", r.victim)
 	handle("/leader", func(q *http.Request) (string, error) {
-		s, err := r.group.status(q.Context())
+		s, err := r.group.Status(q.Context())
 		return fmt.Sprint(s.GetLeader()), err
 	})
 	handle("/begin", r.begin)
@@ -171,14 +172,19 @@
 	}
 	ctx, cancel := context.WithTimeout(q.Context(), settleTimeout)
 	defer cancel()
-	return "", r.group.settled(ctx, nodes, 1)
+	return "", settled(ctx, r.group, nodes, 1)
 }
 
 func (r *Recovery) victim(q *http.Request) (string, error) {
-	s, err := r.group.status(q.Context())
+	s, err := r.group.Status(q.Context())
 	if err != nil {
 		return "", err
 	}
+	return mostPartitions(s)
+}
+
+// mostPartitions returns the name of the node with the most partitions.
+func mostPartitions(s *wirev1.StatusResponse) (string, error) {
 	if len(s.GetNodes()) == 0 {
 		return "", errors.New("no node is registered")
 	}
--- a/bench/slope/slope.go
+++ b/bench/slope/slope.go
@@ -11,9 +11,9 @@
 
 	"github.com/pkg/errors"
 
-	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
-
+	"github.com/jujubeknot/jujubeknot/bench/operator"
 	"github.com/jujubeknot/jujubeknot/bench/procfs"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // settleTimeout bounds each wait for a settled group.
@@ -53,14 +53,14 @@
 
 type run struct {
 	Config
-	group    *group
+	group    *operator.Client
 	revision uint64
 	variant  int
 }
 
 // Run measures and writes one line for each figure.
 func Run(ctx context.Context, c Config) error {
-	r := &run{Config: c, group: newGroup(c.Operators)}
+	r := &run{Config: c, group: newOperators(c.Operators)}
 	r.say("nodes %d, partitions %d, rule lines %d, members %d", c.Count, c.Partitions, c.Lines, len(c.Members))
 	started := time.Now()
 	// Partitions that are created while one node is registered all go to it,
@@ -99,34 +99,32 @@
 	defer cancel()
 	r.variant++
 	text := rulesText(r.Lines, r.Partitions, r.variant)
-	for {
-		revision, err := r.group.apply(limited, text)
-		if err == nil {
-			r.revision = revision
-			return nil
-		}
-		select {
-		case <-limited.Done():
-			return err
-		case <-time.After(poll):
-		}
+	revision, err := r.group.Apply(limited, text)
+	if err != nil {
+		return err
 	}
+	r.revision = revision
+	return nil
 }
 
 func (r *run) settle(ctx context.Context, nodes int) error {
 	limited, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	return r.group.settled(limited, nodes, r.revision)
+	return settled(limited, r.group, nodes, r.revision)
 }
 
+// leader returns the place of the member that answered as the leader last.
+func (r *run) leader() int { return max(0, slices.Index(r.Operators, r.group.Leader())) }
+
 // processes returns the names of the processes by their ids, leader first.
 func (r *run) processes(ctx context.Context) (names []string, pids []int, err error) {
-	if _, err := r.group.status(ctx); err != nil {
+	if _, err := r.group.Status(ctx); err != nil {
 		return nil, nil, err
 	}
-	names, pids = []string{"leader"}, []int{r.Members[r.group.leader]}
+	leader := r.leader()
+	names, pids = []string{"leader"}, []int{r.Members[leader]}
 	for i, pid := range r.Members {
-		if i != r.group.leader {
+		if i != leader {
 			names, pids = append(names, "follower"), append(pids, pid)
 		}
 	}
@@ -204,7 +202,9 @@
 			return err
 		}
 		limited, cancel := context.WithTimeout(ctx, settleTimeout)
-		err := r.group.until(limited, "a revision in force", func(s *wirev1.StatusResponse) error { return inForce(s, r.revision) })
+		err := r.group.Until(limited, "a revision in force", func(s *wirev1.StatusResponse) error {
+			return operator.InForce(s, r.revision)
+		})
 		cancel()
 		if err != nil {
 			return err
@@ -227,17 +227,30 @@
 	return nil
 }
 
+// spread is the range of repeated times.
+type spread struct {
+	count                int
+	least, median, worst time.Duration
+}
+
+// spreadOf returns the range of at least one time. Of an even number of times
+// the median is the upper of the two in the middle.
+func spreadOf(times []time.Duration) spread {
+	sorted := slices.Sorted(slices.Values(times))
+	return spread{count: len(sorted), least: sorted[0], median: sorted[len(sorted)/2], worst: sorted[len(sorted)-1]}
+}
+
 // spread writes repeated times.
 func (r *run) spread(what string, times []time.Duration) {
-	slices.Sort(times)
-	r.say("%s: %d times, least %v, median %v, worst %v", what, len(times), times[0].Round(time.Millisecond),
-		times[len(times)/2].Round(time.Millisecond), times[len(times)-1].Round(time.Millisecond))
+	q := spreadOf(times)
+	r.say("%s: %d times, least %v, median %v, worst %v", what, q.count, q.least.Round(time.Millisecond),
+		q.median.Round(time.Millisecond), q.worst.Round(time.Millisecond))
 }
 
 // logSize returns the bytes in the data folder of the leader.
 func (r *run) logSize() (int64, error) {
 	var size int64
-	err := filepath.WalkDir(r.Folders[r.group.leader], func(_ string, e os.DirEntry, err error) error {
+	err := filepath.WalkDir(r.Folders[r.leader()], func(_ string, e os.DirEntry, err error) error {
 		if err != nil || e.IsDir() {
 			return err
 		}
