--- /dev/null
+++ b/ctl/commands.go
@@ -0,0 +1,82 @@
+package ctl
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// ExitCode is an exit code with its meaning.
+type ExitCode struct {
+	Code    int
+	Meaning string
+}
+
+// ExitCodes returns all exit codes of the program.
+func ExitCodes() []ExitCode {
+	return []ExitCode{
+		{ExitDone, "done"},
+		{ExitRefused, "failed or refused; nothing was changed"},
+		{ExitUsage, "wrong usage or settings, or a file or folder that cannot be read; nothing was sent"},
+		{ExitConflict, "conflict with another change; nothing was changed"},
+		{ExitPending, "accepted, but not in force everywhere (or the server not empty) within `--timeout`"},
+		{ExitUnreachable, "control gave no answer, or could not take the request within `--timeout`; the message says whether a change may have been accepted"},
+		{ExitInvalid, "the command names a server, upstream or member that does not exist, or asks for a change of the members that cannot be made; nothing was changed, and a repeat gets the same answer"},
+	}
+}
+
+// Command describes a subcommand.
+type Command struct {
+	// Name has the words of the command, such as "members add".
+	Name string
+	// Example is a command line without the name of the program.
+	Example string
+	// Codes are the exit codes that it can end with.
+	Codes []int
+}
+
+// offline, asking and changing are the exit codes of most commands.
+var (
+	offline  = []int{ExitDone, ExitRefused, ExitUsage}
+	asking   = []int{ExitDone, ExitRefused, ExitUsage, ExitUnreachable}
+	changing = []int{ExitDone, ExitRefused, ExitUsage, ExitUnreachable, ExitInvalid}
+)
+
+// Commands returns the subcommands.
+func Commands() []Command {
+	return []Command{
+		{"check", "check --canonical launch.rules", offline},
+		{"diff", "diff launch.rules", asking},
+		{"apply", "apply --wait --expect 7 launch.rules", []int{ExitDone, ExitRefused, ExitUsage, ExitConflict, ExitPending, ExitUnreachable}},
+		{"watch", "watch launch.rules", []int{ExitDone, ExitRefused, ExitUsage, ExitConflict, ExitUnreachable}},
+		{"status", "status --control 10.0.0.1:7102 --control 10.0.0.2:7102", asking},
+		{"explain", "explain centre-9 --upstream applications", changing},
+		{"drain", "drain app-3 --wait --timeout 2m", []int{ExitDone, ExitRefused, ExitUsage, ExitPending, ExitUnreachable, ExitInvalid}},
+		{"history", "history --limit 3", asking},
+		{"inspect", "inspect --rules /var/lib/jujubeknot", offline},
+		{"members list", "members list", asking},
+		{"members add", "members add 4 10.0.0.4:7101 --timeout 5m", changing},
+		{"members remove", "members remove 3", changing},
+	}
+}
+
+// help returns what follows the description of a command's options. The library
+// would wrap it at the width of the terminal.
+func help(name string) string {
+	var b strings.Builder
+	codes := ExitCodes()
+	for _, c := range Commands() {
+		if c.Name != name && !strings.HasPrefix(c.Name, name+" ") {
+			continue
+		}
+		fmt.Fprintf(&b, "\nExample:\n  jujubeknotctl %s\n", c.Example)
+		if c.Name == name {
+			codes = slices.DeleteFunc(codes, func(e ExitCode) bool { return !slices.Contains(c.Codes, e.Code) })
+		}
+	}
+	fmt.Fprint(&b, "\nExit codes:\n")
+	for _, e := range codes {
+		fmt.Fprintf(&b, "  %d  %s\n", e.Code, strings.ReplaceAll(e.Meaning, "`", ""))
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/user"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -59,7 +60,7 @@
 	var usage *flags.Error
 	switch {
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		s.Out("%s", usage.Message)
+		s.Out("%s%s", usage.Message, help(activeName(parser)))
 		return ExitDone
 	case err != nil:
 		s.Err("jujubeknotctl: %v", err)
@@ -82,12 +83,8 @@
 		s.Err("jujubeknotctl: --timeout %s: expected a duration above 0, such as 30s", s.global.Timeout)
 		return ExitUsage
 	}
-	active := parser.Active
-	for active.Active != nil {
-		active = active.Active
-	}
 	defer s.close()
-	err = commands[active].run(ctx, s)
+	err = commands[active(parser)].run(ctx, s)
 	s.Clear()
 	if err == nil {
 		return ExitDone
@@ -98,6 +95,24 @@
 	return exitCode(err)
 }
 
+// active returns the innermost command of a command line, nil for none.
+func active(parser *flags.Parser) *flags.Command {
+	c := parser.Active
+	for c != nil && c.Active != nil {
+		c = c.Active
+	}
+	return c
+}
+
+// activeName returns the words of that command, empty for none.
+func activeName(parser *flags.Parser) string {
+	var words []string
+	for c := parser.Active; c != nil; c = c.Active {
+		words = append(words, c.Name)
+	}
+	return strings.Join(words, " ")
+}
+
 // codedError is an error with its exit code. An empty text means that the
 // command has already written what there is to say.
 type codedError struct {
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -53,7 +54,27 @@
 	}
 }
 
-// TestDocuments guards against a table of settings or options, or an example
+// exitCodes returns the table of exit codes with the commands that have them.
+func exitCodes() string {
+	var b strings.Builder
+	b.WriteString("| exit code | meaning | commands |\n|---|---|---|\n")
+	for _, e := range ctl.ExitCodes() {
+		var names []string
+		for _, c := range ctl.Commands() {
+			if slices.Contains(c.Codes, e.Code) {
+				names = append(names, "`"+c.Name+"`")
+			}
+		}
+		commands := strings.Join(names, ", ")
+		if len(names) == len(ctl.Commands()) {
+			commands = "all"
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.Code, e.Meaning, commands)
+	}
+	return b.String()
+}
+
+// TestDocuments guards against a table of settings, options or exit codes, or an example
 // of a rule, that differs from what the programs read. With -update it writes
 // the tables.
 func TestDocuments(t *testing.T) {
@@ -75,6 +96,13 @@
 		}
 		page = before + mark + settings.Table(all) + "<!-- end -->" + after
 	}
+	const mark = "<!-- exit codes -->\n"
+	before, rest, _ := strings.Cut(page, mark)
+	_, after, closed := strings.Cut(rest, "<!-- end -->")
+	if !closed {
+		t.Fatalf("%s has no place for the exit codes", path)
+	}
+	page = before + mark + exitCodes() + "<!-- end -->" + after
 	golden(t, path, page)
 	for _, o := range rules.Options() {
 		row := fmt.Sprintf("| `%s` | %s | %s | %s to %s | %s |\n", o.Name, o.Kind, o.Default, o.Low, o.High, o.Help)
--- /dev/null
+++ b/ctl/export_test.go
@@ -0,0 +1,8 @@
+package ctl
+
+// Parse parses a command line without running it, for tests.
+func Parse(args []string) error {
+	parser, _ := newParser(&globalOptions{})
+	_, err := parser.ParseArgs(args)
+	return err
+}
--- a/ctl/options.go
+++ b/ctl/options.go
@@ -53,9 +53,7 @@
 func newParser(global *globalOptions) (*flags.Parser, map[*flags.Command]command) {
 	parser := flags.NewNamedParser("jujubeknotctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
-	parser.LongDescription = "Controls jujubeknot. Exit codes: 0 done, 1 failed or refused, 2 wrong usage or settings, " +
-		"3 conflict with another change, 4 accepted but not in force everywhere within the time, 5 control gave no answer or could not take the request in time, " +
-		"6 the command names what does not exist or asks for a change that cannot be made."
+	parser.LongDescription = "Controls jujubeknot."
 	must(parser.AddGroup("General options", "", global))
 	commands := map[*flags.Command]command{}
 	add := func(parent *flags.Command, name, short, long string, c command) {
