--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -79,6 +79,84 @@
 	}
 }
 
+// TestLossIsOneCommand guards against a loss of several nodes that takes a
+// round of the log for each of them before their partitions get owners.
+func TestLossIsOneCommand(t *testing.T) {
+	w := settled(t)
+	lost := w.nodes[:2]
+	w.nodes = w.nodes[2:]
+	for w.state.Node(lost[0].incarnation) != nil {
+		index := w.index
+		w.run(t, 20*time.Millisecond)
+		if w.index > index+1 {
+			t.Fatalf("the loss of two nodes took %d entries of the log", w.index-index)
+		}
+		if w.now > 10*time.Second {
+			t.Fatal("the lost nodes are still registered")
+		}
+	}
+	if got := fmt.Sprint(w.owners()); got != "map[s3:4 s4:4]" {
+		t.Errorf("owners after the entry that removed two nodes: %s", got)
+	}
+}
+
+// TestBurstIsFewUpdates guards against one update to every node for each
+// registration, which is the square of the number of nodes, and against orders
+// that wait as long as updates do.
+func TestBurstIsFewUpdates(t *testing.T) {
+	w := settled(t)
+	n := w.nodes[0]
+	if _, err := n.sink.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.sink.Pause(); got != 400*time.Microsecond {
+		t.Errorf("a stream of four pauses for %v after an update, want 400 µs", got)
+	}
+	for i := range 100 {
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{Node: nodeOf(fmt.Sprint("new", i), "a")}}})
+	}
+	u, err := n.sink.Next()
+	if err != nil || len(u.GetNodes()) != 100 || u.GetSnapshot() {
+		t.Errorf("update after the pause: %d nodes, %v; want all 100 in one", len(u.GetNodes()), err)
+	}
+	w.applyRules(t, deskRules+"zone a out # t: test\n")
+	w.lead()
+	select {
+	case <-n.sink.Kicked():
+	default:
+		t.Error("the stream of a node with release orders was not woken")
+	}
+}
+
+// TestColdTargets guards against partitions that go to cold servers which do
+// not sustain them while there is time to wait, against a zone that still has
+// work 3 s after it was taken out, and against a stop that runs into its limit
+// of 15 s because all others are cold.
+func TestColdTargets(t *testing.T) {
+	for _, c := range []struct {
+		what       string
+		leave      func(w *world)
+		wait, then time.Duration
+		all        string
+	}{
+		{"zone out", func(w *world) { w.applyRules(t, deskRules+"zone a out # t: test\n") }, time.Second, 2 * time.Second, "map[s3:4 s4:4]"},
+		{"stop", func(w *world) { w.nodes[0].draining, w.nodes[1].draining = true, true }, 9 * time.Second, 5 * time.Second, "map[s3:4 s4:4]"},
+	} {
+		w := settled(t)
+		w.nodes[2].cold, w.nodes[3].cold = true, true
+		w.run(t, 3*time.Second)
+		c.leave(w)
+		w.run(t, c.wait)
+		if got := fmt.Sprint(w.owners()); got != "map[s1:2 s2:2 s3:2 s4:2]" {
+			t.Errorf("%s: owners after %v: %s", c.what, c.wait, got)
+		}
+		w.run(t, c.then)
+		if got := fmt.Sprint(w.owners()); got != c.all {
+			t.Errorf("%s: owners after %v: %s", c.what, c.wait+c.then, got)
+		}
+	}
+}
+
 // TestNewLeaderWaits guards against a new leader that takes partitions from a
 // node which an earlier leader may have granted a lease.
 func TestNewLeaderWaits(t *testing.T) {
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -13,15 +13,25 @@
 // released for an earlier leader, whose plan is not known.
 const reasonReleased placement.Reason = "ownerReleased"
 
+// ruledLeave is how long partitions may wait for cold servers at a server that
+// the rules or an operator take out of service: half of the 3 s after which it
+// must get no new work. A node that stops by itself waits longer.
+const ruledLeave = 1500 * time.Millisecond
+
 // planner is the planner of one upstream with the policy that it was made for.
 type planner struct {
 	*placement.Planner
 	policy string
 }
 
-// plan returns assign commands and orders releases. Nothing is done unless
-// something changed or the interval has passed.
+// plan returns assign commands and orders releases.
 func (l *Leader) plan(state *cluster.State, now time.Time) []*wirev1.Command {
+	return assignCommands(l.changes(state, now))
+}
+
+// changes returns the changes of owners that are due and orders releases.
+// Nothing is done unless something changed or the interval has passed.
+func (l *Leader) changes(state *cluster.State, now time.Time) []*wirev1.AssignChange {
 	l.settle(state, now)
 	fold := now.Sub(l.planned) >= planInterval
 	if !l.dirty && !fold && l.planIndex == state.Index() {
@@ -40,6 +50,11 @@
 			changes = append(changes, l.planUpstream(state, now, u)...)
 		}
 	}
+	return changes
+}
+
+// assignCommands divides changes into commands of bounded size.
+func assignCommands(changes []*wirev1.AssignChange) []*wirev1.Command {
 	var commands []*wirev1.Command
 	for len(changes) > 0 {
 		n := min(len(changes), maxBatch)
@@ -154,6 +169,9 @@
 			s.Weight = float64(u.Slots)
 		}
 		s.Leaving = s.LeaveReason != ""
+		if s.LeaveReason == placement.ReasonZoneOut || !l.reports[s.Incarnation].draining() {
+			s.LeaveWithin = ruledLeave
+		}
 		view.Servers = append(view.Servers, s)
 		byName[s.Name], alive[s.Incarnation] = s.Incarnation, !s.Lost
 	}
