wire, core/cluster, control/leader, ctl: explain shows when a key changed owner

explain named a log index only. Each proposal now carries the wall-clock time of the leader, the state keeps it with each change of owner, and explain shows it for the owner and the last moves. Nothing is decided by the time: clocks of leaders differ, and the log index orders.

A time for each log index in place of one for each assignment was ruled out: it needs a rule for when to forget one.

TestTimeOfChange and TestExplainTime were seen to fail without the field in the state, TestExplainTime also without the time in proposals.

--- a/control/internal/leader/group_test.go
+++ b/control/internal/leader/group_test.go
@@ -65,7 +65,7 @@
 	g := &group{state: &cluster.State{}, lost: func() bool { return false }, afterConfirm: func() {}, beforePropose: func() {}}
 	for i := range members {
 		m := &member{group: g, number: i}
-		m.leader = leader.New(leader.Config{Log: m, Clock: g, Logger: zerolog.Nop()})
+		m.leader = leader.New(leader.Config{Log: m, Clock: g, Wall: wall{g}, Logger: zerolog.Nop()})
 		g.members = append(g.members, m)
 	}
 	g.elect(0)
@@ -75,6 +75,12 @@
 // Now implements clock.Clock.
 func (g *group) Now() time.Time { return time.Unix(1000, 0).Add(g.now) }
 
+// wall is the wall clock of a group.
+type wall struct{ group *group }
+
+// Now implements leader.WallClock.
+func (w wall) Now() time.Time { return time.UnixMilli(1796379000000).Add(w.group.now) }
+
 // elect makes a member leader. The one before it is not told.
 func (g *group) elect(number int) {
 	g.term++
--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -48,8 +48,11 @@
 
 // Config configures a Leader.
 type Config struct {
-	Log       replica.Log
-	Clock     clock.Clock
+	Log   replica.Log
+	Clock clock.Clock
+	// Wall gives the time that is kept with changes of owners. Default the
+	// machine's wall clock.
+	Wall      WallClock
 	Logger    zerolog.Logger
 	Lease     lease.Config
 	Placement placement.Config
@@ -61,6 +64,15 @@
 	FirstWait time.Duration
 }
 
+// WallClock tells the time of day, which can go back.
+type WallClock interface {
+	Now() time.Time
+}
+
+type machineTime struct{}
+
+func (machineTime) Now() time.Time { return time.Now() }
+
 // place names a partition of an upstream.
 type place struct {
 	upstream  string
@@ -112,6 +124,9 @@
 	if config.FirstWait == 0 {
 		config.FirstWait = DefaultFirstWait
 	}
+	if config.Wall == nil {
+		config.Wall = machineTime{}
+	}
 	config.Lease = config.Lease.WithDefaults()
 	l := &Leader{
 		config:  config,
@@ -260,6 +275,7 @@
 func (l *Leader) propose(ctx context.Context, command *wirev1.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	command.ProposedUnixMs = l.config.Wall.Now().UnixMilli()
 	result, err := l.config.Log.Propose(ctx, command)
 	if err != nil {
 		return fmt.Errorf("propose: %w", err)
--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -373,3 +373,30 @@
 		t.Errorf("drain of s2: %v", err)
 	}
 }
+
+// TestExplainTime guards against an explanation without the time at which the
+// owner got its partition, or with that of another change.
+func TestExplainTime(t *testing.T) {
+	w := settled(t)
+	key := keyOn(t, w, "s1")
+	first, err := w.current().leader.Explain(context.Background(), "desk", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := wall{w.group}.Now().UnixMilli()
+	if _, err := w.current().leader.Drain(context.Background(), "s1", false); err != nil {
+		t.Fatal(err)
+	}
+	w.run(t, time.Second)
+	r, err := w.current().leader.Explain(context.Background(), "desk", key)
+	if err != nil || len(r.GetLastMoves()) != 2 {
+		t.Fatalf("%v, %v", r, err)
+	}
+	after := wall{w.group}.Now().UnixMilli()
+	if at := r.GetAssignment().GetSinceUnixMs(); at < before || at > after {
+		t.Errorf("moved at %d, want a time from %d to %d", at, before, after)
+	}
+	if at := r.GetLastMoves()[1].GetSinceUnixMs(); at == 0 || at != first.GetAssignment().GetSinceUnixMs() || at > before {
+		t.Errorf("earlier move at %d, want %d", at, first.GetAssignment().GetSinceUnixMs())
+	}
+}
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -197,7 +197,7 @@
 		}
 		update.Assignments[i] = &wirev1.Assignment{
 			Upstream: a.GetUpstream(), Partition: a.GetPartition(), Owner: a.GetOwner(), Epoch: a.GetEpoch(),
-			SinceIndex: a.GetSinceIndex(), Reason: a.GetReason(),
+			SinceIndex: a.GetSinceIndex(), SinceUnixMs: a.GetSinceUnixMs(), Reason: a.GetReason(),
 		}
 	}
 }
--- a/control/internal/replica/earlier_test.go
+++ b/control/internal/replica/earlier_test.go
@@ -45,6 +45,9 @@
 	}
 	for n := range s.Nodes() {
 		for a := range s.Assignments("applications") {
+			if a.GetSinceUnixMs() != 0 {
+				t.Errorf("partition %d has the time %d, which that version did not keep", a.GetPartition(), a.GetSinceUnixMs())
+			}
 			if a.GetOwner() != n.GetIncarnation() {
 				t.Errorf("partition %d belongs to %d, want %d", a.GetPartition(), a.GetOwner(), n.GetIncarnation())
 			}
--- a/core/cluster/assign.go
+++ b/core/cluster/assign.go
@@ -10,9 +10,9 @@
 // assign applies the changes whose expected epoch is current and refuses the
 // others one by one, so that one move that lost a race does not hold up the
 // rest of its batch.
-func (s *State) assign(command *wirev1.Assign) Result {
+func (s *State) assign(command *wirev1.Assign, unixMs int64) Result {
 	delta := &wirev1.Update{}
-	result := s.change(command.GetChanges(), delta, func(*wirev1.AssignChange, *wirev1.Assignment) string { return "" })
+	result := s.change(command.GetChanges(), unixMs, delta, func(*wirev1.AssignChange, *wirev1.Assignment) string { return "" })
 	switch {
 	case len(delta.Assignments) > 0:
 		result.Delta = delta
@@ -24,10 +24,12 @@
 	return result
 }
 
-// change applies changes and adds them to a delta. It returns a result with
+// change applies changes that were proposed at a time and adds them to a delta. It returns a result with
 // the changes that were refused, also by a further check, and why the first of
 // them was.
-func (s *State) change(changes []*wirev1.AssignChange, delta *wirev1.Update, check func(*wirev1.AssignChange, *wirev1.Assignment) string) Result {
+func (s *State) change(
+	changes []*wirev1.AssignChange, unixMs int64, delta *wirev1.Update, check func(*wirev1.AssignChange, *wirev1.Assignment) string,
+) Result {
 	var result Result
 	edits := map[string]*tableEdit{}
 	for i, c := range changes {
@@ -55,6 +57,7 @@
 		next := &wirev1.Assignment{
 			Upstream: c.GetUpstream(), Partition: c.GetPartition(), Owner: c.GetOwner(),
 			Epoch: current.GetEpoch() + 1, SinceIndex: s.index, Reason: c.GetReason(), Planned: c.GetPlanned(),
+			SinceUnixMs: unixMs,
 		}
 		edit.set(next)
 		delta.Assignments = append(delta.Assignments, next)
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -106,11 +106,11 @@
 	case *wirev1.Command_UpdateNode:
 		result = next.updateNode(kind.UpdateNode)
 	case *wirev1.Command_Assign:
-		result = next.assign(kind.Assign)
+		result = next.assign(kind.Assign, command.GetProposedUnixMs())
 	case *wirev1.Command_ApplyRules:
 		result = next.applyRules(kind.ApplyRules)
 	case *wirev1.Command_ReplaceNodes:
-		result = next.replaceNodes(kind.ReplaceNodes)
+		result = next.replaceNodes(kind.ReplaceNodes, command.GetProposedUnixMs())
 	default:
 		result = invalid("unknown kind of command")
 	}
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -304,6 +304,33 @@
 	}
 }
 
+// TestTimeOfChange guards against the time of a change of owner that is lost in
+// a snapshot, or that a command or snapshot without it cannot be read.
+func TestTimeOfChange(t *testing.T) {
+	s, owner := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
+	at := func(unixMs int64, c *wirev1.Command) *wirev1.Command {
+		c.ProposedUnixMs = unixMs
+		return c
+	}
+	change := func(partition uint32, epoch, owner uint64) *wirev1.AssignChange {
+		return &wirev1.AssignChange{Upstream: "desk", Partition: partition, ExpectedEpoch: epoch, Owner: owner}
+	}
+	s, _ = mustApply(t, s, at(0, assign(change(0, 0, owner.Index), change(1, 0, owner.Index))), cluster.CodeApplied)
+	s, _ = mustApply(t, s, at(1000, assign(change(0, 1, 0))), cluster.CodeApplied)
+	// A clock that went back changes nothing but the time shown.
+	s, _ = mustApply(t, s, at(900, replaceNodes([]uint64{owner.Index}, change(1, 1, 0))), cluster.CodeApplied)
+	restored, err := cluster.FromSnapshot(s.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for partition, want := range []int64{1000, 900} {
+		moves := restored.LastMoves("desk", uint32(partition))
+		if len(moves) != 2 || moves[0].GetSinceUnixMs() != want || moves[1].GetSinceUnixMs() != 0 {
+			t.Errorf("moves of partition %d: %v, want the times %d and 0", partition, moves, want)
+		}
+	}
+}
+
 // TestReplaceNodes guards against a partition that gets a new owner while the
 // old one is registered and may have a lease, against an owner that the same
 // command removes, and against partitions that stay behind.
--- a/core/cluster/replace.go
+++ b/core/cluster/replace.go
@@ -11,7 +11,7 @@
 // without a registered owner new ones. Nodes that are not registered any more
 // are passed over. A change whose partition still has a registered owner is
 // refused: that owner may hold a lease.
-func (s *State) replaceNodes(command *wirev1.ReplaceNodes) Result {
+func (s *State) replaceNodes(command *wirev1.ReplaceNodes, unixMs int64) Result {
 	if len(command.GetRemoved()) == 0 && len(command.GetChanges()) == 0 {
 		return invalid("replaceNodes without nodes and changes")
 	}
@@ -27,7 +27,7 @@
 	if len(delta.RemovedNodes) > 0 {
 		s.nodes = nodes
 	}
-	result := s.change(command.GetChanges(), delta, func(c *wirev1.AssignChange, current *wirev1.Assignment) string {
+	result := s.change(command.GetChanges(), unixMs, delta, func(c *wirev1.AssignChange, current *wirev1.Assignment) string {
 		if s.Node(current.GetOwner()) != nil {
 			return fmt.Sprintf("%s/%d: owner %d is still registered", c.GetUpstream(), c.GetPartition(), current.GetOwner())
 		}
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -54,7 +54,7 @@
 	}
 	rows = append(rows,
 		[]string{"epoch", number(assignment.GetEpoch())},
-		[]string{"since", "log index " + number(assignment.GetSinceIndex())},
+		[]string{"since", since(assignment)},
 		[]string{"why", why(assignment)},
 	)
 	if text := explained.GetWaitingFor(); text != "" {
@@ -66,14 +66,31 @@
 		s.Out("  %s", line)
 	}
 	s.Out("\nlast moves:")
-	moves := [][]string{{"  EPOCH", "OWNER", "LOG INDEX", "WHY"}}
+	moves := [][]string{{"  EPOCH", "OWNER", "SINCE", "LOG INDEX", "WHY"}}
 	for _, m := range explained.GetLastMoves() {
-		moves = append(moves, []string{"  " + number(m.GetEpoch()), ownerName(names, m.GetOwner()), number(m.GetSinceIndex()), why(m)})
+		moves = append(moves, []string{"  " + number(m.GetEpoch()), ownerName(names, m.GetOwner()), sinceTime(m), number(m.GetSinceIndex()), why(m)})
 	}
 	s.Table(moves)
 	return nil
 }
 
+// since shows when an assignment was made.
+func since(a *wirev1.Assignment) string {
+	if a.GetEpoch() == 0 {
+		return "never assigned"
+	}
+	return fmt.Sprintf("%s, log index %d", sinceTime(a), a.GetSinceIndex())
+}
+
+// sinceTime shows the time of an assignment. Those of earlier versions have
+// none.
+func sinceTime(a *wirev1.Assignment) string {
+	if a.GetSinceUnixMs() == 0 {
+		return "unknown"
+	}
+	return wallTime(a.GetSinceUnixMs())
+}
+
 // why shows the reason of an assignment.
 func why(a *wirev1.Assignment) string {
 	reason := a.GetReason()
--- a/ctl/fake_test.go
+++ b/ctl/fake_test.go
@@ -229,6 +229,8 @@
 		}
 	}
 	last := []*wirev1.Assignment{move(11, 3, 70, "rebalance", true), move(5, 2, 40, "ownerLost", false), move(10, 1, 20, "firstAssignment", false)}
+	// The first one was made by a version that kept no time.
+	last[0].SinceUnixMs, last[1].SinceUnixMs = 1796379000123, 1796292600000
 	return connect.NewResponse(&wirev1.ExplainResponse{Assignment: last[0], Owner: f.nodes[0].GetNode(), LastMoves: last, WaitingFor: "zoneOut"}), nil
 }
 
