--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/caller"
 	"github.com/jujubeknot/jujubeknot/node/internal/certificate"
 	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
+	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
@@ -56,6 +57,7 @@
 	metrics *metrics.Set
 	// pressure is shared by callers and other nodes.
 	pressure *pressure.Monitor
+	sample   *loglines.Sample
 	started  time.Time
 
 	killed   chan struct{}
@@ -92,7 +94,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("settings of the node: %w", err)
 	}
-	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), pressure: pressure.New(), view: view.New(routing.New()), killed: make(chan struct{})}
+	n := &Node{cfg: cfg.withDefaults(), metrics: metrics.New(), pressure: pressure.New(), sample: loglines.NewSample(cfg.RoutingSample), view: view.New(routing.New()), killed: make(chan struct{})}
 	if cfg.CallersTLS.IsValid() {
 		files, err := certificate.Load(certificate.Config{CertificateFile: cfg.CertificateFile, KeyFile: cfg.KeyFile, Log: cfg.Log})
 		if err != nil {
@@ -150,7 +152,7 @@
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend})
 	n.backend.OnLeave(n.owner.Partitions)
 	n.peers = peer.NewClient(peer.ClientConfig{Clock: clock, Log: log, View: n.view})
-	n.peer = &peer.Handler{Log: log, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure}
+	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -160,7 +162,7 @@
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
 	})
 	callers := caller.New(caller.Config{
-		Log: log, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
+		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 	})
