--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -269,6 +269,74 @@
 	}
 }
 
+// TestSnapshotQueueKeepsPlace guards against nodes that are removed because the
+// leader has not sent them a snapshot yet, against a lease for a node without
+// the rules, and against a node that keeps its place without end.
+func TestSnapshotQueueKeepsPlace(t *testing.T) {
+	w := settled(t)
+	l, n := w.current().leader, w.nodes[0]
+	w.nodes = w.nodes[1:]
+	w.run(t, 500*time.Millisecond)
+	sink, err := l.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if await, err := sink.AwaitSnapshot(); err != nil || !await {
+		t.Fatalf("a node that has nothing: snapshot %v, %v", await, err)
+	}
+	registered := func(duration time.Duration) bool {
+		for end := w.now + duration; w.now < end; {
+			w.run(t, 400*time.Millisecond)
+			r, err := l.Renew(context.Background(), &wirev1.RenewRequest{Incarnation: n.incarnation, Sequence: uint64(w.now)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.GetLeaseMs() != 0 {
+				t.Fatalf("a node without the rules has a lease: %v", r)
+			}
+		}
+		return w.state.Node(n.incarnation) != nil
+	}
+	if !registered(4 * time.Second) {
+		t.Error("the node was removed while its snapshot waited")
+	}
+	if registered(5 * time.Second) {
+		t.Error("the node keeps its place although the snapshot does not come")
+	}
+}
+
+// TestResumeWithDelta guards against a snapshot for a node that lost its lease
+// and registers again with the table that it has, and against one old snapshot
+// for nodes that gave up partitions since.
+func TestResumeWithDelta(t *testing.T) {
+	w := settled(t)
+	n := w.nodes[0]
+	index := n.index
+	w.now += 2 * lease.Config{}.Whole()
+	w.work(t)
+	w.register(n)
+	sink, err := w.current().leader.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation, FromIndex: index})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if await, err := sink.AwaitSnapshot(); err != nil || await {
+		t.Errorf("a node with a known index waits for a snapshot: %v, %v", await, err)
+	}
+	if u, err := sink.Next(); err != nil || u.GetSnapshot() || u.GetIndex() != w.index {
+		t.Errorf("update for a node with a known index: %v, %v", u, err)
+	}
+	for range 2 {
+		sink, err = w.current().leader.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u, err := sink.Next(); err != nil || !u.GetSnapshot() || u.GetIndex() != w.index {
+			t.Errorf("snapshot at index %d, opened at %d: %v", u.GetIndex(), w.index, err)
+		}
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{Node: nodeOf(fmt.Sprint("new", w.index), "a")}}})
+	}
+}
+
 // TestServerNameIsHeld guards against two processes that both own what one
 // backend server name is given. The live lease wins; a process that restarts
 // gets the name when the lease of the one before it is over.
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -206,6 +206,11 @@
 	l.note(node, request, now)
 	l.takeReleased(state, now, request.GetIncarnation(), request.GetReleased(), nil, false)
 	if l.behind(request.GetRulesRevision(), now) {
+		if l.awaitsSnapshot(request.GetIncarnation(), now) {
+			// The node has no lease without the rules, but it is not removed for a
+			// queue at the leader: another registration would make that longer.
+			l.granter.Renew(now, request.GetIncarnation())
+		}
 		l.config.Logger.Warn().Uint64("incarnation", request.GetIncarnation()).Str("node", node.GetName()).
 			Uint64("revision", request.GetRulesRevision()).Uint64("current", state.Revision()).Msg("lease not renewed: node is behind the rules")
 		response.Behind = true
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,20 @@
 // may be half-open.
 var ErrReplaced = errors.New("replaced by another watch stream of the same node")
 
+const (
+	// snapshotWait is how long a node that renews keeps its place while it
+	// waits for a snapshot.
+	snapshotWait = 5 * time.Second
+	// farRecords is the size of updates that are treated as snapshots are. The
+	// loss of one fifth of 16,384 partitions is below it: those updates are the
+	// same for all nodes and must not wait.
+	farRecords = 8192
+	// farAge is how long a snapshot is sent before a newer one is made. What
+	// changed since follows. Without it each of hundreds of nodes that register
+	// gets another snapshot, encoded and compressed for it alone.
+	farAge = 500 * time.Millisecond
+)
+
 // updateShare bounds the updates of all streams together to 10,000 a second: a
 // stream waits this long after an update for each stream that there is, and
 // what changes meanwhile is one update. Without it the registrations of 610
@@ -28,8 +43,16 @@
 	incarnation uint64
 	term        uint64
 	index       uint64
-	started     bool
-	pause       time.Duration
+	// opened is the index of the state when the stream was opened. The node may
+	// have given up partitions before it, so nothing older is sent.
+	opened  uint64
+	started bool
+	pause   time.Duration
+	// more is whether the latest update was older than the state.
+	more bool
+	// waiting is since when the stream waits for its turn to send a snapshot,
+	// or sends it, zero if it does not. It is guarded by the leader's lock.
+	waiting time.Time
 	// kick gets a value when there are new orders; gone is closed when the
 	// node opens another stream.
 	kick chan struct{}
@@ -50,7 +73,7 @@
 	}
 	defer l.mu.Unlock()
 	s := &Sink{
-		leader: l, incarnation: request.GetIncarnation(), term: l.term, index: request.GetFromIndex(),
+		leader: l, incarnation: request.GetIncarnation(), term: l.term, index: request.GetFromIndex(), opened: state.Index(),
 		kick: make(chan struct{}, 1), gone: make(chan struct{}),
 	}
 	if s.incarnation == 0 {
@@ -86,15 +109,48 @@
 // Gone is closed when the node opened another stream.
 func (s *Sink) Gone() <-chan struct{} { return s.gone }
 
+// AwaitSnapshot reports whether Next will return a snapshot, or an update of
+// that size. If so, the node
+// keeps its place in the group until SnapshotSent, for at most 5 s.
+func (s *Sink) AwaitSnapshot() (bool, error) {
+	state, now, err := s.leader.enter()
+	if err != nil {
+		return false, err
+	}
+	defer s.leader.mu.Unlock()
+	if _, far := baseOf(state, s.index); !far {
+		return false, nil
+	}
+	s.waiting = now
+	return true, nil
+}
+
+// SnapshotSent ends what AwaitSnapshot began.
+func (s *Sink) SnapshotSent() {
+	s.leader.mu.Lock()
+	defer s.leader.mu.Unlock()
+	s.waiting = time.Time{}
+}
+
+// awaitsSnapshot reports whether a node's stream waits for a snapshot.
+func (l *Leader) awaitsSnapshot(incarnation uint64, now time.Time) bool {
+	s := l.sinks[incarnation]
+	return s != nil && !s.waiting.IsZero() && now.Sub(s.waiting) < snapshotWait
+}
+
 // Pause returns how long the stream should wait after an update, unless it is
 // kicked. It is 100 µs for each stream at the time of the latest Next.
 func (s *Sink) Pause() time.Duration { return s.pause }
 
+// More reports whether the latest update was not the newest state, so that Next
+// has another one.
+func (s *Sink) More() bool { return s.more }
+
 // Next returns what the node lacks, nil if nothing. Request ids stand in the
 // same update as the assignment that they belong to.
 func (s *Sink) Next() (*wirev1.Update, error) {
 	l := s.leader
-	state, _, err := l.enter()
+	state, now, err := l.enter()
 	if err != nil {
 		return nil, err
 	}
@@ -104,14 +160,19 @@
 		return nil, ErrReplaced
 	default:
 	}
-	orders := s.takeOrders()
+	// Orders rest on the table, so they wait for the newest one.
+	_, far := baseOf(state, s.index)
+	var orders []*wirev1.Release
+	if !far {
+		orders = s.takeOrders()
+	}
 	// If the term changed without this stream noticing, orders of the new term
 	// were queued on it; those of the old one are void.
 	s.term = l.term
 	s.pause = time.Duration(len(l.sinks)) * updateShare
 	l.mu.Unlock()
 	// Renewals need the lock too, so updates are made without it.
-	change := l.updated.since(state, s.index)
+	change := l.updated.since(state, s.index, s.opened, now)
 	if !s.started && change == nil {
 		// The first message also tells the node that the stream works.
 		change = &wirev1.Update{Index: state.Index()}
@@ -135,6 +196,7 @@
 		l.mu.Unlock()
 	}
 	s.index = max(s.index, update.GetIndex())
+	s.more = s.index < state.Index() || far
 	return update, nil
 }
 
@@ -146,25 +208,59 @@
 }
 
 // changes are the updates that streams need to reach a state, by the index
-// that they have. It is safe for concurrent use.
+// from which they are made. It is safe for concurrent use.
 type changes struct {
 	mu      sync.Mutex
 	state   *cluster.State
 	updates map[uint64]*wirev1.Update
+	// far has snapshots and large updates, which outlast a state.
+	far map[uint64]farUpdate
 }
 
-// since returns what changed in a state after an index. Streams at the same
-// index get the same message.
-func (c *changes) since(state *cluster.State, index uint64) *wirev1.Update {
+type farUpdate struct {
+	update *wirev1.Update
+	made   time.Time
+	// revision of the rules at the update: nodes get no other than the newest.
+	revision uint64
+}
+
+// baseOf returns the index from which an update is made, 0 for a snapshot, and
+// whether it is a snapshot or of that size.
+func baseOf(state *cluster.State, index uint64) (uint64, bool) {
+	base, records := state.Base(index)
+	return base, base == 0 || records > farRecords
+}
+
+// since returns what changed in a state after an index. Streams get the same
+// message where possible: it may have changes that the node has, and a far one
+// may be up to 500 ms old, but not older than the index opened.
+func (c *changes) since(state *cluster.State, index, opened uint64, now time.Time) *wirev1.Update {
+	if index != 0 && index == state.Index() {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	base, far := baseOf(state, index)
+	if far {
+		f := c.far[base]
+		if f.revision == state.Revision() && f.update.GetIndex() > index && f.update.GetIndex() >= opened && now.Sub(f.made) < farAge && state.Follows(f.update.GetIndex()) {
+			return f.update
+		}
+	}
 	if c.state != state {
 		c.state, c.updates = state, map[uint64]*wirev1.Update{}
 	}
-	update, known := c.updates[index]
+	update, known := c.updates[base]
 	if !known {
-		update = state.Since(index)
-		c.updates[index] = update
+		update = state.Since(base)
+		c.updates[base] = update
+	}
+	if far && update != nil {
+		maps.DeleteFunc(c.far, func(_ uint64, f farUpdate) bool { return now.Sub(f.made) >= farAge })
+		if c.far == nil {
+			c.far = map[uint64]farUpdate{}
+		}
+		c.far[base] = farUpdate{update, now, state.Revision()}
 	}
 	return update
 }
--- a/control/internal/nodes/nodes.go
+++ b/control/internal/nodes/nodes.go
@@ -17,14 +17,15 @@
 
 // Server implements the Control service. It is safe for concurrent use.
 type Server struct {
-	leader *leader.Leader
-	log    replica.Log
+	leader    *leader.Leader
+	log       replica.Log
+	snapshots turns
 }
 
 // Handler returns the path and the handler of the service. Nodes present the
 // secret as bearer token.
 func Handler(l *leader.Leader, log replica.Log, secret string) (string, http.Handler) {
-	path, handler := wirev1connect.NewControlHandler(&Server{l, log}, connect.WithReadMaxBytes(rpc.MaxMessageBytes),
+	path, handler := wirev1connect.NewControlHandler(&Server{l, log, make(turns, snapshotsAtOnce)}, connect.WithReadMaxBytes(rpc.MaxMessageBytes),
 		connect.WithCompressMinBytes(rpc.CompressMinBytes), sharing())
 	return path, rpc.RequireSecret(secret, handler)
 }
@@ -73,15 +74,12 @@
 	}
 	defer sink.Close()
 	for {
-		update, err := sink.Next()
+		sent, err := s.send(ctx, sink, stream)
 		if err != nil {
-			return rpc.Error(err)
+			return err
 		}
-		if update != nil {
-			if err := stream.Send(update); err != nil {
-				return err
-			}
-			if pause(ctx, sink) {
+		if sent {
+			if pause(ctx, sink) || sink.More() {
 				continue
 			}
 		}
@@ -95,6 +93,31 @@
 	}
 }
 
+// send sends what the node lacks and reports whether there was something.
+// Snapshots wait for their turn.
+func (s *Server) send(ctx context.Context, sink *leader.Sink, stream *connect.ServerStream[wirev1.Update]) (bool, error) {
+	await, err := sink.AwaitSnapshot()
+	if err != nil {
+		return false, rpc.Error(err)
+	}
+	if await {
+		defer sink.SnapshotSent()
+		done, err := s.snapshots.take(ctx, sink.Gone())
+		if err != nil {
+			return false, rpc.Error(err)
+		}
+		defer done()
+	}
+	update, err := sink.Next()
+	if err != nil {
+		return false, rpc.Error(err)
+	}
+	if update == nil {
+		return false, nil
+	}
+	return true, stream.Send(update)
+}
+
 // pause waits before the next update of a stream, so that a burst of changes
 // is few updates. It reports whether a release order ended it: those do not
 // wait, because the partition is paused for callers meanwhile.
--- a/control/internal/nodes/shared.go
+++ b/control/internal/nodes/shared.go
@@ -17,8 +17,9 @@
 )
 
 // sharedEntries is the number of messages that are kept encoded. Streams that
-// are woken by one change send the same few updates.
-const sharedEntries = 8
+// are woken by one change send the same few updates, beside a snapshot that is
+// in use for 500 ms.
+const sharedEntries = 32
 
 // shared keeps the latest results by key, each made once, also where several
 // streams ask for it at the same time. It is safe for concurrent use.
@@ -41,7 +42,9 @@
 	at := slices.IndexFunc(s.entries, func(e *sharedEntry[K]) bool { return e.key == key })
 	var e *sharedEntry[K]
 	if at >= 0 {
+		// The latest used one is last, so that snapshots outlast small updates.
 		e = s.entries[at]
+		s.entries = append(slices.Delete(s.entries, at, at+1), e)
 	} else {
 		e = &sharedEntry[K]{key: key}
 		if len(s.entries) == sharedEntries {
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -215,7 +215,11 @@
 			s = next
 			if rapid.IntRange(0, 3).Draw(t, "follow") == 0 {
 				source := rapid.SampledFrom([]*cluster.State{s, restored}).Draw(t, "source")
-				nodes.apply(source.Since(nodes.index))
+				from := nodes.index
+				if rapid.Bool().Draw(t, "base") {
+					from, _ = source.Base(from)
+				}
+				nodes.apply(source.Since(from))
 				nodes.check(t, s)
 			}
 		}
@@ -331,18 +335,72 @@
 	mustApply(t, s, replaceNodes(nil), cluster.CodeInvalid)
 }
 
+// TestUpdatesAreShared guards against an update of its own, made and encoded
+// anew, for each of hundreds of nodes that registered at different indexes, and
+// against updates from a base that lack a change.
+func TestUpdatesAreShared(t *testing.T) {
+	s, _ := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
+	for i := range 3000 {
+		s, _ = mustApply(t, s, register(fmt.Sprint("n", i), 0, ""), cluster.CodeApplied)
+	}
+	bases := map[uint64]bool{}
+	for index := uint64(2000); index <= s.Index(); index++ {
+		base, records := s.Base(index)
+		if base > index || s.Index()-index <= 100 && base != index {
+			t.Fatalf("base %d for index %d of %d", base, index, s.Index())
+		}
+		if changed := 2 * int(s.Index()-base); records != changed {
+			t.Fatalf("%d records since %d, want %d", records, base, changed)
+		}
+		bases[base] = true
+	}
+	// 2,000 records are 2 or 3 blocks; the last 256 records have updates of their own.
+	if len(bases) > 3+129 {
+		t.Errorf("%d different updates for %d indexes", len(bases), s.Index())
+	}
+	for base := range bases {
+		if u := s.Since(base); len(u.GetNodes()) != int(s.Index()-base) {
+			t.Fatalf("update from %d has %d nodes", base, len(u.GetNodes()))
+		}
+	}
+	if base, _ := s.Base(0); base != 0 {
+		t.Errorf("base %d for a node that has nothing", base)
+	}
+}
+
 // TestDeltasAreBounded guards against a node that is too far behind and gets
 // an update with holes.
 func TestDeltasAreBounded(t *testing.T) {
 	s, node := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
-	for epoch := range uint64(1600) {
+	change := func(epoch uint64) {
 		s, _ = mustApply(t, s, assign(&wirev1.AssignChange{Upstream: "desk", Partition: uint32(epoch % 3), ExpectedEpoch: epoch / 3, Owner: node.Index}), cluster.CodeApplied)
-		if u := s.Since(1); !u.GetSnapshot() && len(u.GetAssignments()) != min(3, int(epoch+1)) {
-			t.Fatalf("after %d changes a delta from index 1 has %d assignments", epoch+1, len(u.GetAssignments()))
+	}
+	for epoch := range uint64(1600) {
+		change(epoch)
+		if u := s.Since(1); u.GetSnapshot() || len(u.GetAssignments()) != min(3, int(epoch+1)) {
+			t.Fatalf("after %d changes the update from index 1 is full or has %d assignments", epoch+1, len(u.GetAssignments()))
 		}
 	}
-	if !s.Since(1).GetSnapshot() || s.Since(s.Index()-500).GetSnapshot() {
-		t.Error("want a full update for index 1 and a delta for the last 500")
+	// A delta counts for itself and its record.
+	const kept = 16384 / 2
+	for epoch := uint64(1600); epoch < 3*kept; epoch++ {
+		change(epoch)
+		if epoch%101 == 0 && s.Follows(s.Index()-min(kept, epoch)) == s.Since(s.Index()-min(kept, epoch)).GetSnapshot() {
+			t.Fatalf("Follows and Since differ after %d changes", epoch+1)
+		}
+		if !s.Follows(s.Index() - min(kept, epoch)) {
+			t.Fatalf("the last %d changes are not kept after %d", kept, epoch+1)
+		}
+	}
+	if !s.Since(1).GetSnapshot() || s.Since(s.Index()-kept).GetSnapshot() {
+		t.Errorf("want a full update for index 1 and a delta for the last %d", kept)
+	}
+	for revision := range uint64(20) {
+		text := strings.Repeat("x", cluster.MaxRulesBytes-8) + fmt.Sprint(revision)
+		s, _ = mustApply(t, s, applyRules(revision, text, ""), cluster.CodeApplied)
+	}
+	if s.Follows(s.Index() - 10) {
+		t.Error("10 rules texts of 1 MiB are kept as deltas")
 	}
 	if got := s.LastMoves("desk", 0); len(got) != 4 || got[0].GetEpoch() != got[1].GetEpoch()+1 {
 		t.Errorf("last moves %v", got)
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -1,45 +1,100 @@
 package cluster
 
 import (
+	"cmp"
 	"slices"
 
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-// generationSize is the number of deltas after which older ones are dropped:
-// between 512 and 1,023 are kept. A node that is further behind gets a full
-// update.
-const generationSize = 512
+const (
+	// generationRecords is the number of changed records after which older
+	// deltas are dropped: the last 16,384 are kept, at most twice as many. A
+	// node that is further behind gets a full update, which has as many records
+	// at 16,384 partitions. The number of deltas is no measure: with 512 of
+	// them the registrations of 610 nodes led to a full update for each.
+	generationRecords = 16384
+	// recordBytes is the size that a record counts for; rules are counted by
+	// the length of their text.
+	recordBytes = 64
+	// nearRecords and blockRecords bound the different updates that nodes need:
+	// one that lacks more than nearRecords gets what changed since the start of
+	// a block of blockRecords, as all others in that block do.
+	nearRecords  = 256
+	blockRecords = 1024
+)
 
 // delta is one element of a list that shares its tail with earlier states.
 type delta struct {
 	update   *wirev1.Update
 	previous *delta
+	// total is the number of records up to this delta.
+	total int
 }
 
 // deltas keeps the latest changes in two generations, so that dropping old
 // ones needs no copying.
 type deltas struct {
 	newest, older *delta
-	count         int
+	// records is the number of records in the newest generation.
+	records int
 	// from is the index from which on all deltas are kept; olderFrom is that
 	// of the newest generation alone.
 	from, olderFrom uint64
 }
 
 func (d deltas) add(update *wirev1.Update) deltas {
-	if d.count == generationSize {
+	if d.records >= generationRecords {
 		d.from, d.olderFrom = d.olderFrom, d.newest.update.GetIndex()
-		d.older, d.newest, d.count = d.newest, nil, 0
+		d.older, d.newest, d.records = d.newest, nil, 0
 	}
-	if d.count == 0 && d.older == nil {
+	if d.records == 0 && d.older == nil {
 		d.olderFrom = d.from
 	}
-	d.newest = &delta{update: update, previous: d.newest}
-	d.count++
+	total := 0
+	if latest := cmp.Or(d.newest, d.older); latest != nil {
+		total = latest.total
+	}
+	records := recordsOf(update)
+	d.newest = &delta{update: update, previous: d.newest, total: total + records}
+	d.records += records
 	return d
 }
 
+// recordsOf returns the number of records that an update counts for.
+func recordsOf(update *wirev1.Update) int {
+	return 1 + len(update.GetNodes()) + len(update.GetRemovedNodes()) + len(update.GetAssignments()) +
+		len(update.GetRules().GetText())/recordBytes
+}
+
+// base returns the index at or before a kept one from which the changes are to
+// be sent, and the number of records that changed since.
+func (d deltas) base(index uint64) (uint64, int) {
+	latest := cmp.Or(d.newest, d.older)
+	if latest == nil {
+		return index, 0
+	}
+	near, records := true, 0
+	block := latest.total / blockRecords
+	for _, generation := range []*delta{d.newest, d.older} {
+		for e := generation; e != nil; e = e.previous {
+			records = latest.total - e.total
+			switch {
+			case e.update.GetIndex() > index:
+				near = records < nearRecords
+			case near && records <= nearRecords:
+				return index, records
+			case e.total/blockRecords < block:
+				return e.update.GetIndex(), records
+			}
+			block = e.total / blockRecords
+			records += recordsOf(e.update)
+		}
+	}
+	// All that is kept.
+	return index, records
+}
+
 // since returns the deltas after an index, the newest first.
 func (d deltas) since(index uint64) []*wirev1.Update {
 	var updates []*wirev1.Update
@@ -51,6 +106,23 @@
 	return updates
 }
 
+// Follows reports whether the changes after an index are kept, so that Since
+// does not return a full update.
+func (s *State) Follows(index uint64) bool {
+	return index != 0 && index <= s.index && index >= s.deltas.from
+}
+
+// Base returns the index at or before the given one from which updates should
+// be made, so that nodes at many indexes share few updates, and the number of
+// records in such an update. The index is 0 where Follows is false. A node may
+// apply changes that it has.
+func (s *State) Base(index uint64) (base uint64, records int) {
+	if !s.Follows(index) {
+		return 0, 0
+	}
+	return s.deltas.base(index)
+}
+
 // Since returns what changed after an index, for a node that has applied
 // everything up to it: nil if nothing did, a full update if the index is 0,
 // higher than the state's, or too old for the changes that are kept.
@@ -58,7 +130,7 @@
 	if index == s.index && index != 0 {
 		return nil
 	}
-	if index == 0 || index > s.index || index < s.deltas.from {
+	if !s.Follows(index) {
 		return s.FullUpdate()
 	}
 	updates := s.deltas.since(index)
