node/controlclient: late renewals count, and nodes register again apart

A renewal that was not answered within 300 ms was cancelled and its answer lost, although the lease runs from the sending and control had extended it. A leader that was slow for longer than that cost every node its lease. The answer is now awaited for 1.5 s while the next renewal is sent, to another member as before.

A node that lost its lease registers again after a random pause of up to 100 ms, doubled with each loss that follows within 10 s, at most 2 s. Failed registrations are repeated after random pauses of up to 50 ms, doubled up to 400 ms, in place of 50 ms each.

TestLateAnswersKeepTheLease was seen to fail with the earlier renewals, and TestSpread without the random part.

--- a/node/control_test.go
+++ b/node/control_test.go
@@ -34,8 +34,14 @@
 	released    map[uint64]int
 	// refuseRenewals has incarnations whose renewals fail.
 	refuseRenewals map[uint64]bool
-	keyed          map[string]uint32
-	leaseMs        uint32
+	// late holds the answer to each renewal until the next one arrives, which
+	// closes waiting.
+	late    bool
+	waiting chan struct{}
+	// renewals counts them.
+	renewals int
+	keyed    map[string]uint32
+	leaseMs  uint32
 	// expected servers must be registered before partitions are assigned.
 	expected int
 	reports  []*wirev1.ReleasedPartition
@@ -145,9 +151,26 @@
 	return connect.NewResponse(&wirev1.RegisterResponse{Incarnation: n.GetIncarnation(), LeaseMs: c.leaseMs, RenewIntervalMs: 100}), nil
 }
 
-func (c *fakeControl) Renew(_ context.Context, r *connect.Request[wirev1.RenewRequest]) (*connect.Response[wirev1.RenewResponse], error) {
+func (c *fakeControl) Renew(ctx context.Context, r *connect.Request[wirev1.RenewRequest]) (*connect.Response[wirev1.RenewResponse], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.renewals++
+	if c.waiting != nil {
+		close(c.waiting)
+		c.waiting = nil
+	}
+	if c.late {
+		next := make(chan struct{})
+		c.waiting = next
+		c.mu.Unlock()
+		select {
+		case <-next:
+			c.mu.Lock()
+		case <-ctx.Done():
+			c.mu.Lock()
+			return nil, ctx.Err()
+		}
+	}
 	n := c.nodes[r.Msg.GetIncarnation()]
 	if c.refuseRenewals[r.Msg.GetIncarnation()] {
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
--- a/node/internal/controlclient/export_test.go
+++ b/node/internal/controlclient/export_test.go
@@ -7,3 +7,6 @@
 	Failure   = (*group).failure
 	Succeeded = (*group).succeeded
 )
+
+// Spread is for tests.
+var Spread = spread
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
@@ -15,8 +16,10 @@
 // renewLoop renews the lease at the interval, and at once after an event that
 // control should know.
 func (i *incarnation) renewLoop(ctx context.Context) {
+	var late sync.WaitGroup
+	defer late.Wait()
 	for ctx.Err() == nil {
-		if !i.renew(ctx) {
+		if !i.renew(ctx, &late) {
 			if !sleep(ctx, retryPause) {
 				return
 			}
@@ -35,8 +38,10 @@
 	}
 }
 
-// renew makes one renewal and reports whether control answered.
-func (i *incarnation) renew(ctx context.Context) bool {
+// renew makes one renewal and reports whether control answered in time. A later
+// answer counts too: the lease runs from the sending, whenever the answer comes,
+// and a leader that is busy for a moment must not cost a lease.
+func (i *incarnation) renew(ctx context.Context, late *sync.WaitGroup) bool {
 	s := i.s
 	request := i.request()
 	i.mu.Lock()
@@ -45,7 +50,25 @@
 	// The lease counts from here, before the first byte is sent.
 	i.holder.Sent(s.cfg.Clock.Now(), request.Sequence)
 	i.mu.Unlock()
-	response, err := call(ctx, s, renewTimeout, request, wirev1connect.ControlClient.Renew)
+	_, address := s.group.leader()
+	answered := make(chan bool, 1)
+	late.Go(func() { answered <- i.send(ctx, request) })
+	timer := time.NewTimer(renewTimeout)
+	defer timer.Stop()
+	select {
+	case ok := <-answered:
+		return ok
+	case <-timer.C:
+		s.cfg.Log.Warn().Str("member", address).Uint64("sequence", request.GetSequence()).Msg("renewal not answered in time")
+		s.group.failure(address, context.DeadlineExceeded)
+		return false
+	}
+}
+
+// send sends a renewal and reports whether control answered.
+func (i *incarnation) send(ctx context.Context, request *wirev1.RenewRequest) bool {
+	s := i.s
+	response, err := call(ctx, s, lateTimeout, request, wirev1connect.ControlClient.Renew)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.cfg.Log.Warn().Err(err).Msg("renewal failed")
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -25,11 +25,16 @@
 
 // Timeouts of calls to control, and pauses between them.
 const (
-	registerTimeout   = time.Second
+	registerTimeout = time.Second
+	// renewTimeout is when a renewal is sent again, to another member;
+	// lateTimeout is how long its answer is awaited all the same. After 1.5 s
+	// the lease that it would extend is over.
 	renewTimeout      = 300 * time.Millisecond
+	lateTimeout       = 1500 * time.Millisecond
 	deregisterTimeout = 500 * time.Millisecond
-	// retryPause is the pause after a failed call. During an election of 300
-	// to 600 ms it leads to about ten tries.
+	// retryPause is the pause after a failed call, the first one of several
+	// registrations. During an election of 300 to 600 ms it leads to about ten
+	// renewals.
 	retryPause = 50 * time.Millisecond
 	// refusedPause is the pause after a registration that was refused, such as
 	// with a name that another node holds.
@@ -103,13 +108,26 @@
 func (s *Session) Run(ctx context.Context) {
 	defer s.group.close()
 	var previous uint64
+	losses := 0
 	for ctx.Err() == nil {
 		i := s.register(ctx, previous)
 		if i == nil {
 			return
 		}
-		i.run(ctx)
+		began := s.cfg.Clock.Now()
+		reason := i.run(ctx)
 		previous = i.number
+		if reason != leaseLost {
+			losses = 0
+			continue
+		}
+		if s.cfg.Clock.Now().Sub(began) >= steadyAfter {
+			losses = 0
+		}
+		if !sleep(ctx, spread(rejoinPause, losses, maxRejoinPause)) {
+			return
+		}
+		losses++
 	}
 }
 
@@ -122,7 +140,7 @@
 	// The request id stays the same for all tries, so that a lost answer does
 	// not make two incarnations.
 	request := &wirev1.RegisterRequest{Node: node, Previous: previous, RequestId: rand.Text()}
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil; failures++ {
 		client, address := s.group.leader()
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 		response, err := client.Register(callCtx, connect.NewRequest(request))
@@ -141,7 +159,7 @@
 			// The answer to an earlier try was lost, and its lease is over.
 			request.RequestId = rand.Text()
 		}
-		pause := retryPause
+		pause := spread(retryPause, failures, maxRetryPause)
 		if refused(err) {
 			pause = refusedPause
 		} else {
@@ -224,8 +242,9 @@
 }
 
 // run holds the lease until it is lost, the backend server becomes another
-// one, or the context ends. In the end nothing of the incarnation is in use.
-func (i *incarnation) run(ctx context.Context) {
+// one, or the context ends, and returns which. In the end nothing of the
+// incarnation is in use.
+func (i *incarnation) run(ctx context.Context) string {
 	loops, cancel := context.WithCancel(ctx)
 	running := tasks.New(6)
 	running.Go(loops, "renew", tasks.Quiet(i.renewLoop))
@@ -254,6 +273,7 @@
 	if held && !abandoned {
 		i.deregister(context.WithoutCancel(ctx))
 	}
+	return reason
 }
 
 // wait returns why the incarnation ends.
@@ -263,7 +283,7 @@
 		case <-ctx.Done():
 			return "stopping"
 		case <-i.ended:
-			return "leaseLost"
+			return leaseLost
 		case <-i.s.backendChanged:
 			now := i.s.cfg.Backend.Announced()
 			if now.GetName() != i.server.GetName() || now.GetUpstream() != i.server.GetUpstream() {
