control/leader: streams pause longer after larger updates

After the loss of one fifth of the nodes and their return each stream could get ten and more updates of thousands of assignments a second, each of which makes a node copy its table. Nodes that share processor time with others lost their leases by that, which made further updates of that size.

The pause after an update grows by 100 ns for each record and stream, up to 500 ms in all: at most 10 million records/s over all streams.

--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -31,11 +31,20 @@
 	farAge = 500 * time.Millisecond
 )
 
-// updateShare bounds the updates of all streams together to 10,000 a second: a
-// stream waits this long after an update for each stream that there is, and
-// what changes meanwhile is one update. Without it the registrations of 610
-// nodes within a second are 372,000 updates, and renewals time out.
-const updateShare = 100 * time.Microsecond
+const (
+	// updateShare bounds the updates of all streams together to 10,000 a
+	// second: a stream waits this long after an update for each stream that
+	// there is, and what changes meanwhile is one update. Without it the
+	// registrations of 610 nodes within a second are 372,000 updates, and
+	// renewals time out.
+	updateShare = 100 * time.Microsecond
+	// recordShare is added for each record of the update: a node copies its
+	// table for them, and 10,000 updates/s of a storm of lost leases leave nodes
+	// no processor time to renew theirs.
+	recordShare = 100 * time.Nanosecond
+	// maxPause keeps two large updates well within the 3 s for a lost node.
+	maxPause = 500 * time.Millisecond
+)
 
 // Sink is one watch stream of a node. Its methods are for one goroutine.
 type Sink struct {
@@ -138,8 +147,9 @@
 	return s != nil && !s.waiting.IsZero() && now.Sub(s.waiting) < snapshotWait
 }
 
-// Pause returns how long the stream should wait after an update, unless it is
-// kicked. It is 100 µs for each stream at the time of the latest Next.
+// Pause returns how long the stream should wait after the latest update, unless
+// it is kicked: 100 µs and 100 ns for each record, times the number of streams,
+// at most 500 ms.
 func (s *Sink) Pause() time.Duration { return s.pause }
 
 // More reports whether the latest update was not the newest state, so that Next
@@ -169,7 +179,7 @@
 	// If the term changed without this stream noticing, orders of the new term
 	// were queued on it; those of the old one are void.
 	s.term = l.term
-	s.pause = time.Duration(len(l.sinks)) * updateShare
+	streams := time.Duration(len(l.sinks))
 	l.mu.Unlock()
 	// Renewals need the lock too, so updates are made without it.
 	change := l.updated.since(state, s.index, s.opened, now)
@@ -195,6 +205,8 @@
 		s.attachMoved(update)
 		l.mu.Unlock()
 	}
+	records := len(update.GetNodes()) + len(update.GetRemovedNodes()) + len(update.GetAssignments())
+	s.pause = min(maxPause, streams*(updateShare+time.Duration(records)*recordShare))
 	s.index = max(s.index, update.GetIndex())
 	s.more = s.index < state.Index() || far
 	return update, nil
