core/admission: the limit of a warm server recovers when its work became slower

Cause: the limit does not grow while the typical latency is over twice the baseline, and the baseline rose by 0.01% with each finished request, however few ran at once. After a lasting rise of the service time, a limit that had been cut so came back only after thousands of requests, one at a time or a few.

So it always recovered, but far too late. A limit that was at the slots when the service time rose stayed there.

Change: at limit 1 the typical latency is the baseline, as it was in cold start, because nothing else runs. Below the slots the baseline of a warm server rises by 0.18% with each round, times the ratio of slots to limit. Cold servers are as before except for nothing: both rules leave them alone.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -31,7 +31,13 @@
 	timeoutShare  = 0.1
 	// baselineDrift is the rise of the baseline with each finished request, a
 	// doubling in 7,000, so that it follows a lasting change of the work.
-	baselineDrift = 1.0001
+	baselineDrift = 0.0001
+	// roundDrift is the rise with each round of finished work while the limit of
+	// a warm server is below the slots, times the ratio of slots to limit: the
+	// fewer requests run, the less likely it is that they slow each other down.
+	// With baselineDrift alone it took up to 15,676 service times until the
+	// limit returned to the slots after the service time had risen tenfold.
+	roundDrift = 0.0018
 )
 
 // limiter adapts the number of requests in flight to what the backend server
@@ -47,8 +53,8 @@
 	ceiling float64
 	// finished counts towards coldWork.
 	finished int
-	// baseline is the lowest typical latency of late; in cold start that at
-	// limit 1. 0 before it is known.
+	// baseline is the lowest typical latency of late, or that at limit 1. 0
+	// before it is known.
 	baseline float64
 	// cutAt is the number of the last request that started before the last cut.
 	cutAt uint64
@@ -97,11 +103,17 @@
 
 // rebase follows the lowest typical latency.
 func (l *limiter) rebase(typical float64) {
-	if l.baseline == 0 || typical < l.baseline || (l.cold && l.value() == 1) {
+	limit := float64(l.value())
+	if l.baseline == 0 || typical < l.baseline || limit == 1 {
+		// At limit 1 no request slows down another.
 		l.baseline = typical
 		return
 	}
-	l.baseline *= baselineDrift
+	drift := baselineDrift
+	if !l.cold && l.limit < float64(l.slots) {
+		drift = max(drift, roundDrift/limit*float64(l.slots)/limit)
+	}
+	l.baseline *= 1 + drift
 }
 
 func (l *limiter) cut(factor float64, number, started uint64) {
