bench/backend: the answer to a cancellation comes when the slot is free

Cause: the stand-in counted wrongly. It answered POST /v1/cancel as soon as it had told the request to stop, while the request still held its slot, and it forgot a cancellation that arrived before its request, which comes on another connection. The node gives the slot to the next request when the answer comes, so that this one was counted above the slots.

Ruled out: the node frees the slot before the answer; TestCancelledRequestKeepsItsSlot in node/internal/backend shows that it waits.

Change: the answer waits for the end of the run, at most 80 ms; the node keeps the slot for 100 ms. Work that ignores cancellations is answered for at once. An idempotent request whose cancellation came within the last second is refused with notRun. Other requests are not, since their id is the same in each sending and a second run must show in the records.

--- a/bench/backend/control.go
+++ b/bench/backend/control.go
@@ -17,6 +17,13 @@
 const (
 	controlTimeout = time.Second
 	controlBytes   = 1 << 20
+	// cancelWait bounds the time for which the answer to a cancellation waits
+	// for the end of the request. It is shorter than the 100 ms for which a node
+	// keeps the slot.
+	cancelWait = 80 * time.Millisecond
+	// cancelMemory is the time for which a cancelled request that has not
+	// arrived is refused.
+	cancelMemory = time.Second
 	// reportEvery is the interval of the reports that lag.
 	reportEvery = 50 * time.Millisecond
 	// leaveEvery is the interval of repeated calls of POST /v1/leave.
@@ -121,13 +128,42 @@
 	if !decode(w, r, &body) {
 		return
 	}
+	j, stubborn := s.running(b, body.RequestID)
+	if j == nil {
+		reply(w, http.StatusOK, map[string]bool{"cancelled": false})
+		return
+	}
+	j.cancel()
+	if !stubborn {
+		// The node gives the slot to another request as soon as it has the
+		// answer.
+		timer := time.NewTimer(cancelWait)
+		defer timer.Stop()
+		select {
+		case <-j.ended:
+		case <-timer.C:
+		case <-b.ctx.Done():
+		}
+	}
+	reply(w, http.StatusOK, map[string]bool{"cancelled": !stubborn})
+}
+
+// running returns the request with an id, or notes that the id is cancelled: the
+// request comes on another connection and may still be on its way.
+func (s *Server) running(b *boot, id string) (j *job, stubborn bool) {
 	s.mu.Lock()
-	cancel := b.running[body.RequestID]
-	s.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	defer s.mu.Unlock()
+	if j = b.running[id]; j != nil {
+		return j, j.stubborn
+	}
+	now := time.Now()
+	for old, at := range b.cancelled {
+		if now.Sub(at) > cancelMemory {
+			delete(b.cancelled, old)
+		}
 	}
-	reply(w, http.StatusOK, map[string]bool{"cancelled": cancel != nil})
+	b.cancelled[id] = now
+	return nil, false
 }
 
 // reported returns the state as it was a lag ago.
--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -46,9 +46,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// ended is closed when the background work has ended.
-	ended    sync.WaitGroup
-	running  map[string]context.CancelFunc
-	inFlight int
+	ended   sync.WaitGroup
+	running map[string]*job
+	// cancelled has the cancellations of the last cancelMemory that named no
+	// running request.
+	cancelled map[string]time.Time
+	inFlight  int
 	// capacity is the cold capacity, 0 once the server is warm.
 	capacity int
 	finished int
@@ -100,7 +103,7 @@
 	s.boots++
 	b := &boot{
 		id:      fmt.Sprintf("%s-%d-%d", s.config.Name, s.config.Seed, s.boots),
-		running: make(map[string]context.CancelFunc), capacity: s.config.Cold.Capacity,
+		running: make(map[string]*job), cancelled: make(map[string]time.Time), capacity: s.config.Cold.Capacity,
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.server = &http.Server{Handler: s.handler(b), ReadHeaderTimeout: time.Minute}
--- a/bench/backend/server_test.go
+++ b/bench/backend/server_test.go
@@ -108,6 +108,40 @@
 	}
 }
 
+// TestCancelFreesTheSlot guards against a server that answers a cancellation
+// while the request still holds its slot: a node that sends the next request
+// after the answer would be counted as exceeding the slots.
+func TestCancelFreesTheSlot(t *testing.T) {
+	s := start(t, backend.Config{Slots: 1, Service: backend.Service{Mean: long, Shape: backend.ShapeConstant}})
+	for range 300 {
+		occupy(t, s, 1)
+		if status, _, body := do(t, s, http.MethodPost, "/v1/cancel", `{"requestId":"r0"}`); status != http.StatusOK {
+			t.Fatalf("cancel: %d %s", status, body)
+		}
+		if n := s.Stats().InFlight; n != 0 {
+			t.Fatalf("%d requests hold slots after the answer to the cancellation", n)
+		}
+	}
+}
+
+// TestCancelBeforeTheRequest guards against a request that runs although its
+// cancellation, which came on another connection, arrived before it, and against
+// one that does not run because an earlier sending of the same id was cancelled.
+func TestCancelBeforeTheRequest(t *testing.T) {
+	records := backend.NewRecorder(0)
+	s := start(t, backend.Config{Records: records, Service: backend.Service{Mean: 1}})
+	if status, _, body := do(t, s, http.MethodPost, "/v1/cancel", `{"requestId":"early"}`); status != http.StatusOK {
+		t.Fatalf("cancel: %d %s", status, body)
+	}
+	status, header, _ := do(t, s, http.MethodGet, "/x", "", headers.RequestID, "early", backend.HeaderIdempotent, "true")
+	if status != http.StatusServiceUnavailable || header.Get(headers.Outcome) != "notRun" || kinds(records)[backend.EntryStart] != 0 {
+		t.Errorf("cancelled request: status %d, records %v", status, kinds(records))
+	}
+	if status, _, _ := do(t, s, http.MethodPost, "/x", "", headers.RequestID, "early"); status != http.StatusOK {
+		t.Errorf("resend that must be seen if it runs: status %d", status)
+	}
+}
+
 // TestFences guards against a fence-checking server that runs a request of an
 // earlier owner or one without a grant.
 func TestFences(t *testing.T) {
--- a/bench/backend/work.go
+++ b/bench/backend/work.go
@@ -25,6 +25,11 @@
 	sum      uint64
 	write    bool
 	deadline time.Time
+	// stubborn work does not end when it is cancelled. It is guarded by the
+	// server's lock.
+	stubborn bool
+	// ended is closed when the slot is free again.
+	ended chan struct{}
 }
 
 // response is what a caller checks: its first line names the request.
@@ -52,7 +57,7 @@
 	depth, _ := number(headers.Depth, 8)
 	e.Depth = int(depth)
 	j := &job{
-		entry: e, boot: b, random: randomFor(s.config.Seed, e.Operation, e.Attempt),
+		entry: e, boot: b, ended: make(chan struct{}), random: randomFor(s.config.Seed, e.Operation, e.Attempt),
 		write: r.Method != http.MethodGet && r.Method != http.MethodHead,
 	}
 	left, ok := number(headers.Deadline, 31)
@@ -86,6 +91,9 @@
 	faults, slowdown := s.faults, s.slowdown
 	s.mu.Unlock()
 	late := j.random.Float64() < faults.Late
+	s.mu.Lock()
+	j.stubborn = late
+	s.mu.Unlock()
 	s.sleep(j, time.Duration(float64(s.config.Service.draw(j.random, j.write))*slowdown), late)
 	if late {
 		s.sleep(j, faults.LateBy, late)
@@ -120,6 +128,12 @@
 		key := partitionKey{s.config.Upstream, e.Partition}
 		s.fences[key] = max(s.fences[key], e.Fence)
 	}
+	if _, cancelled := b.cancelled[e.RequestID]; cancelled && e.Idempotent {
+		// Only idempotent requests have an id for each sending. A second run of
+		// another one must show in the records.
+		delete(b.cancelled, e.RequestID)
+		return http.StatusServiceUnavailable, "cancelled"
+	}
 	e.Capacity, e.Cold = s.capacity(b), b.capacity > 0
 	e.InFlight = b.inFlight + 1
 	if b.inFlight >= e.Capacity || s.faults.Shed > 0 && j.random.Float64() < s.faults.Shed {
@@ -133,7 +147,7 @@
 	b.inFlight++
 	e.Run = s.config.Records.nextRun()
 	if e.RequestID != "" {
-		b.running[e.RequestID] = j.cancel
+		b.running[e.RequestID] = j
 	}
 	s.config.Records.add(*e)
 	return 0, ""
@@ -165,7 +179,9 @@
 	defer s.mu.Unlock()
 	b := j.boot
 	b.inFlight--
-	delete(b.running, j.entry.RequestID)
+	if b.running[j.entry.RequestID] == j {
+		delete(b.running, j.entry.RequestID)
+	}
 	if kind == EntryEnd && b.capacity > 0 {
 		b.finished++
 		if b.finished%s.config.Cold.Work == 0 {
@@ -178,6 +194,7 @@
 	e := j.entry
 	e.Kind, e.At = kind, time.Now()
 	s.config.Records.add(e)
+	close(j.ended)
 }
 
 // sleep lets time pass as if the server worked. Work that is stubborn ignores
