--- a/node/node.go
+++ b/node/node.go
@@ -165,7 +165,9 @@
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
+		MaxConnections: n.cfg.CallerMaxConnections, IdleTimeout: n.cfg.CallerIdleTimeout,
 	})
+	n.listeners[placeCallers] = callers.Limit(n.listeners[placeCallers])
 	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
 	// What net/http reports is about single connections.
 	errorLog := stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
@@ -178,7 +180,7 @@
 		placeBackend: quiet(n.backend.HTTPServer()), placeOperator: quiet(figures.Server()),
 	}
 	if n.certificates != nil {
-		n.listeners[placeCallersTLS] = tls.NewListener(n.listeners[placeCallersTLS], n.certificates.TLS())
+		n.listeners[placeCallersTLS] = tls.NewListener(callers.Limit(n.listeners[placeCallersTLS]), n.certificates.TLS())
 		s := callers.Server()
 		s.Protocols.SetHTTP2(true)
 		n.servers[placeCallersTLS] = quiet(s)
--- a/node/vars.go
+++ b/node/vars.go
@@ -18,6 +18,7 @@
 	Attempts         json.RawMessage `json:"attempts"`
 	InFlight         int64           `json:"inFlight"`
 	InFlightLimit    int64           `json:"inFlightLimit"`
+	Callers          callerVars      `json:"callers"`
 	LatencyMicros    metrics.Latency `json:"latencyMicros"`
 	Backend          backend.Stats   `json:"backend"`
 	PeerConnections  int             `json:"peerConnections"`
@@ -36,6 +37,11 @@
 	CertificateEnds string `json:"certificateEnds,omitempty"`
 }
 
+type callerVars struct {
+	Connections       int64 `json:"connections"`
+	ConnectionsClosed int64 `json:"connectionsClosed"`
+}
+
 type leaseVars struct {
 	Incarnation uint64 `json:"incarnation"`
 	Valid       bool   `json:"valid"`
@@ -54,6 +60,7 @@
 		Lease:           leaseVars{Incarnation: i.Incarnation, Valid: n.view.Leased(now), LeftMs: max(i.Until.Sub(now).Milliseconds(), 0)},
 	}
 	v.InFlightLimit, _ = n.pressure.Limit()
+	v.Callers = callerVars{n.metrics.Connections.Load(), n.metrics.ConnectionsClosed.Value()}
 	v.RequestIDs, v.RequestIDBytes = n.owner.RequestIDs()
 	if n.certificates != nil {
 		v.CertificateEnds = n.certificates.Expires().UTC().Format(time.RFC3339)
