control/nodes: TestTurns reports turns over a channel

Two goroutines that got their turns at the same moment appended to one slice; go test -race reported it.

--- a/control/internal/nodes/turns_test.go
+++ b/control/internal/nodes/turns_test.go
@@ -22,11 +22,11 @@
 		for i := range ends {
 			ends[i], _ = nodes.Take(turns, t.Context(), nil)
 		}
-		var order []int
+		order := make(chan int, 3)
 		for i := range 3 {
 			go func() {
 				if _, err := nodes.Take(turns, t.Context(), nil); err == nil {
-					order = append(order, i)
+					order <- i
 				}
 			}()
 			synctest.Wait()
@@ -37,8 +37,11 @@
 		ends[0]()
 		ends[0]()
 		synctest.Wait()
-		if len(order) != 1 || order[0] != 0 {
-			t.Fatalf("after one turn ended %v have theirs, want the first", order)
+		if len(order) != 1 {
+			t.Fatalf("after one turn ended %d have theirs, want 1", len(order))
+		}
+		if first := <-order; first != 0 {
+			t.Fatalf("after one turn ended %d has its turn, want the first", first)
 		}
 		gone := make(chan struct{})
 		close(gone)
@@ -53,8 +56,8 @@
 		// None of those that have turns ends them.
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		if len(order) != 3 || len(turns) != 0 {
-			t.Errorf("%v had turns and %d are taken, want all 3 and none", order, len(turns))
+		if len(order) != 2 || len(turns) != 0 {
+			t.Errorf("%d more had turns and %d are taken, want 2 and none", len(order), len(turns))
 		}
 	})
 }
