core/cluster: only nodes that are far behind share updates

Updates were made from the start of a block of 1,024 records for every node that lacked over 256. Nodes that follow closely during a storm, each at an index and a state of its own, got several times the records that they lacked, and the storm went on. Now that is done from 8,192 records on.

TestUpdatesAreShared was seen to fail with 256 (base 1535 for index 1905 of 6001) and without sharing (1,305 updates).

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -336,31 +336,36 @@
 }
 
 // TestUpdatesAreShared guards against an update of its own, made and encoded
-// anew, for each of hundreds of nodes that registered at different indexes, and
-// against updates from a base that lack a change.
+// anew, for each of hundreds of nodes that are far behind at different indexes,
+// against updates from a base that lack a change, and against ones with far
+// more records than a node that follows closely lacks.
 func TestUpdatesAreShared(t *testing.T) {
 	s, _ := mustApply(t, &cluster.State{}, register("s1", 0, ""), cluster.CodeApplied)
-	for i := range 3000 {
-		s, _ = mustApply(t, s, register(fmt.Sprint("n", i), 0, ""), cluster.CodeApplied)
+	for i := range 6000 {
+		update := &wirev1.UpdateNode{Incarnation: 1, Draining: i%2 == 0}
+		s, _ = mustApply(t, s, &wirev1.Command{Kind: &wirev1.Command_UpdateNode{UpdateNode: update}}, cluster.CodeApplied)
 	}
+	const near = 8192 / 2
 	bases := map[uint64]bool{}
-	for index := uint64(2000); index <= s.Index(); index++ {
+	for index := uint64(600); index <= s.Index(); index++ {
 		base, records := s.Base(index)
-		if base > index || s.Index()-index <= 100 && base != index {
+		if base > index || s.Index()-index <= near && base != index {
 			t.Fatalf("base %d for index %d of %d", base, index, s.Index())
 		}
 		if changed := 2 * int(s.Index()-base); records != changed {
 			t.Fatalf("%d records since %d, want %d", records, base, changed)
 		}
-		bases[base] = true
+		if s.Index()-index > near {
+			bases[base] = true
+		}
 	}
-	// 2,000 records are 2 or 3 blocks; the last 256 records have updates of their own.
-	if len(bases) > 3+129 {
-		t.Errorf("%d different updates for %d indexes", len(bases), s.Index())
+	// 1,300 indexes, 2,600 records, are in 3 or 4 blocks.
+	if len(bases) > 4 {
+		t.Errorf("%d different updates for nodes that are far behind", len(bases))
 	}
 	for base := range bases {
-		if u := s.Since(base); len(u.GetNodes()) != int(s.Index()-base) {
-			t.Fatalf("update from %d has %d nodes", base, len(u.GetNodes()))
+		if u := s.Since(base); u.GetSnapshot() || len(u.GetNodes()) != 1 {
+			t.Fatalf("update from %d: snapshot %v, %d nodes", base, u.GetSnapshot(), len(u.GetNodes()))
 		}
 	}
 	if base, _ := s.Base(0); base != 0 {
--- a/core/cluster/update.go
+++ b/core/cluster/update.go
@@ -19,8 +19,9 @@
 	recordBytes = 64
 	// nearRecords and blockRecords bound the different updates that nodes need:
 	// one that lacks more than nearRecords gets what changed since the start of
-	// a block of blockRecords, as all others in that block do.
-	nearRecords  = 256
+	// a block of blockRecords, as all others in that block do. From 256 records
+	// on, nodes that follow closely got several times the records they lacked.
+	nearRecords  = 8192
 	blockRecords = 1024
 )
 
