--- a/control/inspect/inspect_test.go
+++ b/control/inspect/inspect_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,11 +13,10 @@
 	"github.com/jujubeknot/jujubeknot/control/inspect"
 	"github.com/jujubeknot/jujubeknot/control/internal/disk"
 	"github.com/jujubeknot/jujubeknot/core/raft"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func encode(t *testing.T, m proto.Message) []byte {
 	t.Helper()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
@@ -67,20 +65,6 @@
 	return dir, d
 }
 
-func checkGolden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		must(t, os.MkdirAll("testdata", 0o750))
-		must(t, os.WriteFile(path, got, 0o600))
-	}
-	want, err := os.ReadFile(path)
-	must(t, err)
-	if !bytes.Equal(got, want) {
-		t.Errorf("output differs from %s:\n%s", path, got)
-	}
-}
-
 // TestReport guards against a change of the output and against a report that
 // leaves out damage or the torn tail.
 func TestReport(t *testing.T) {
@@ -98,7 +82,7 @@
 		if options.JSON && !json.Valid(out.Bytes()) {
 			t.Errorf("%s is not valid JSON", golden)
 		}
-		checkGolden(t, golden, out.Bytes())
+		testkit.Golden(t, filepath.Join("testdata", golden), string(out.Bytes()))
 	}
 	run("whole.txt", inspect.Options{}, nil)
 	run("range.json", inspect.Options{JSON: true, From: 5, To: 6}, nil)
--- a/control/internal/disk/disk_test.go
+++ b/control/internal/disk/disk_test.go
@@ -1,9 +1,7 @@
 package disk_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -12,16 +10,13 @@
 
 	"github.com/jujubeknot/jujubeknot/control/internal/disk"
 	"github.com/jujubeknot/jujubeknot/core/raft"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 var (
--- a/control/internal/leader/group_test.go
+++ b/control/internal/leader/group_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -13,16 +11,13 @@
 	"github.com/jujubeknot/jujubeknot/control/internal/leader"
 	"github.com/jujubeknot/jujubeknot/control/internal/replica"
 	"github.com/jujubeknot/jujubeknot/core/cluster"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 // tester is what *testing.T and *rapid.T have in common.
--- a/core/choice/main_test.go
+++ b/core/choice/main_test.go
@@ -1,20 +1,14 @@
 package choice_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases, and lets it
 // draw longer sequences than its defaults, which miss faults that need a server
 // at work.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "80"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{Checks: 300, Steps: 80})
 }
--- a/core/raft/property_test.go
+++ b/core/raft/property_test.go
@@ -1,9 +1,7 @@
 package raft_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,20 +9,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubeknot/jujubeknot/core/raft"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
 	// A case takes about 2 ms; rare interleavings need many.
-	if err := flag.Set("rapid.checks", "1000"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{Checks: 1000})
 }
 
 func describe(e *wirev1.Entry) string {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -1,10 +1,8 @@
 package routing_test
 
 import (
-	"flag"
 	"fmt"
 	"net/url"
-	"os"
 	"strings"
 	"testing"
 
@@ -14,16 +12,13 @@
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 const text = `upstream applications keyed partitions=1024 # a: b
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -1,7 +1,6 @@
 package rules_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,17 +12,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 func read(t testing.TB, path string) string {
@@ -35,18 +29,6 @@
 	return string(data)
 }
 
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if want := read(t, path); got != want {
-		t.Errorf("%s differs, run with -update to accept:\n%s", path, got)
-	}
-}
-
 func parse(t testing.TB, text string) rules.Set {
 	t.Helper()
 	set, faults := rules.Parse(text)
@@ -68,7 +50,7 @@
 		if !reflect.DeepEqual(set, rules.Set{}) {
 			t.Errorf("%s: a set in spite of faults", path)
 		}
-		golden(t, strings.TrimSuffix(path, ".rules")+".golden", faults.Error()+"\n")
+		testkit.Golden(t, strings.TrimSuffix(path, ".rules")+".golden", faults.Error()+"\n")
 	}
 }
 
@@ -101,7 +83,7 @@
 	for _, c := range rules.Compare(before, after) {
 		fmt.Fprintf(&b, "%-8s %s\n%s\n", c.Kind, c.Rule, c)
 	}
-	golden(t, "testdata/diff/diff.golden", b.String())
+	testkit.Golden(t, "testdata/diff/diff.golden", b.String())
 }
 
 // TestCheckChange guards against a new number of partitions, which would give
@@ -124,7 +106,7 @@
 // TestValues guards against values that are read with another unit or scale.
 func TestValues(t *testing.T) {
 	set := parse(t, read(t, "testdata/values.rules"))
-	golden(t, "testdata/values.golden", fmt.Sprintf("%+v\n", set))
+	testkit.Golden(t, "testdata/values.golden", fmt.Sprintf("%+v\n", set))
 	churn, given := set.ChurnPerMinute()
 	got := fmt.Sprint(set.ResendWindow(), set.MoveTimeout(), set.HoldTimeout(), set.MaxDepth(), churn, given)
 	if want := "1m30s 500ms 1s 1 0.025 true"; got != want {
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -1,7 +1,6 @@
 package settings_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
 	"os"
@@ -14,17 +13,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubeknot/jujubeknot/core/settings"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 type example struct {
@@ -50,23 +44,6 @@
 	} `ini:"log"`
 }
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s differs, run with -update to accept:\n%s", name, got)
-	}
-}
-
 // TestFaults guards against faults that are passed over, reported without
 // their line, or hidden by another fault of the same file, and against
 // secrets in error messages.
@@ -88,7 +65,7 @@
 		if !reflect.DeepEqual(target, before) {
 			t.Errorf("%s: the target changed in spite of faults", path)
 		}
-		golden(t, strings.TrimSuffix(filepath.Base(path), ".ini")+".golden", err.Error()+"\n")
+		testkit.Golden(t, strings.TrimSuffix(path, ".ini")+".golden", err.Error()+"\n")
 	}
 	for name, data := range map[string]string{
 		"size": strings.Repeat("#\n", settings.MaxSize),
@@ -136,7 +113,7 @@
 // TestTable guards against documents that show other limits than those that
 // are checked.
 func TestTable(t *testing.T) {
-	golden(t, "table.golden", settings.Table(settings.Describe(&example{})))
+	testkit.Golden(t, filepath.Join("testdata", "table.golden"), settings.Table(settings.Describe(&example{})))
 }
 
 // TestWrongTarget guards against programs whose settings are never checked
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"net/netip"
 	"os"
@@ -18,11 +17,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/ctl"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // terminal is one operator with a folder and a fake control group. What the
 // operator sees is collected for a golden file.
 type terminal struct {
@@ -45,27 +43,11 @@
 			}
 			steps(term)
 			term.close()
-			golden(t, "testdata/"+name+".golden", term.seen.String())
+			testkit.Golden(t, "testdata/"+name+".golden", term.seen.String())
 		})
 	})
 }
 
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s differs, run with -update to accept:\n%s", path, got)
-	}
-}
-
 func node(incarnation uint64, server, upstream, zone string) *wirev1.NodeStatus {
 	return &wirev1.NodeStatus{
 		Node: &wirev1.Node{
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -13,6 +13,7 @@
 	"github.com/jujubeknot/jujubeknot/core/rules"
 	"github.com/jujubeknot/jujubeknot/core/settings"
 	"github.com/jujubeknot/jujubeknot/ctl"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
 // Documents and samples are read through links in testdata, because go test
@@ -103,7 +104,7 @@
 		t.Fatalf("%s has no place for the exit codes", path)
 	}
 	page = before + mark + exitCodes() + "<!-- end -->" + after
-	golden(t, path, page)
+	testkit.Golden(t, path, page)
 	for _, o := range rules.Options() {
 		row := fmt.Sprintf("| `%s` | %s | %s | %s to %s | %s |\n", o.Name, o.Kind, o.Default, o.Low, o.High, o.Help)
 		if !strings.Contains(page, row) {
--- a/node/internal/peer/call_test.go
+++ b/node/internal/peer/call_test.go
@@ -1,8 +1,6 @@
 package peer_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -10,15 +8,12 @@
 
 	"github.com/jujubeknot/jujubeknot/node/internal/peer"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
 // TestMain fixes rapid's seed so that each run draws the same cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testkit.Main(m, testkit.Config{})
 }
 
 // TestCallSurvivesTheHeader guards against fields that arrive at the owner's
