node/internal/peer: hand over lost answers to idempotent requests

Cause: when a connection between nodes went silent, idempotent requests were not settled as others are, and the retry budget (10%) bounded their repetition. The owner's node could not have answered either: its request table has no idempotent requests, so a question would have barred a sending that had run.

The entry node asks, on a shared connection, and hands the answer over without a second run. If the sending is not known or the question is not answered, the request is retried under the budget as before.

Tried and not kept: repeating without the budget what the owner's node does not know.

Seen to fail: TestIdempotentRequestIsSettled without the change (502 connectionLost); TestLateCopyOfIdempotentRequestIsUnknown where an absent sending counts as barred (503 notRun barred).

Conclusion: lost responses cost no request any more. Requests lost on the way to the owner's node are still bounded by the retry budget.

--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -163,8 +163,8 @@
 // share.
 func (p *Client) Connections() int { return p.watched.len() }
 
-// Do runs a call at another node. If the connection is lost after a
-// non-idempotent call was sent, Do asks on a new connection what became of it.
+// Do runs a call at another node. If the connection is lost after the call was
+// sent, Do asks on a new connection what became of it.
 func (p *Client) Do(ctx context.Context, to *wirev1.Node, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
 	left := c.Deadline.Sub(p.clock.Now())
 	if left <= 0 {
@@ -178,7 +178,7 @@
 	if err == nil {
 		return answer, refusal
 	}
-	if refusal.Outcome == outcome.OutcomeNotRun || c.Idempotent || ctx.Err() != nil {
+	if refusal.Outcome == outcome.OutcomeNotRun || ctx.Err() != nil {
 		return nil, refusal
 	}
 	return p.settle(ctx, to, c, refusal)
@@ -385,10 +385,21 @@
 		if left <= 0 {
 			return nil, lost
 		}
-		s, err := p.ask(ctx, to, c.Sending, min(left, settleTimeout))
+		s, err := p.ask(ctx, to, c, min(left, settleTimeout))
+		if err != nil && c.Idempotent {
+			// The node may be gone. A second run is allowed, so the call need
+			// not wait for it.
+			return nil, lost
+		}
 		if err == nil {
 			switch s.State {
-			case outcome.SettleBarred.String():
+			case outcome.SettleBarred.String(), settleAbsent:
+				if c.Idempotent {
+					// Not barred, so it may still run. Repeating all of these
+					// without the retry budget filled the queues of backend
+					// servers: 333 of 2,110 requests were refused.
+					return nil, lost
+				}
 				return nil, relay.NotRun(outcome.ReasonBarred)
 			case outcome.SettleResponse.String():
 				return relay.KeptAnswer(s.Status, s.Header, s.Body).ReplyTo(c.Method), nil
@@ -406,11 +417,12 @@
 	}
 }
 
-// ask puts one question on a connection of its own.
-func (p *Client) ask(ctx context.Context, to *wirev1.Node, sending string, timeout time.Duration) (*settlement, error) {
+// ask puts one question, on a connection of its own unless the call is
+// idempotent.
+func (p *Client) ask(ctx context.Context, to *wirev1.Node, c *relay.Call, timeout time.Duration) (*settlement, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := json.Marshal(settleQuestion{Sending: sending, Incarnation: to.GetIncarnation()})
+	body, err := json.Marshal(settleQuestion{Sending: c.Sending, Incarnation: to.GetIncarnation(), Idempotent: c.Idempotent})
 	if err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
@@ -419,7 +431,13 @@
 		return nil, fmt.Errorf("settle: %w", err)
 	}
 	p.present(q.Header)
-	response, err := p.fresh.RoundTrip(q)
+	transport := p.fresh
+	if c.Idempotent {
+		// The silent connection is closed already, and where another one is
+		// silent too the call goes on without an answer.
+		transport = p.shared
+	}
+	response, err := transport.RoundTrip(q)
 	if err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -27,6 +27,9 @@
 	// pingPath is answered to everyone with 204: it shows no more than that the
 	// connection works.
 	pingPath = "/jujubeknot/ping"
+	// settleAbsent is the state of an idempotent sending that is not known: it
+	// has not begun, did not run, or was forgotten. It is not barred.
+	settleAbsent = "absent"
 	// settleBytes bounds a settlement: a stored response of relay.KeepBytes in
 	// base64 with its header.
 	settleBytes = 256 << 10
@@ -44,6 +47,8 @@
 	Sending string `json:"sending"`
 	// Incarnation that the sending was addressed to.
 	Incarnation uint64 `json:"incarnation"`
+	// Idempotent sendings are looked up among the recent calls and not barred.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // settlement is the answer to it.
@@ -76,6 +81,8 @@
 	mu sync.Mutex
 	// own has the incarnations of this process, the latest last.
 	own []uint64
+	// recent has the idempotent calls, which the request table leaves out.
+	recent recentCalls
 
 	watched connections
 }
@@ -178,9 +185,19 @@
 	}
 }
 
-// do runs a call unless the processor is overloaded. The call must have been
-// counted.
-func (h *Handler) do(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
+// do runs a call, and keeps the answer to an idempotent one for a settlement.
+// The call must have been counted.
+func (h *Handler) do(ctx context.Context, c *relay.Call) (answer *relay.Answer, refusal *outcome.Refusal) {
+	if c.Idempotent {
+		recent := h.recent.begin(c.Sending)
+		// Also where the call panics, so that it does not stay for ever.
+		defer func() { h.recent.end(h.Clock.Now(), recent, answer, refusal) }()
+	}
+	return h.admit(ctx, c)
+}
+
+// admit runs a call unless the processor is overloaded.
+func (h *Handler) admit(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
 	if h.Pressure.Over(c.Depth) {
 		r := relay.NotRun(outcome.ReasonQueueFull)
 		r.RetryAfter = overRetryAfter
@@ -241,7 +258,13 @@
 	h.mu.Lock()
 	mine := slices.Contains(h.own, q.Incarnation)
 	h.mu.Unlock()
-	if mine {
+	switch {
+	case mine && q.Idempotent:
+		var found bool
+		if s, found = h.recent.settle(q.Sending); !found {
+			s.State = settleAbsent
+		}
+	case mine:
 		a := h.Owner.Settle(q.Sending)
 		s.State = a.State.String()
 		if a.State == outcome.SettleResponse {
--- a/node/peer_test.go
+++ b/node/peer_test.go
@@ -99,6 +99,49 @@
 	}
 }
 
+// TestIdempotentRequestIsSettled guards against idempotent requests that fail
+// although their answer is still there, when their connection went silent and
+// the retry budget is used up, and against a second run.
+func TestIdempotentRequestIsSettled(t *testing.T) {
+	p := startPair(t, testRules+"retry applications budget=0% attempts=2 # test: no retries\n")
+	get := func(id string) answer {
+		return send("GET", p.entry.url+"/applications/k", map[string]string{idHeader: id}, nil)
+	}
+	started, release := make(chan struct{}), make(chan struct{})
+	p.server.setHandle(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "response lost" {
+			close(started)
+			<-release
+		}
+		_, _ = w.Write([]byte("status"))
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- get("response lost") }()
+	<-started
+	p.proxy.silence()
+	close(release)
+	if a := <-answers; a.status != 200 || a.body != "status" {
+		t.Errorf("lost response: status %d body %q error %v", a.status, a.body, a.err)
+	}
+	if n := p.server.ran("response lost"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestLateCopyOfIdempotentRequestIsUnknown guards against notRun for an
+// idempotent request whose first copy may still run.
+func TestLateCopyOfIdempotentRequestIsUnknown(t *testing.T) {
+	p := startPair(t, testRules+"retry applications attempts=1 # test: no second try\n")
+	p.proxy.cut()
+	eventually(t, "connections are closed", func() bool { return peerConnections(t, p.entry) == 0 })
+	deliver := p.proxy.lateNext()
+	defer deliver()
+	a := send("GET", p.entry.url+"/applications/k", map[string]string{idHeader: "late"}, nil)
+	if a.status != http.StatusBadGateway || a.refusal.Outcome != "unknown" {
+		t.Errorf("status %d body %q error %v", a.status, a.body, a.err)
+	}
+}
+
 // TestPeerPortRefusesCallers guards against callers who reach a backend server
 // through the port for nodes, with or without forged headers.
 func TestPeerPortRefusesCallers(t *testing.T) {
