bench/cmd: find out before a run whether its report can be written

The folder is created and the file for JSON opened before the run, without emptying an earlier report; a scale that is not above 0 is refused.

--- a/bench/cmd/jujubeknot-bench/run.go
+++ b/bench/cmd/jujubeknot-bench/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"strconv"
 	"strings"
@@ -40,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.prepare(); err != nil {
+		return err
+	}
 	logger, done, err := openLog(c.Log)
 	if err != nil {
 		return err
@@ -73,6 +77,31 @@
 	return nil
 }
 
+// prepare finds out before an experiment of minutes whether its report can be
+// written.
+func (c *runCommand) prepare() error {
+	if !(c.Scale > 0) || math.IsInf(c.Scale, 1) {
+		return errors.Errorf("--scale: found %v, expected a number above 0", c.Scale)
+	}
+	if c.Plots != "" {
+		if err := os.MkdirAll(c.Plots, 0o750); err != nil {
+			return fmt.Errorf("--plots: %w", err)
+		}
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	// An earlier report stays until the new one is whole.
+	file, err := os.OpenFile(c.JSON, os.O_WRONLY|os.O_CREATE, 0o600)
+	if err != nil {
+		return fmt.Errorf("--json: %w", err)
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("--json: %w", err)
+	}
+	return nil
+}
+
 // openLog returns a logger that writes to a file, or drops lines if there is
 // none, and a function that closes it.
 func openLog(name string) (zerolog.Logger, func(), error) {
