--- a/core/admission/pressure.go
+++ b/core/admission/pressure.go
@@ -13,10 +13,6 @@
 	// none on a quiet node.
 	pressureFloor = 256
 	pressureCut   = 0.8
-	// pressureHold is how many observations in a row must show overload before
-	// the limit acts. A pause of the machine of 100 ms shows in two or three;
-	// the requests that it delayed are better run late than refused.
-	pressureHold = 5
 	// pressureGrowth doubles the limit in 15 observations.
 	pressureGrowth = 1.05
 )
@@ -29,8 +25,6 @@
 type Pressure struct {
 	limit float64
 	most  float64
-	// over counts the observations in a row that showed overload.
-	over int
 }
 
 // NewPressure returns a limit that starts at most, which must be positive, and
@@ -42,11 +36,10 @@
 // Observe takes the mean wait for the processor since the last observation and
 // the requests in flight, and returns the limit that applies from now on.
 func (p *Pressure) Observe(delay time.Duration, inFlight int) int {
-	if delay <= pressureDelay {
-		p.over = 0
-		p.limit *= pressureGrowth
-	} else if p.over++; p.over >= pressureHold {
+	if delay > pressureDelay {
 		p.limit = max(min(p.limit, float64(inFlight))*pressureCut, pressureFloor)
+	} else {
+		p.limit *= pressureGrowth
 	}
 	p.limit = min(p.limit, p.most)
 	return int(p.limit)
