bench/experiment: titles say the length at the scale that was run

Cause: the titles of hops, overload, straggler, throughput and zone named the length at scale 1. The overload report said 6 s each for runs at scale 0.3 (1.8 s) and at scale 1 (6 s).

--- a/bench/experiment/hops.go
+++ b/bench/experiment/hops.go
@@ -16,6 +16,8 @@
 // machine together with the load.
 const hopsNodes = 2
 
+const hopsPhase = 20 * time.Second
+
 // hopsDeployment has servers that take 5 ms for each request.
 func hopsDeployment() lab.Deployment {
 	return lab.Deployment{
@@ -37,7 +39,7 @@
 // same load straight to the backend servers.
 func hops(ctx context.Context, e Env) (*Report, error) {
 	table := Table{
-		Title:   fmt.Sprintf("%d nodes, open loop, constant 5 ms requests, 20 s each, one machine", hopsNodes),
+		Title:   fmt.Sprintf("%d nodes, open loop, constant 5 ms requests, %.0f s each, one machine", hopsNodes, e.length(hopsPhase).Seconds()),
 		Columns: []string{"requests/s per node", "path", "completed", "not completed", "median", "99th percentile", "99.9th percentile"},
 	}
 	for _, rate := range []float64{500, 1000, 2300} {
@@ -54,7 +56,7 @@
 				}
 				e.say("hops: %.0f requests/s per node, %s", rate, path)
 				result, err := load.Run(ctx, load.Config{
-					Seed: e.Seed, Targets: targets, Rate: rate * hopsNodes, Duration: e.length(20 * time.Second), Skip: e.length(3 * time.Second),
+					Seed: e.Seed, Targets: targets, Rate: rate * hopsNodes, Duration: e.length(hopsPhase), Skip: e.length(3 * time.Second),
 					Zipf: 1.01, Classes: []load.Class{{Name: "read", Weight: 1, Path: "/files/{key}"}},
 				})
 				if err != nil {
--- a/bench/experiment/overload.go
+++ b/bench/experiment/overload.go
@@ -115,7 +115,7 @@
 // overload measures goodput and tail latency at and above the capacity.
 func overload(ctx context.Context, e Env) (*Report, error) {
 	table := Table{
-		Title: fmt.Sprintf("Open loop of reads, deadline %v, at most %d resends by callers, %.0f s each; service times 40 ms (Rahma) and 100 ms (Fjordpadle), so that the servers are what is overloaded", overloadTimeout, overloadResends, (overloadPhase - overloadSkip).Seconds()),
+		Title: fmt.Sprintf("Open loop of reads, deadline %v, at most %d resends by callers, %.0f s each; service times 40 ms (Rahma) and 100 ms (Fjordpadle), so that the servers are what is overloaded", overloadTimeout, overloadResends, e.length(overloadPhase-overloadSkip).Seconds()),
 		Columns: []string{
 			"deployment", "path", "times capacity", "requests/s", "goodput/s", "99th percentile", "refused notRun", "timed out", "other failures",
 		},
--- a/bench/experiment/straggler.go
+++ b/bench/experiment/straggler.go
@@ -54,7 +54,7 @@
 func straggler(ctx context.Context, e Env) (*Report, error) {
 	table := Table{
 		Title: fmt.Sprintf("8 servers without keys, 4 slots each, exponential 5 ms, %d requests/s, one server %d times as slow in the second phase, %.0f s each; target: 99th percentile within twice the healthy one",
-			stragglerRate, stragglerFactor, (stragglerPhase - stragglerSkip).Seconds()),
+			stragglerRate, stragglerFactor, e.length(stragglerPhase-stragglerSkip).Seconds()),
 		Columns: []string{
 			"policy", "hedging", "healthy median", "healthy 99th", "slow median", "slow 99th", "slow / healthy 99th", "share of the slow server", "not completed",
 		},
--- a/bench/experiment/throughput.go
+++ b/bench/experiment/throughput.go
@@ -30,7 +30,7 @@
 // with GOMAXPROCS=1 and write their log lines to a file.
 func throughput(ctx context.Context, e Env) (*Report, error) {
 	table := Table{
-		Title: fmt.Sprintf("Reads of 256 bytes, 1 ms at the server, open loop for %.0f s each; each node a process with GOMAXPROCS=1; target 10,000 requests/s on one core", throughputPhase.Seconds()),
+		Title: fmt.Sprintf("Reads of 256 bytes, 1 ms at the server, open loop for %.0f s each; each node a process with GOMAXPROCS=1; target 10,000 requests/s on one core", e.length(throughputPhase).Seconds()),
 		Columns: []string{
 			"callers ask", "requests/s", "completed/s", "not completed", "median", "99th percentile", "node", "processor time per request", "requests/s on a full core", "resident memory",
 		},
--- a/bench/experiment/zone.go
+++ b/bench/experiment/zone.go
@@ -60,7 +60,7 @@
 func zone(ctx context.Context, e Env) (*Report, error) {
 	table := Table{
 		Title: fmt.Sprintf("One availability zone out for %.0f s and back, %d requests/s without resends by callers, probes of 32 keys each 20 ms; even is a max/mean of requests per server under %.2f in windows of %.0f s",
-			zoneOut.Seconds(), zoneRate, hotTarget, zoneWindow.Seconds()),
+			e.length(zoneOut).Seconds(), zoneRate, hotTarget, zoneWindow.Seconds()),
 		Columns: []string{
 			"deployment", "phase", "completed", "not completed", "reasons", "99th percentile", "longest pause of a key", "last new work in the zone", "even after",
 		},
