--- /dev/null
+++ b/control/internal/leader/registration_test.go
@@ -0,0 +1,207 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/leader"
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// TestNodeBehindRules guards against a node that keeps its lease while it
+// works by rules that were replaced.
+func TestNodeBehindRules(t *testing.T) {
+	w := settled(t)
+	l := w.current().leader
+	w.applyRules(t, deskRules+"zone z out # t: test\n")
+	renew := func() *wirev1.RenewResponse {
+		r, err := l.Renew(context.Background(), &wirev1.RenewRequest{Incarnation: w.nodes[0].incarnation, Sequence: 1 << 20, RulesRevision: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := renew(); r.GetLeaseMs() == 0 || r.GetBehind() {
+		t.Errorf("renewal right after the change: %v", r)
+	}
+	w.now += time.Second + time.Millisecond
+	if r := renew(); r.GetLeaseMs() != 0 || !r.GetBehind() || r.GetLost() {
+		t.Errorf("renewal over 1 s after the change: %v", r)
+	}
+}
+
+// TestSnapshotQueueKeepsPlace guards against nodes that are removed because the
+// leader has not sent them a snapshot yet, against a lease for a node without
+// the rules, and against a node that keeps its place without end.
+func TestSnapshotQueueKeepsPlace(t *testing.T) {
+	w := settled(t)
+	l, n := w.current().leader, w.nodes[0]
+	w.nodes = w.nodes[1:]
+	w.run(t, 500*time.Millisecond)
+	sink, err := l.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if await, err := sink.AwaitSnapshot(); err != nil || !await {
+		t.Fatalf("a node that has nothing: snapshot %v, %v", await, err)
+	}
+	registered := func(duration time.Duration) bool {
+		for end := w.now + duration; w.now < end; {
+			w.run(t, 400*time.Millisecond)
+			r, err := l.Renew(context.Background(), &wirev1.RenewRequest{Incarnation: n.incarnation, Sequence: uint64(w.now)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.GetLeaseMs() != 0 {
+				t.Fatalf("a node without the rules has a lease: %v", r)
+			}
+		}
+		return w.state.Node(n.incarnation) != nil
+	}
+	if !registered(4 * time.Second) {
+		t.Error("the node was removed while its snapshot waited")
+	}
+	if registered(5 * time.Second) {
+		t.Error("the node keeps its place although the snapshot does not come")
+	}
+}
+
+// TestResumeWithDelta guards against a snapshot for a node that lost its lease
+// and registers again with the table that it has, and against one old snapshot
+// for nodes that gave up partitions since.
+func TestResumeWithDelta(t *testing.T) {
+	w := settled(t)
+	n := w.nodes[0]
+	index := n.index
+	w.now += 2 * lease.Config{}.Whole()
+	w.work(t)
+	w.register(n)
+	sink, err := w.current().leader.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation, FromIndex: index})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if await, err := sink.AwaitSnapshot(); err != nil || await {
+		t.Errorf("a node with a known index waits for a snapshot: %v, %v", await, err)
+	}
+	if u, err := sink.Next(); err != nil || u.GetSnapshot() || u.GetIndex() != w.index {
+		t.Errorf("update for a node with a known index: %v, %v", u, err)
+	}
+	for range 2 {
+		sink, err = w.current().leader.Watch(context.Background(), &wirev1.WatchRequest{Incarnation: n.incarnation})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u, err := sink.Next(); err != nil || !u.GetSnapshot() || u.GetIndex() != w.index {
+			t.Errorf("snapshot at index %d, opened at %d: %v", u.GetIndex(), w.index, err)
+		}
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{Node: nodeOf(fmt.Sprint("new", w.index), "a")}}})
+	}
+}
+
+// TestServerNameIsHeld guards against two processes that both own what one
+// backend server name is given. The live lease wins; a process that restarts
+// gets the name when the lease of the one before it is over.
+func TestServerNameIsHeld(t *testing.T) {
+	w := settled(t)
+	second := &wirev1.RegisterRequest{Node: nodeOf("s1", "b"), RequestId: "second"}
+	second.Node.PeerAddress = "127.0.0.1:2"
+	register := func() (*wirev1.RegisterResponse, error) {
+		return w.current().leader.Register(context.Background(), second)
+	}
+	var taken *leader.NameTakenError
+	if _, err := register(); !errors.As(err, &taken) || taken.Address != "127.0.0.1:1" || taken.Holder != w.nodes[0].incarnation {
+		t.Fatalf("second process: %v", err)
+	}
+	w.nodes = w.nodes[1:]
+	w.run(t, lease.Config{}.Whole()-60*time.Millisecond)
+	if _, err := register(); !errors.As(err, &taken) {
+		t.Fatalf("second process before the lease of the first is over: %v", err)
+	}
+	w.now += 60 * time.Millisecond
+	got, err := register()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := register()
+	if err != nil || again.GetIncarnation() != got.GetIncarnation() {
+		t.Errorf("resent registration: %v, %v; want incarnation %d", again, err, got.GetIncarnation())
+	}
+}
+
+// TestLostRegistration guards against a registration whose answer was lost
+// and whose node can never get the name again.
+func TestLostRegistration(t *testing.T) {
+	w := newWorld(t)
+	w.lost = func() bool { return true }
+	request := &wirev1.RegisterRequest{Node: nodeOf("s9", "b"), RequestId: "r"}
+	if _, err := w.current().leader.Register(context.Background(), request); !errors.Is(err, errLost) {
+		t.Fatalf("lost answer: %v", err)
+	}
+	w.lost = func() bool { return false }
+	first := w.state.NodeByServer("s9").GetIncarnation()
+	if got, err := w.current().leader.Register(context.Background(), request); err != nil || got.GetIncarnation() != first {
+		t.Errorf("resent registration: %v, %v; want incarnation %d", got, err, first)
+	}
+	for range 2 {
+		w.run(t, 2*lease.Config{}.Whole())
+		if w.state.NodeByServer("s9") != nil {
+			t.Fatal("the lease is not over")
+		}
+		got, err := w.current().leader.Register(context.Background(), request)
+		if err != nil || got.GetIncarnation() <= first {
+			t.Fatalf("registration resent after the lease: %v, %v; want a new incarnation", got, err)
+		}
+		if again, err := w.current().leader.Register(context.Background(), request); err != nil || again.GetIncarnation() != got.GetIncarnation() {
+			t.Errorf("registration sent once more: %v, %v; want incarnation %d", again, err, got.GetIncarnation())
+		}
+	}
+}
+
+// TestDrainOfReplacedNode guards against a drain that is reported as done
+// although the node registered anew meanwhile and takes new work.
+func TestDrainOfReplacedNode(t *testing.T) {
+	w := settled(t)
+	old := w.nodes[0].incarnation
+	w.beforePropose = func() {
+		w.beforePropose = func() {}
+		w.apply(&wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{Incarnation: old, Reason: "test"}}})
+	}
+	if r, err := w.current().leader.Drain(context.Background(), "s1", false); !errors.Is(err, leader.ErrServerChanged) {
+		t.Errorf("drain of a node that was replaced: %v, %v", r, err)
+	}
+	if _, err := w.current().leader.Drain(context.Background(), "s2", false); err != nil || !w.state.NodeByServer("s2").GetDraining() {
+		t.Errorf("drain of s2: %v", err)
+	}
+}
+
+// TestExplainTime guards against an explanation without the time at which the
+// owner got its partition, or with that of another change.
+func TestExplainTime(t *testing.T) {
+	w := settled(t)
+	key := keyOn(t, w, "s1")
+	first, err := w.current().leader.Explain(context.Background(), "desk", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := wall{w.group}.Now().UnixMilli()
+	if _, err := w.current().leader.Drain(context.Background(), "s1", false); err != nil {
+		t.Fatal(err)
+	}
+	w.run(t, time.Second)
+	r, err := w.current().leader.Explain(context.Background(), "desk", key)
+	if err != nil || len(r.GetLastMoves()) != 2 {
+		t.Fatalf("%v, %v", r, err)
+	}
+	after := wall{w.group}.Now().UnixMilli()
+	if at := r.GetAssignment().GetSinceUnixMs(); at < before || at > after {
+		t.Errorf("moved at %d, want a time from %d to %d", at, before, after)
+	}
+	if at := r.GetLastMoves()[1].GetSinceUnixMs(); at == 0 || at != first.GetAssignment().GetSinceUnixMs() || at > before {
+		t.Errorf("earlier move at %d, want %d", at, first.GetAssignment().GetSinceUnixMs())
+	}
+}
