node/internal/peer: the watcher closes idle framed connections

Each framed connection had a goroutine with a ticker for its idle time, and took the time twice for each call, although the watcher already knows when the last call to a target ended.

TestIdleConnectionIsGivenUp is new and was seen to fail without the rule and with calls not looked at.

--- a/node/internal/peer/framedclient.go
+++ b/node/internal/peer/framedclient.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,7 +74,7 @@
 	c := &clientLink{streams: map[uint32]*stream{}}
 	c.left = func() { p.forget(address, d) }
 	c.prepare(preface)
-	c.start(p.watched.add(nc, framedTarget(address), func() { c.send(framePing, 0) }))
+	c.start(p.watched.add(nc, framedTarget(address), c))
 	c.signal()
 	d.link = c
 	p.mu.Lock()
@@ -127,8 +126,6 @@
 	gone    bool
 	// shown is the registration that the other node was shown last.
 	shown view.Identity
-	// used is when the last call ended, counted from opened.
-	used atomic.Int64
 }
 
 // reply is what became of a call.
@@ -192,7 +189,6 @@
 	defer c.mu.Unlock()
 	s := c.streams[id]
 	delete(c.streams, id)
-	c.used.Store(int64(time.Since(c.opened)))
 	return s
 }
 
@@ -200,7 +196,6 @@
 func (c *clientLink) run() {
 	var parts sync.WaitGroup
 	parts.Go(c.write)
-	parts.Go(c.closeIdle)
 	for {
 		f, err := c.next()
 		if err == nil {
@@ -227,25 +222,17 @@
 	parts.Wait()
 }
 
-// closeIdle closes the connection after idleTimeout without a call.
+func (c *clientLink) ping() { c.send(framePing, 0) }
+
+// closeIdle closes the connection unless a call has begun meanwhile.
 func (c *clientLink) closeIdle() {
-	ticker := time.NewTicker(idleTimeout)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.closed:
-			return
-		case <-ticker.C:
-		}
-		c.mu.Lock()
-		idle := len(c.streams) == 0 && time.Since(c.opened)-time.Duration(c.used.Load()) >= idleTimeout
-		c.gone = c.gone || idle
-		c.mu.Unlock()
-		if idle {
-			c.left()
-			c.close()
-			return
-		}
+	c.mu.Lock()
+	idle := len(c.streams) == 0
+	c.gone = c.gone || idle
+	c.mu.Unlock()
+	if idle {
+		c.left()
+		c.close()
 	}
 }
 
@@ -311,7 +298,6 @@
 		answer.Body = s.body
 		answer.Trailer = func() http.Header { return s.body.trailer }
 	}
-	c.used.Store(int64(time.Since(c.opened)))
 	c.mu.Unlock()
 	if crossed {
 		if answer.Body == nil {
--- a/node/internal/peer/link.go
+++ b/node/internal/peer/link.go
@@ -7,7 +7,6 @@
 	"net"
 	"runtime"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -28,7 +27,6 @@
 type link struct {
 	nc     net.Conn
 	br     *bufio.Reader
-	opened time.Time
 	closed chan struct{}
 	once   sync.Once
 	wake   chan struct{}
@@ -53,7 +51,7 @@
 
 // start hands over the open connection. The caller runs write.
 func (l *link) start(nc net.Conn) {
-	l.nc, l.br, l.opened = nc, bufio.NewReaderSize(nc, readBufferBytes), time.Now()
+	l.nc, l.br = nc, bufio.NewReaderSize(nc, readBufferBytes)
 }
 
 // close closes the connection at once.
--- a/node/internal/peer/liveness.go
+++ b/node/internal/peer/liveness.go
@@ -50,9 +50,9 @@
 	net.Conn
 	set    *connections
 	target *target
-	// ping sends one on this connection. Nil means that the watcher's ping is
-	// used, which picks a connection by the address.
-	ping   func()
+	// link is nil for connections of net/http: these are pinged by the watcher,
+	// which picks one by the address, and closed as idle by their transport.
+	link   watchedLink
 	reads  atomic.Uint64
 	writes atomic.Uint64
 	once   sync.Once
@@ -79,6 +79,12 @@
 	return c.Conn.Close()
 }
 
+// watchedLink is what the watcher asks of a framed connection.
+type watchedLink interface {
+	ping()
+	closeIdle()
+}
+
 // target counts the calls under way to one address, or on one connection at a
 // server. The lock of the connections guards it.
 type target struct {
@@ -97,6 +103,8 @@
 	actionNone action = iota
 	actionPing
 	actionClose
+	// actionIdle closes the connection if no call begins meanwhile.
+	actionIdle
 )
 
 // sample is what a look at a connection sees.
@@ -125,6 +133,9 @@
 	if p.waiting && now.Sub(p.pingedAt) >= PingTimeout {
 		return actionClose
 	}
+	if s.calls == 0 && now.Sub(p.calledAt) >= idleTimeout {
+		return actionIdle
+	}
 	if p.waiting || !p.due(now, s) {
 		return actionNone
 	}
@@ -185,7 +196,7 @@
 }
 
 // add watches a connection. An empty address gives it a target of its own.
-func (s *connections) add(nc net.Conn, address string, ping func()) *watchedConn {
+func (s *connections) add(nc net.Conn, address string, l watchedLink) *watchedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &target{}
@@ -193,7 +204,7 @@
 		t = s.find(address)
 	}
 	t.open++
-	c := &watchedConn{Conn: nc, set: s, target: t, ping: ping}
+	c := &watchedConn{Conn: nc, set: s, target: t, link: l}
 	if s.open == nil {
 		s.open = make(map[*watchedConn]struct{})
 	}
@@ -311,8 +322,8 @@
 			for _, c := range all {
 				switch {
 				case !w.step(c):
-				case c.conn.ping != nil:
-					c.conn.ping()
+				case c.conn.link != nil:
+					c.conn.link.ping()
 				case running < maxPings:
 					running++
 					pings.Go(ctx, "ping", tasks.Quiet(func(ctx context.Context) { w.ping(ctx, c.conn.target.address) }))
@@ -331,6 +342,10 @@
 	case actionClose:
 		w.log.Info().Str("peer", c.conn.RemoteAddr().String()).Int("calls", c.sample.calls).Msg("connection between nodes is half-open and is closed")
 		_ = c.conn.Close()
+	case actionIdle:
+		if c.conn.link != nil {
+			c.conn.link.closeIdle()
+		}
 	}
 	return false
 }
--- a/node/internal/peer/liveness_test.go
+++ b/node/internal/peer/liveness_test.go
@@ -14,6 +14,8 @@
 	sample sample
 	look   func(*pulse, time.Time, sample) action
 	pinged bool
+	// idle is whether the last look found the connection idle.
+	idle bool
 }
 
 func newWatched(look func(*pulse, time.Time, sample) action) *watched {
@@ -29,7 +31,7 @@
 			between(w.pinged)
 		}
 		action := w.look(&w.pulse, w.now, w.sample)
-		w.pinged = action == actionPing
+		w.pinged, w.idle = action == actionPing, action == actionIdle
 		switch action {
 		case actionPing:
 			pings++
@@ -64,6 +66,27 @@
 	}
 }
 
+// Guards against connections to nodes that nobody calls any more and that stay
+// open for ever, and against one that is closed while it has calls.
+func TestIdleConnectionIsGivenUp(t *testing.T) {
+	w := newWatched((*pulse).look)
+	w.sample.begun, w.sample.calls = 1, 1
+	w.run(2*idleTimeout, func(pinged bool) {
+		w.answered(pinged)
+		if w.idle {
+			t.Fatal("idle with a call under way")
+		}
+	})
+	w.sample.calls = 0
+	w.run(idleTimeout-watchInterval, w.answered)
+	if w.idle {
+		t.Fatalf("idle before %v", idleTimeout)
+	}
+	if w.run(2*watchInterval, w.answered); !w.idle {
+		t.Fatalf("not idle after %v", idleTimeout)
+	}
+}
+
 // Guards against a half-open connection that keeps calls waiting, whatever
 // happened on it before, and against one that is found only by the next call.
 func TestSilentConnectionIsClosed(t *testing.T) {
