--- a/bench/operator/client.go
+++ b/bench/operator/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
@@ -28,10 +29,6 @@
 	DefaultPoll = 20 * time.Millisecond
 )
 
-// leaderKey is the key of the error metadata in which a member that does not
-// lead names the leader's operator address.
-const leaderKey = "Jujubeknot-Leader"
-
 // Config of a Client. Only Addresses is required.
 type Config struct {
 	// Addresses returns the operator addresses of the members that run.
@@ -129,7 +126,7 @@
 	if !errors.As(err, &refused) {
 		return ""
 	}
-	hint := refused.Meta().Get(leaderKey)
+	hint := refused.Meta().Get(headers.Leader)
 	if _, err := netip.ParseAddrPort(hint); err != nil {
 		return ""
 	}
--- a/control/internal/rpc/rpc.go
+++ b/control/internal/rpc/rpc.go
@@ -17,14 +17,11 @@
 
 	"github.com/jujubeknot/jujubeknot/control/internal/leader"
 	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
 // Keys of error metadata.
 const (
-	// MetaLeader has the address of the leader, empty if none is known: for
-	// nodes that of the listener for members and nodes, for operators that of
-	// the listener for operators.
-	MetaLeader = "Jujubeknot-Leader"
 	// MetaHolder has the address of the node that holds a claimed backend
 	// server name.
 	MetaHolder = "Jujubeknot-Holder"
@@ -49,7 +46,7 @@
 		return nil
 	case errors.As(err, &notLeader):
 		e := connect.NewError(connect.CodeUnavailable, notLeader)
-		e.Meta().Set(MetaLeader, notLeader.Address)
+		e.Meta().Set(headers.Leader, notLeader.Address)
 		return e
 	case errors.As(err, &taken):
 		e := connect.NewError(connect.CodeAlreadyExists, taken)
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -21,10 +21,6 @@
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
 
-// LeaderKey is the key of the error metadata in which a member that does not
-// lead names the leader's operator address.
-const LeaderKey = "Jujubeknot-Leader"
-
 // Defaults of Config.
 const (
 	DefaultTimeout        = 10 * time.Second
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -6,6 +6,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
 // RefusedError means that control answered and changed nothing.
@@ -107,7 +109,7 @@
 	if !errors.As(err, &c) {
 		return failure{kind: failureLost}
 	}
-	if hint, ok := c.Meta()[LeaderKey]; ok {
+	if hint, ok := c.Meta()[headers.Leader]; ok {
 		leader, err := netip.ParseAddrPort(hint[0])
 		if err != nil {
 			leader = netip.AddrPort{}
--- a/node/internal/controlclient/group.go
+++ b/node/internal/controlclient/group.go
@@ -14,13 +14,10 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
 
-// LeaderHeader is the metadata of an error in which a member that does not
-// lead names the leader's address.
-const LeaderHeader = "Jujubeknot-Leader"
-
 // Timeouts of connections to control members.
 const (
 	dialTimeout = 300 * time.Millisecond
@@ -109,8 +106,8 @@
 	}
 	next := (g.current + 1) % len(g.members)
 	var e *connect.Error
-	if hint := ""; errors.As(err, &e) && e.Meta().Get(LeaderHeader) != "" {
-		hint = e.Meta().Get(LeaderHeader)
+	if hint := ""; errors.As(err, &e) && e.Meta().Get(headers.Leader) != "" {
+		hint = e.Meta().Get(headers.Leader)
 		if i := g.find(hint); i >= 0 && hint != g.failed && hint != address {
 			next = i
 		}
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
 	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
@@ -180,7 +181,7 @@
 // member would not answer differently.
 func refused(err error) bool {
 	var e *connect.Error
-	if !errors.As(err, &e) || e.Meta().Get(LeaderHeader) != "" || !connect.IsWireError(err) {
+	if !errors.As(err, &e) || e.Meta().Get(headers.Leader) != "" || !connect.IsWireError(err) {
 		return false
 	}
 	switch e.Code() {
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -45,6 +45,9 @@
 const (
 	// MemberSecret is the secret that control members share.
 	MemberSecret = "Jujubeknot-Member-Secret"
+	// Leader is the address that a control member without the lead names in its
+	// error: the leader's for operators or for nodes, as the caller is.
+	Leader = "Jujubeknot-Leader"
 	// MemberOperator is the address of the sending member's listener for
 	// operators.
 	MemberOperator = "Jujubeknot-Member-Operator"
