--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	"github.com/jujubeknot/jujubeknot/control/internal/operator"
 	"github.com/jujubeknot/jujubeknot/control/internal/replica"
 	"github.com/jujubeknot/jujubeknot/control/internal/rpc"
+	"github.com/jujubeknot/jujubeknot/control/internal/steward"
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/core/placement"
@@ -46,10 +47,18 @@
 	Members      []settings.Member
 	MemberSecret string
 	NodeSecret   string
+	// Formation is set for a group that finds its members itself. MemberID is
+	// then 0 and chosen by the data folder, and Members are those that form the
+	// group at its first start.
+	Formation *Formation
 	// Peer is the address for members and nodes, Operator that for operators.
+	// Without a valid Operator there is no such listener.
 	Peer     netip.AddrPort
 	Operator netip.AddrPort
-	Lease    lease.Config
+	// OperatorAddress is what other members name to operators while this one
+	// leads. Empty means the address of the listener for operators.
+	OperatorAddress string
+	Lease           lease.Config
 	// OperatorSecret admits its holders to the operator port. Empty admits
 	// only requests from loopback.
 	OperatorSecret string
@@ -61,6 +70,16 @@
 	Clock clock.Clock
 }
 
+// Formation describes a group that finds its members itself.
+type Formation struct {
+	// Bootstrap is true only where the whole group starts for the first time.
+	Bootstrap bool
+	// Seeds are addresses of members to ask.
+	Seeds []netip.AddrPort
+	// Voters is the number of voters wanted, at least 1.
+	Voters int
+}
+
 // Member is one member of the control group.
 type Member struct {
 	config   Config
@@ -86,13 +105,14 @@
 	if m.peer, err = net.Listen("tcp", config.Peer.String()); err != nil {
 		return nil, fmt.Errorf("listen for members and nodes: %w", err)
 	}
-	if m.operator, err = net.Listen("tcp", config.Operator.String()); err != nil {
-		_ = m.peer.Close()
-		return nil, fmt.Errorf("listen for operators: %w", err)
+	if config.Operator.IsValid() {
+		if m.operator, err = net.Listen("tcp", config.Operator.String()); err != nil {
+			_ = m.peer.Close()
+			return nil, fmt.Errorf("listen for operators: %w", err)
+		}
 	}
-	if m.log, err = openLog(config, operatorAddress(config, m.operator.Addr())); err != nil {
-		_ = m.peer.Close()
-		_ = m.operator.Close()
+	if m.log, err = openLog(config, m.operatorAddress()); err != nil {
+		m.close()
 		return nil, err
 	}
 	m.leader = leader.New(leader.Config{
@@ -102,6 +122,15 @@
 	return m, nil
 }
 
+// operatorAddress returns what other members name to operators, empty if there
+// is nothing to name.
+func (m *Member) operatorAddress() string {
+	if m.config.OperatorAddress != "" || m.operator == nil {
+		return m.config.OperatorAddress
+	}
+	return operatorAddress(m.config, m.operator.Addr())
+}
+
 // operatorAddress returns the address that other members name to operators.
 // One that listens on all addresses is reached at that for members.
 func operatorAddress(config Config, listener net.Addr) string {
@@ -115,6 +144,13 @@
 	return address.String()
 }
 
+func (m *Member) close() {
+	_ = m.peer.Close()
+	if m.operator != nil {
+		_ = m.operator.Close()
+	}
+}
+
 func openLog(config Config, operator string) (*replica.Replica, error) {
 	files, err := disk.Folder(config.DataFolder)
 	if err != nil {
@@ -124,10 +160,18 @@
 	for _, m := range config.Members {
 		initial = append(initial, &wirev1.Member{Id: m.ID, Address: m.Address.String()})
 	}
+	var formation *replica.Formation
+	if f := config.Formation; f != nil {
+		formation = &replica.Formation{Bootstrap: f.Bootstrap, Voters: f.Voters}
+		for _, s := range f.Seeds {
+			formation.Seeds = append(formation.Seeds, s.String())
+		}
+	}
 	log, err := replica.New(replica.Config{
 		GroupID: config.GroupID, MemberID: config.MemberID, Address: config.Peer.String(),
 		Operator: operator, Secret: config.MemberSecret,
 		Files: files, Clock: config.Clock, Initial: initial, Logger: config.Logger,
+		AvailabilityZone: config.AvailabilityZone, Formation: formation,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("replicated log: %w", err)
@@ -152,12 +196,19 @@
 	defer stopLeader()
 	peer := m.server(m.peerHandler())
 	operators := m.server(m.operatorHandler())
-	servers, log := tasks.New(3), tasks.New(1)
+	servers, log := tasks.New(4), tasks.New(1)
+	if f := m.config.Formation; f != nil {
+		servers.Go(leaderContext, "membership", tasks.Quiet(func(ctx context.Context) {
+			steward.Run(ctx, steward.Config{Log: m.log, Logger: m.config.Logger, Voters: f.Voters})
+		}))
+	}
 	servers.Go(leaderContext, "leader", tasks.Quiet(m.leader.Run))
 	servers.Go(leaderContext, "members and nodes", func(context.Context) error { return peer.Serve(m.peer) })
-	servers.Go(leaderContext, "operators", func(context.Context) error { return operators.Serve(m.operator) })
+	if m.operator != nil {
+		servers.Go(leaderContext, "operators", func(context.Context) error { return operators.Serve(m.operator) })
+	}
 	log.Go(logContext, "replicated log", m.log.Run)
-	m.config.Logger.Info().Stringer("peer", m.peer.Addr()).Stringer("operator", m.operator.Addr()).
+	m.config.Logger.Info().Stringer("peer", m.peer.Addr()).Str("operator", m.operatorAddress()).
 		Uint64("memberId", m.config.MemberID).Str("groupId", m.config.GroupID).Msg("member started")
 	var err error
 	select {
--- a/control/internal/leader/group_test.go
+++ b/control/internal/leader/group_test.go
@@ -101,6 +101,12 @@
 	return false
 }
 
+// Addresses implements replica.Log.
+func (m *member) Addresses() []string { return nil }
+
+// Candidates implements replica.Log.
+func (m *member) Candidates() []*wirev1.Member { return nil }
+
 func (m *member) Propose(_ context.Context, command *wirev1.Command) (cluster.Result, error) {
 	if !m.leads() {
 		return cluster.Result{}, &replica.NotLeaderError{}
--- a/control/internal/leader/moves.go
+++ b/control/internal/leader/moves.go
@@ -47,6 +47,8 @@
 	// known is whether the request ids came with the report.
 	known   bool
 	records []*wirev1.RequestRecord
+	// handover is the token of the backend server that released.
+	handover string
 }
 
 func (r *release) due(now time.Time) bool {
@@ -91,6 +93,9 @@
 			r = &release{epoch: p.GetEpoch(), at: now}
 			l.released[at] = r
 		}
+		if p.GetHandover() != "" {
+			r.handover = p.GetHandover()
+		}
 		if complete && !r.known {
 			r.known, r.records = true, records[at]
 		}
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/core/cluster"
+	"github.com/jujubeknot/jujubeknot/core/lease"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -138,11 +139,16 @@
 	if h := state.NodeByServer(request.GetNode().GetBackendServer().GetName()); h != nil && l.granter.Expired(now, h.GetIncarnation()) {
 		replaces = h.GetIncarnation()
 	}
+	if h := ended(state, request); h != nil {
+		replaces = h.GetIncarnation()
+		l.granter.Returned(replaces)
+	}
+	keeps := keepsPartitions(state.Node(replaces), request.GetNode())
 	l.mu.Unlock()
 	id := request.GetRequestId()
 	for {
 		result, err := l.config.Log.Propose(ctx, &wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{
-			Node: request.GetNode(), Replaces: replaces, RequestId: id,
+			Node: request.GetNode(), Replaces: replaces, RequestId: id, KeepsPartitions: keeps,
 		}}})
 		if err != nil {
 			return nil, err
@@ -158,6 +164,28 @@
 	}
 }
 
+// ended returns the incarnation of an earlier process at a node's address that
+// is known to have ended, nil if there is none. While the new process does not
+// name a backend server, the one of the earlier process may still hold keys.
+func ended(state *cluster.State, request *wirev1.RegisterRequest) *wirev1.Node {
+	if !request.GetTakesOver() || request.GetNode().GetBackendServer() == nil {
+		return nil
+	}
+	for n := range state.Nodes() {
+		if n.GetPeerAddress() == request.GetNode().GetPeerAddress() && n.GetName() == request.GetNode().GetName() {
+			return n
+		}
+	}
+	return nil
+}
+
+// keepsPartitions reports whether a registration replaces one of the same life
+// of the same backend server, which then goes on with the partitions it holds.
+func keepsPartitions(replaced, node *wirev1.Node) bool {
+	a, b := replaced.GetBackendServer(), node.GetBackendServer()
+	return a != nil && b != nil && a.GetName() == b.GetName() && a.GetBootId() == b.GetBootId() && a.GetUpstream() == b.GetUpstream()
+}
+
 func (l *Leader) registered(request *wirev1.RegisterRequest, result cluster.Result) (*wirev1.RegisterResponse, error) {
 	state, now, err := l.enter()
 	if err != nil {
@@ -191,6 +219,7 @@
 		Incarnation:     result.Index,
 		LeaseMs:         uint32(duration.Milliseconds()),
 		RenewIntervalMs: uint32(l.config.Lease.RenewInterval.Milliseconds()),
+		Members:         l.config.Log.Addresses(),
 	}, nil
 }
 
@@ -205,6 +234,9 @@
 	}
 	defer l.mu.Unlock()
 	response := &wirev1.RenewResponse{Sequence: request.GetSequence()}
+	if addresses := l.config.Log.Addresses(); lease.MembersHash(addresses) != request.GetMembersHash() {
+		response.Members, response.MembersHash = addresses, lease.MembersHash(addresses)
+	}
 	node := state.Node(request.GetIncarnation())
 	if node == nil || l.granter.Expired(now, request.GetIncarnation()) {
 		response.Lost = true
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -123,7 +123,7 @@
 // carry marks a change as planned if the request ids are here, and keeps them
 // for the new owner's watch stream before the change can be applied.
 func (l *Leader) carry(c *wirev1.AssignChange, r *release, now time.Time) {
-	c.Planned = r.known
+	c.Planned, c.Handover = r.known, r.handover
 	if r.known {
 		l.moved.add(now, place{c.GetUpstream(), c.GetPartition()}, c.GetExpectedEpoch()+1, r.records)
 	}
--- a/control/internal/leader/status.go
+++ b/control/internal/leader/status.go
@@ -73,7 +73,11 @@
 	if !found || !u.Keyed {
 		return nil, &InvalidError{fmt.Sprintf("no keyed upstream %q in the rules at revision %d", upstream, state.Revision())}
 	}
-	at := place{upstream, keyspace.Partition(keyspace.Hash(key), u.Partitions)}
+	hash, ok := u.KeyHash(key)
+	if !ok {
+		return nil, &InvalidError{fmt.Sprintf("keys of upstream %s are numbers from 0 to %d, found %q", upstream, keyspace.MaxNumber, key)}
+	}
+	at := place{upstream, keyspace.Partition(hash, u.Partitions)}
 	response := &wirev1.ExplainResponse{
 		Assignment: state.Assignment(at.upstream, at.partition),
 		LastMoves:  state.LastMoves(at.upstream, at.partition),
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -305,7 +305,7 @@
 		}
 		update.Assignments[i] = &wirev1.Assignment{
 			Upstream: a.GetUpstream(), Partition: a.GetPartition(), Owner: a.GetOwner(), Epoch: a.GetEpoch(),
-			SinceIndex: a.GetSinceIndex(), SinceUnixMs: a.GetSinceUnixMs(), Reason: a.GetReason(),
+			SinceIndex: a.GetSinceIndex(), SinceUnixMs: a.GetSinceUnixMs(), Reason: a.GetReason(), Handover: a.GetHandover(),
 		}
 	}
 }
--- a/control/internal/member/handler.go
+++ b/control/internal/member/handler.go
@@ -74,6 +74,21 @@
 	return connect.NewResponse(&wirev1.StepResponse{}), nil
 }
 
+// Join answers a member that asks to be added.
+func (s service) Join(_ context.Context, request *connect.Request[wirev1.JoinRequest]) (*connect.Response[wirev1.JoinResponse], error) {
+	if err := s.transport.checkGroup(request.Msg.GroupId); err != nil {
+		return nil, err
+	}
+	if s.transport.config.Join == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("operators add members to this group"))
+	}
+	response, err := s.transport.config.Join(request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
 // Form answers a member that has no log yet.
 func (s service) Form(_ context.Context, request *connect.Request[wirev1.FormRequest]) (*connect.Response[wirev1.FormResponse], error) {
 	if err := s.transport.checkGroup(request.Msg.GroupId); err != nil {
--- a/control/internal/member/transport.go
+++ b/control/internal/member/transport.go
@@ -59,6 +59,8 @@
 	Receive func([]*wirev1.RaftMessage)
 	// Form answers a member that has no log yet.
 	Form func(*wirev1.FormRequest) (*wirev1.FormResponse, error)
+	// Join answers a member that asks to be added.
+	Join func(*wirev1.JoinRequest) (*wirev1.JoinResponse, error)
 }
 
 // Transport sends messages to other members and serves MemberService. It is
@@ -205,6 +207,20 @@
 	return response.Msg, nil
 }
 
+// Join asks the member at an address to have this one added to the group.
+func (t *Transport) Join(ctx context.Context, address string, request *wirev1.JoinRequest) (*wirev1.JoinResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	request.GroupId = t.config.GroupID
+	call := connect.NewRequest(request)
+	t.authorize(call.Header())
+	response, err := t.rpc(address).Join(ctx, call)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	return response.Msg, nil
+}
+
 func (t *Transport) rpc(address string) wirev1connect.MemberServiceClient {
 	return wirev1connect.NewMemberServiceClient(t.client, "http://"+address)
 }
--- a/control/internal/replica/config.go
+++ b/control/internal/replica/config.go
@@ -47,6 +47,11 @@
 	// and addresses. A member that is not listed waits until it is added.
 	Initial []*wirev1.Member
 	Logger  zerolog.Logger
+	// AvailabilityZone of this member. Voters are spread over zones.
+	AvailabilityZone string
+	// Formation describes groups that find their members themselves. Nil means
+	// that operators add and remove members.
+	Formation *Formation
 
 	// Seed of the election time-outs. 0 means a random one.
 	Seed             uint64
@@ -63,6 +68,19 @@
 	Transport Transport
 }
 
+// Formation describes a group that finds its members itself.
+type Formation struct {
+	// Bootstrap is true only where the whole group starts for the first time.
+	// Then the members in Initial form it. Any other member without a log asks
+	// the group to be added.
+	Bootstrap bool
+	// Seeds are addresses of members to ask.
+	Seeds []string
+	// Voters is the number of voters wanted. Further members follow the log and
+	// take the place of a voter that is silent.
+	Voters int
+}
+
 func (c Config) withDefaults() Config {
 	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
 	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
@@ -76,8 +94,10 @@
 	switch {
 	case c.GroupID == "":
 		return errors.New("group id is empty")
-	case c.MemberID == 0:
+	case c.MemberID == 0 && c.Formation == nil:
 		return errors.New("member id is 0")
+	case c.Formation != nil && c.Formation.Voters < 1:
+		return errors.New("a group that finds its members needs at least one voter")
 	case c.Address == "":
 		return errors.New("address of the member is empty")
 	case c.Files == nil:
--- a/control/internal/replica/form.go
+++ b/control/internal/replica/form.go
@@ -19,6 +19,24 @@
 // formRetry is the pause between two attempts to ask the initial members.
 const formRetry = 250 * time.Millisecond
 
+// memberID returns the id from the settings, or for a member that chooses its
+// own that of its data folder: an emptied disk must make a new member.
+func memberID(config Config, identity *disk.Identity, folder uint64) uint64 {
+	switch {
+	case config.MemberID != 0:
+		return config.MemberID
+	case identity != nil:
+		return identity.MemberID
+	case config.Formation.Bootstrap:
+		for _, m := range config.Initial {
+			if m.Address == config.Address {
+				return m.Id
+			}
+		}
+	}
+	return folder
+}
+
 // checkIdentity compares the data folder with the settings.
 func checkIdentity(config Config, identity *disk.Identity) error {
 	if identity == nil || identity.GroupID == config.GroupID && identity.MemberID == config.MemberID {
--- a/control/internal/replica/replica.go
+++ b/control/internal/replica/replica.go
@@ -34,6 +34,10 @@
 	// ChangeMembers adds a member (as a learner, then as a voter once it has
 	// synced the log) or removes one, and returns when that is committed.
 	ChangeMembers(ctx context.Context, add *wirev1.Member, remove uint64) ([]*wirev1.Member, error)
+	// Addresses returns the addresses of the members as last committed here.
+	Addresses() []string
+	// Candidates returns the members that asked to join within the last seconds.
+	Candidates() []*wirev1.Member
 	// Members returns the members with what the leader knows of them.
 	Members() []*wirev1.MemberStatus
 }
--- a/control/internal/replica/replica_test.go
+++ b/control/internal/replica/replica_test.go
@@ -46,6 +46,10 @@
 	}
 }
 
+func (w *wire) Join(context.Context, string, *wirev1.JoinRequest) (*wirev1.JoinResponse, error) {
+	return &wirev1.JoinResponse{}, nil
+}
+
 func (w *wire) SetMembers([]*wirev1.Member) {}
 
 func (w *wire) OperatorAddress(uint64) string { return "" }
--- a/control/internal/replica/run.go
+++ b/control/internal/replica/run.go
@@ -37,6 +37,7 @@
 	// empty if unknown.
 	OperatorAddress(id uint64) string
 	Form(ctx context.Context, address string, request *wirev1.FormRequest) (*wirev1.FormResponse, error)
+	Join(ctx context.Context, address string, request *wirev1.JoinRequest) (*wirev1.JoinResponse, error)
 	Close()
 }
 
@@ -57,6 +58,7 @@
 
 	identity   atomic.Pointer[disk.Identity]
 	membership atomic.Pointer[wirev1.Membership]
+	candidates candidates
 	state      atomic.Pointer[cluster.State]
 	leadership atomic.Pointer[Leadership]
 
@@ -89,17 +91,18 @@
 		config.Seed = folder
 	}
 	r := &Replica{
-		config: config, logger: config.Logger.With().Uint64("self", config.MemberID).Logger(),
+		config: config, logger: config.Logger,
 		requests: make(chan *request, requestQueue), confirms: make(chan *request, requestQueue), inbox: make(chan []*wirev1.RaftMessage, inboxQueue),
 		stopped: make(chan struct{}),
 	}
 	r.state.Store(&cluster.State{})
 	r.leadership.Store(&Leadership{})
-	if err := r.openTransport(); err != nil {
+	if err := r.openDisk(folder); err != nil {
 		return nil, err
 	}
-	if err := r.openDisk(folder); err != nil {
-		r.transport.Close()
+	r.logger = config.Logger.With().Uint64("self", r.config.MemberID).Logger()
+	if err := r.openTransport(); err != nil {
+		_ = r.disk.Close()
 		return nil, err
 	}
 	return r, nil
@@ -113,7 +116,7 @@
 	}
 	transport, err := member.New(member.Config{
 		GroupID: r.config.GroupID, Secret: r.config.Secret, Address: r.config.Address, Operator: r.config.Operator,
-		Logger: r.logger, Receive: r.Receive, Form: r.AnswerForm,
+		Logger: r.logger, Receive: r.Receive, Form: r.AnswerForm, Join: r.AnswerJoin,
 	})
 	if err != nil {
 		return err
@@ -128,6 +131,7 @@
 		return fmt.Errorf("open data folder: %w", err)
 	}
 	r.disk, r.stored = opened, contents.Stored
+	r.config.MemberID = memberID(r.config, contents.Identity, folder)
 	if err := checkIdentity(r.config, contents.Identity); err != nil {
 		_ = opened.Close()
 		return err
@@ -186,9 +190,21 @@
 		r.stored = stored
 		r.identity.Store(r.disk.Identity())
 	}
+	voters := 0
+	if r.config.Formation != nil {
+		voters = r.config.Formation.Voters
+		joining, stop := context.WithCancel(ctx)
+		joined := make(chan struct{})
+		go func() {
+			defer close(joined)
+			r.join(joining)
+		}()
+		defer func() { stop(); <-joined }()
+	}
 	m, err := raft.New(raft.Config{
 		ID: r.config.MemberID, Folder: r.disk.Identity().Folder, Seed: r.config.Seed,
 		ShortestElection: r.config.ShortestElection, LongestElection: r.config.LongestElection, Heartbeat: r.config.Heartbeat,
+		MaxVoters: voters,
 	}, r.config.Clock.Now(), r.stored)
 	if err != nil {
 		return fmt.Errorf("load the log: %w", err)
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -74,6 +74,12 @@
 	ReserveHold time.Duration
 	// RefusedPause is described at DefaultRefusedPause.
 	RefusedPause time.Duration
+	// ToldCold means that the backend server says when it is in cold start, so
+	// that nothing is concluded from a start or from its answers.
+	ToldCold bool
+	// ColdRate bounds the requests/s that start while a backend server which
+	// says so is cold. 0 means one for each slot.
+	ColdRate float64
 }
 
 func (c Config) withDefaults() Config {
--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -35,6 +35,7 @@
 	seen    [MaxDepth + 1]time.Time
 	started uint64
 	bootID  string
+	cold    coldRate
 	// backlogSince is the time since which the queue has not been empty.
 	backlogSince time.Time
 	// pressed is set from the first request that was refused for its deadline
@@ -64,7 +65,7 @@
 		waiting: make(map[uint64]*waiter),
 		running: make(map[uint64]run),
 	}
-	g.limiter.slots = g.config.Slots
+	g.limiter.slots, g.limiter.told = g.config.Slots, g.config.ToldCold
 	g.limiter.chill(0)
 	g.rate.configure(g.config.RequestsPerSecond, g.config.Burst)
 	return g
@@ -73,6 +74,17 @@
 // Cold reports whether the backend server is in cold start.
 func (g *Guard) Cold() bool { return g.limiter.cold }
 
+// ColdAt reports whether the backend server is in cold start at a time.
+func (g *Guard) ColdAt(now time.Time) bool {
+	return g.limiter.cold || g.cold.at(now)
+}
+
+// ColdUntil notes that the backend server says that it is cold until a time.
+// Only Config.ToldCold makes use of it.
+func (g *Guard) ColdUntil(now, until time.Time) {
+	g.cold.chill(now, until)
+}
+
 // Limit returns the number of requests that may run at once, from 1 to the
 // number of slots. While it is below the number of slots, one nested call of
 // each depth may run on top of it if it could otherwise wait for a request that
@@ -101,7 +113,7 @@
 	if wait := g.rate.wait(now); wait > 0 {
 		return refuse(outcome.ReasonRateLimit, wait)
 	}
-	if !now.Before(g.pausedUntil) && g.mayStart(now, r.Depth) {
+	if !now.Before(g.pausedUntil) && g.cold.wait(now) == 0 && g.mayStart(now, r.Depth) {
 		if g.queue.depth[r.Depth] == 0 {
 			g.rate.take()
 			g.start(r)
@@ -214,6 +226,7 @@
 	k.inFlight++
 	g.started++
 	g.depth[r.Depth]++
+	g.cold.take()
 	g.running[r.ID] = run{key: k, depth: r.Depth, number: g.started, alone: len(g.running) == 0}
 }
 
@@ -273,7 +286,7 @@
 		g.pressed = true
 		g.drop(w, outcome.ReasonQueueTimeout, g.expectedWait(now, w.request, w.class))
 	}
-	for g.queue.length > 0 && g.pausedUntil.IsZero() {
+	for g.queue.length > 0 && g.pausedUntil.IsZero() && g.cold.wait(now) == 0 {
 		w := g.pick(now)
 		if w == nil {
 			break
@@ -331,6 +344,9 @@
 		if !g.pausedUntil.IsZero() {
 			earlier(g.pausedUntil)
 		}
+		if next := g.cold.next(); !next.IsZero() {
+			earlier(next)
+		}
 	}
 	if w, ok := g.queue.deadlines.top(); ok {
 		earlier(w.request.Deadline.Add(-g.typical()))
@@ -364,7 +380,12 @@
 // where the queue is now shorter; Next is then not later than now.
 func (g *Guard) Configure(now time.Time, config Config) {
 	g.config = config.withDefaults()
+	if g.config.ToldCold && !g.limiter.told {
+		g.limiter.told = true
+		g.limiter.chill(g.started)
+	}
 	g.limiter.configure(g.config.Slots)
+	g.cold.configure(now, g.config)
 	g.rate.configure(g.config.RequestsPerSecond, g.config.Burst)
 	g.queue.uncapBelow(g.keySlots())
 	if g.queue.length > 0 {
--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -49,6 +49,8 @@
 	slots int
 	limit float64
 	cold  bool
+	// told is Config.ToldCold.
+	told bool
 	// ceiling is the limit above which the limit rises slowly.
 	ceiling float64
 	// finished counts towards coldWork.
@@ -67,7 +69,10 @@
 }
 
 func (l *limiter) chill(started uint64) {
-	*l = limiter{slots: l.slots, limit: 1, cold: true, ceiling: float64(l.slots), cutAt: started}
+	*l = limiter{slots: l.slots, told: l.told, limit: 1, cold: true, ceiling: float64(l.slots), cutAt: started}
+	if l.told {
+		l.limit, l.cold = float64(l.slots), false
+	}
 }
 
 // done adapts the limit to the end of a request. Number is that of the request,
--- a/core/cluster/assign.go
+++ b/core/cluster/assign.go
@@ -57,7 +57,7 @@
 		next := &wirev1.Assignment{
 			Upstream: c.GetUpstream(), Partition: c.GetPartition(), Owner: c.GetOwner(),
 			Epoch: current.GetEpoch() + 1, SinceIndex: s.index, Reason: c.GetReason(), Planned: c.GetPlanned(),
-			SinceUnixMs: unixMs,
+			SinceUnixMs: unixMs, Handover: c.GetHandover(),
 		}
 		edit.set(next)
 		delta.Assignments = append(delta.Assignments, next)
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -79,7 +79,9 @@
 	rules   *wirev1.RulesRevision
 	history []*wirev1.RulesRevision
 	recent  []*wirev1.RecentRequest
-	deltas  deltas
+	// document is nil until one was accepted.
+	document *wirev1.RulesDocument
+	deltas   deltas
 }
 
 // Index returns the log index of the last command that was applied.
@@ -136,6 +138,7 @@
 		Rules:          s.rules,
 		History:        s.history,
 		RecentRequests: s.recent,
+		Document:       s.document,
 	}
 	for _, name := range s.Upstreams() {
 		t := s.tables[name]
@@ -155,12 +158,13 @@
 		return nil, fmt.Errorf("snapshot of the cluster state: %w", err)
 	}
 	s := &State{
-		index:   snapshot.GetAppliedIndex(),
-		nodes:   snapshot.GetNodes(),
-		rules:   snapshot.GetRules(),
-		history: snapshot.GetHistory(),
-		recent:  snapshot.GetRecentRequests(),
-		tables:  map[string]*table{},
+		index:    snapshot.GetAppliedIndex(),
+		nodes:    snapshot.GetNodes(),
+		rules:    snapshot.GetRules(),
+		history:  snapshot.GetHistory(),
+		recent:   snapshot.GetRecentRequests(),
+		document: snapshot.GetDocument(),
+		tables:   map[string]*table{},
 		// Followers that know an older index get a full update.
 		deltas: deltas{from: snapshot.GetAppliedIndex()},
 	}
--- a/core/cluster/lookup.go
+++ b/core/cluster/lookup.go
@@ -94,6 +94,11 @@
 	return s.rules
 }
 
+// Document returns the newest configuration document, nil before the first.
+func (s *State) Document() *wirev1.RulesDocument {
+	return s.document
+}
+
 // RulesAt returns a revision of the rules, nil if it is not kept.
 func (s *State) RulesAt(revision uint64) *wirev1.RulesRevision {
 	for r := range s.revisions() {
--- a/core/cluster/nodes.go
+++ b/core/cluster/nodes.go
@@ -52,6 +52,9 @@
 	node.Incarnation = s.index
 	s.nodes = append(nodes, node)
 	delta.Nodes = []*wirev1.Node{node}
+	if command.GetKeepsPartitions() && replaced != nil {
+		s.inherit(replaced.GetIncarnation(), node, delta)
+	}
 	if id := command.GetRequestId(); id != "" {
 		first := max(0, len(s.recent)+1-maxRecent)
 		recent := append(make([]*wirev1.RecentRequest, 0, len(s.recent)+1), s.recent[first:]...)
@@ -60,6 +63,30 @@
 	return Result{Delta: delta}
 }
 
+// inherit makes a node the owner of its predecessor's partitions. They are not
+// assigned anew, so the index since which the backend server has them stays.
+func (s *State) inherit(predecessor uint64, node *wirev1.Node, delta *wirev1.Update) {
+	name := node.GetBackendServer().GetUpstream()
+	var edit *tableEdit
+	for r := range s.tables[name].all() {
+		if r.current.GetOwner() != predecessor {
+			continue
+		}
+		if edit == nil {
+			edit = editTable(s.tables[name])
+		}
+		next := proto.CloneOf(r.current)
+		next.Owner, next.Epoch, next.Planned, next.Handover = node.GetIncarnation(), r.current.GetEpoch()+1, false, ""
+		edit.set(next)
+		delta.Assignments = append(delta.Assignments, next)
+	}
+	if edit != nil {
+		tables := s.cloneTables()
+		tables[name] = edit.table
+		s.tables = tables
+	}
+}
+
 // checkRegistration returns what is wrong with a registration, or nothing.
 func checkRegistration(command *wirev1.RegisterNode) string {
 	node := command.GetNode()
--- a/core/cluster/rules.go
+++ b/core/cluster/rules.go
@@ -22,6 +22,9 @@
 	if len(command.GetText()) > MaxRulesBytes {
 		return invalid("rules of %d bytes, at most %d are allowed", len(command.GetText()), MaxRulesBytes)
 	}
+	if command.GetDocument() != nil {
+		return s.applyDocument(command)
+	}
 	for r := range s.revisions() {
 		if command.GetRequestId() == "" || r.GetRequestId() != command.GetRequestId() {
 			continue
@@ -42,16 +45,42 @@
 		}
 		return conflict("rules are at revision %d, the change builds on %d", current, command.GetBaseRevision())
 	}
+	return s.replaceRules(command)
+}
+
+// replaceRules makes the text of a command the next revision.
+func (s *State) replaceRules(command *wirev1.ApplyRules) Result {
 	if s.rules != nil {
 		s.history = bounded(append(slices.Clone(s.history), s.rules))
 	}
 	s.rules = &wirev1.RulesRevision{
-		Revision: current + 1, Text: command.GetText(), RequestId: command.GetRequestId(),
+		Revision: s.Revision() + 1, Text: command.GetText(), RequestId: command.GetRequestId(),
 		Author: command.GetAuthor(), AcceptedUnixMs: command.GetAcceptedUnixMs(),
 	}
 	return Result{Delta: &wirev1.Update{Rules: s.rules}}
 }
 
+// applyDocument replaces the document and the rules made from it. A document
+// whose version is not above the stored one changes nothing: it was accepted
+// before, or a later one has replaced it.
+func (s *State) applyDocument(command *wirev1.ApplyRules) Result {
+	document := command.GetDocument()
+	if len(document.GetContent()) > MaxRulesBytes {
+		return invalid("document of %d bytes, at most %d are allowed", len(document.GetContent()), MaxRulesBytes)
+	}
+	if document.GetVersion() <= s.document.GetVersion() {
+		return Result{Code: CodeUnchanged, Revision: s.Revision()}
+	}
+	if command.GetBaseRevision() != s.Revision() {
+		return conflict("rules are at revision %d, the change builds on %d", s.Revision(), command.GetBaseRevision())
+	}
+	s.document = document
+	if command.GetText() == s.rules.GetText() {
+		return Result{}
+	}
+	return s.replaceRules(command)
+}
+
 // bounded drops the oldest revisions that are over the bounds.
 func bounded(history []*wirev1.RulesRevision) []*wirev1.RulesRevision {
 	size, first := 0, len(history)
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -29,6 +29,7 @@
 // Reasons of refusals, as they stand in refusal bodies.
 const (
 	ReasonNoRoute          Reason = "noRoute"
+	ReasonNoRules          Reason = "noRules"
 	ReasonNoKey            Reason = "noKey"
 	ReasonBadRequest       Reason = "badRequest"
 	ReasonNoOwner          Reason = "noOwner"
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -26,6 +26,9 @@
 	DefaultMaxInFlight = 16
 	// DefaultMaxUncommittedBytes bounds what a leader without quorum accepts.
 	DefaultMaxUncommittedBytes = 16 << 20
+	// DefaultSilentAfter is well above the pauses of a busy machine, so that a
+	// voter which is only slow is not replaced.
+	DefaultSilentAfter = 5 * time.Second
 	// MaxMembers bounds voters and learners together.
 	MaxMembers = 7
 )
@@ -45,6 +48,12 @@
 	MaxMessageBytes     int
 	MaxInFlight         int
 	MaxUncommittedBytes int
+	// MaxVoters bounds the voters that hear from the leader. Learners beyond it
+	// follow the log and become voters when one is silent. 0 means no bound.
+	MaxVoters int
+	// SilentAfter is the time without an answer after which a voter does not
+	// count towards MaxVoters. Default DefaultSilentAfter.
+	SilentAfter time.Duration
 }
 
 // Stored is what a member's disk holds.
@@ -82,6 +91,7 @@
 	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
 	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
 	c.MaxUncommittedBytes = cmp.Or(c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
 	return c
 }
 
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -106,7 +106,9 @@
 		if slices.Contains(current.RemovedIds, add.Id) {
 			return nil, errors.Errorf("member id %d was used before", add.Id)
 		}
-		next.Members = sortedMembers(append(next.Members, &wirev1.Member{Id: add.Id, Address: add.Address, Learner: true}))
+		next.Members = sortedMembers(append(next.Members, &wirev1.Member{
+			Id: add.Id, Address: add.Address, AvailabilityZone: add.AvailabilityZone, Learner: true,
+		}))
 		return next, checkMembership(next)
 	}
 	if findMember(current, remove) == nil {
--- a/core/routing/decide.go
+++ b/core/routing/decide.go
@@ -19,6 +19,10 @@
 	Path string
 	// Query is the query as sent, without the question mark.
 	Query string
+	// Host is the host as sent, with its port.
+	Host string
+	// Draw chooses among the shares of a route. Any value is valid.
+	Draw uint64
 	// Header has canonical names.
 	Header map[string][]string
 }
@@ -84,16 +88,54 @@
 	return sorted
 }
 
+// byHost divides sorted routes by host.
+func byHost(sorted []*route) map[string][]*route {
+	hosts := map[string][]*route{}
+	for _, r := range sorted {
+		hosts[r.Host] = append(hosts[r.Host], r)
+	}
+	return hosts
+}
+
+// share returns the upstream that a draw falls to.
+func (r *route) share(draw uint64) string {
+	if len(r.Shares) == 0 {
+		return r.Upstream
+	}
+	sum := 0
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	at := int(draw % uint64(sum))
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Upstream
+		}
+	}
+	return r.Upstream
+}
+
 // covers reports whether the prefix matches a path up to the end of a segment,
 // so that /app matches /app and /app/x and does not match /apple.
 func (r *route) covers(path string) bool {
 	return strings.HasPrefix(path, r.prefix) && (len(path) == len(r.prefix) || path[len(r.prefix)] == '/')
 }
 
-func (t *Table) match(path string) *route {
-	for _, r := range t.routes {
-		if r.covers(path) {
-			return r
+// match returns the route of the host with the longest prefix, or that of no
+// host where none fits.
+func (t *Table) match(host, path string) *route {
+	name := strings.ToLower(host)
+	if i := strings.LastIndexByte(name, ':'); i >= 0 && !strings.HasSuffix(name, "]") {
+		name = name[:i]
+	}
+	for _, list := range [...][]*route{t.routes[name], t.routes[""]} {
+		for _, r := range list {
+			if r.covers(path) {
+				return r
+			}
+		}
+		if name == "" {
+			break
 		}
 	}
 	return nil
@@ -106,11 +148,11 @@
 	if !ok {
 		return Decision{Reason: outcome.ReasonBadRequest}
 	}
-	r := t.match(path)
+	r := t.match(q.Host, path)
 	if r == nil {
 		return Decision{Reason: outcome.ReasonNoRoute}
 	}
-	d := Decision{Route: &r.Route, Upstream: t.upstreams[r.Upstream]}
+	d := Decision{Route: &r.Route, Upstream: t.upstreams[r.share(q.Draw)]}
 	if d.Upstream == nil {
 		d.Reason = outcome.ReasonNoRoute
 		return d
@@ -130,7 +172,12 @@
 		d.Reason = reason
 		return d
 	}
-	d.KeyHash = keyspace.Hash(key)
+	hash, ok := d.Upstream.KeyHash(key)
+	if !ok {
+		d.Reason = outcome.ReasonBadRequest
+		return d
+	}
+	d.KeyHash = hash
 	return t.Locate(d)
 }
 
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -24,6 +24,12 @@
 	Owner uint64
 	// Epoch is the fencing token, 0 if the partition was never assigned.
 	Epoch uint64
+	// Fence is above that of each earlier assignment of the partition, and the
+	// same for partitions that were assigned together.
+	Fence uint64
+	// Handover is the token of the previous owner's backend server, empty for
+	// none.
+	Handover string
 	// Planned assignments come with the request ids of the previous owner.
 	Planned bool
 }
@@ -57,7 +63,7 @@
 
 	// Derived from the fields above.
 	upstreams    map[string]*rules.Upstream
-	routes       []*route
+	routes       map[string][]*route
 	zonesOut     map[string]bool
 	serversDrain map[string]bool
 	serving      map[string][]choice.Candidate
@@ -163,7 +169,10 @@
 			}
 			a.chunks[i], copied[place{name, i}] = c, true
 		}
-		a.chunks[i][w.GetPartition()%chunkSize] = Assignment{Owner: w.GetOwner(), Epoch: w.GetEpoch(), Planned: w.GetPlanned()}
+		a.chunks[i][w.GetPartition()%chunkSize] = Assignment{
+			Owner: w.GetOwner(), Epoch: w.GetEpoch(), Planned: w.GetPlanned(),
+			Fence: w.GetSinceIndex(), Handover: w.GetHandover(),
+		}
 	}
 	t.owners = owners
 }
@@ -188,7 +197,7 @@
 	for i := range set.Upstreams {
 		t.upstreams[set.Upstreams[i].Name] = &set.Upstreams[i]
 	}
-	t.routes = sortedRoutes(set.Routes)
+	t.routes = byHost(sortedRoutes(set.Routes))
 	t.zonesOut, t.serversDrain = map[string]bool{}, map[string]bool{}
 	for _, z := range set.Zones {
 		t.zonesOut[z.Name] = z.Out
--- a/core/rules/format.go
+++ b/core/rules/format.go
@@ -47,7 +47,7 @@
 		upstreamLines(u, add)
 	}
 	for _, r := range s.Routes {
-		add(3, r.Prefix, "route "+r.Prefix, r.Comment, routeWords(r)...)
+		add(3, r.Prefix+" "+r.Host, strings.TrimSpace("route "+r.Prefix+" "+r.Host), r.Comment, routeWords(r)...)
 	}
 	for _, z := range s.Zones {
 		add(4, z.Name, "zone "+z.Name, z.Comment, "zone", z.Name, either(z.Out, "out", "in"))
@@ -70,11 +70,14 @@
 }
 
 func upstreamLines(u Upstream, add func(int, string, string, Comment, ...string)) {
-	kind, partitions := "unkeyed", ""
+	kind, partitions, keys := "unkeyed", "", ""
 	if u.Keyed {
 		kind, partitions = "keyed", fmt.Sprintf("partitions=%d", u.Partitions)
+		if u.Numbers {
+			keys = "keys=numbers"
+		}
 	}
-	add(2, u.Name, "upstream "+u.Name, u.Comment, "upstream", u.Name, kind, partitions,
+	add(2, u.Name, "upstream "+u.Name, u.Comment, "upstream", u.Name, kind, partitions, keys,
 		optional("slots", u.Slots, 0), optional("connections", u.Connections, 0), optional("queue", u.Queue, 0),
 		optional("policy", u.Policy, ""))
 	if u.LimitComment.given() {
@@ -100,14 +103,28 @@
 		add(2, u.Name, "retry "+u.Name, u.RetryComment, "retry", u.Name,
 			"budget="+formatShare(u.RetryBudget), optional("attempts", u.RetryAttempts, 0))
 	}
+	if u.ColdComment.given() {
+		add(2, u.Name, "cold "+u.Name, u.ColdComment, "cold", u.Name, "requestsPerSecond="+formatNumber(u.ColdRate))
+	}
 	if u.HedgeComment.given() {
 		add(2, u.Name, "hedge "+u.Name, u.HedgeComment, "hedge", u.Name,
 			"budget="+formatShare(u.HedgeBudget), "after="+formatDuration(u.HedgeAfter))
 	}
 }
 
+func sharesText(r Route) string {
+	if len(r.Shares) == 0 {
+		return r.Upstream
+	}
+	parts := make([]string, 0, len(r.Shares))
+	for _, s := range r.Shares {
+		parts = append(parts, fmt.Sprintf("%s:%d", s.Upstream, s.Weight))
+	}
+	return strings.Join(parts, ",")
+}
+
 func routeWords(r Route) []string {
-	key, timeout, idempotent := "", "", ""
+	key, timeout, idempotent, repeat, target := "", "", "", "", ""
 	switch r.Source {
 	case KeySourceNone:
 	case KeySourceHeader:
@@ -123,9 +140,19 @@
 	if len(r.Idempotent) > 0 {
 		idempotent = "idempotent=" + strings.Join(r.Idempotent, ",")
 	}
+	switch r.Repeat {
+	case RepeatByMethod:
+	case RepeatAlways:
+		repeat = "repeat=always"
+	case RepeatNever:
+		repeat = "repeat=never"
+	}
+	if r.Target > 0 {
+		target = "target=" + formatDuration(r.Target)
+	}
 	return []string{
-		"route", r.Prefix, "to", r.Upstream, key, timeout, idempotent,
-		optional("priority", r.Priority, DefaultPriority),
+		"route", r.Prefix, "to", sharesText(r), optional("host", r.Host, ""), key, timeout, idempotent,
+		optional("priority", r.Priority, DefaultPriority), repeat, target, optional("attempts", r.Attempts, 0),
 	}
 }
 
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -4,8 +4,11 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
 )
 
 // Defaults of values that a rules file may leave out. Parse fills them in.
@@ -56,6 +59,9 @@
 	Name string
 	// Keyed upstreams are divided by key: each key has one owner.
 	Keyed bool
+	// Numbers says that keys are numbers from 0 to keyspace.MaxNumber and that
+	// partitions are ranges of them. Otherwise keys are hashed.
+	Numbers bool
 	// Partitions is a power of two for keyed upstreams and 0 for others.
 	Partitions uint32
 	// Slots and Connections bound what each backend server gets. 0 means as
@@ -81,6 +87,9 @@
 	RetryBudget float64
 	// RetryAttempts bounds the sendings of one request, the first included.
 	RetryAttempts int
+	// ColdRate bounds the requests/s that a backend server gets in cold start. 0
+	// means that the node finds the bound by itself.
+	ColdRate float64
 	// HedgeBudget is the share of requests that may be hedged, 0 for none.
 	HedgeBudget float64
 	// HedgeAfter is the time after which a hedge is sent.
@@ -91,6 +100,18 @@
 	LimitComment Comment
 	RetryComment Comment
 	HedgeComment Comment
+	ColdComment  Comment
+}
+
+// KeyHash returns what places a key in a partition. It is false where the
+// keys of the upstream are numbers and the key is not one. A nil upstream
+// hashes.
+func (u *Upstream) KeyHash(key string) (uint64, bool) {
+	if u == nil || !u.Numbers {
+		return keyspace.Hash(key), true
+	}
+	number, err := strconv.ParseUint(key, 10, 16)
+	return keyspace.NumberHash(uint16(number)), err == nil
 }
 
 // KeySource says where a request's key stands.
@@ -104,11 +125,36 @@
 	KeySourceQuery
 )
 
+// Repeat says which requests of a route may run more than once.
+type Repeat int
+
+// Kinds of Repeat.
+const (
+	// RepeatByMethod goes by the method and Route.Idempotent.
+	RepeatByMethod Repeat = iota
+	RepeatAlways
+	RepeatNever
+)
+
+// Share is a part of a route's requests.
+type Share struct {
+	Upstream string
+	// Weight is the share of the requests, in proportion to the sum of all.
+	Weight int
+}
+
 // Route sends requests whose path starts with a prefix to an upstream.
 type Route struct {
-	Prefix   string
+	Prefix string
+	// Host limits the route to requests for one host, without port and in lower
+	// case. Empty means any that no other route names.
+	Host string
+	// Upstream gets all requests, or those of the first of Shares.
 	Upstream string
-	Source   KeySource
+	// Shares divide the requests among upstreams. Empty means that Upstream gets
+	// them all.
+	Shares []Share
+	Source KeySource
 	// Name of the header or the query parameter.
 	Name string
 	// Segment is the number of the path segment that is the key, from 1.
@@ -118,6 +164,12 @@
 	// Idempotent lists methods that may run more than once, beside GET, HEAD,
 	// OPTIONS, PUT and DELETE.
 	Idempotent []string
+	// Repeat takes precedence over Idempotent.
+	Repeat Repeat
+	// Target is the time within which callers want the answer, 0 if not known.
+	Target time.Duration
+	// Attempts bounds the sendings of one request. 0 means the upstream's bound.
+	Attempts int
 	// Priority from 0 (shed first) to 9. Default 5.
 	Priority int
 	Comment  Comment
--- a/core/rules/traffic.go
+++ b/core/rules/traffic.go
@@ -45,6 +45,13 @@
 	})
 }
 
+func (p *parser) cold(c *cursor) {
+	p.amend(c, "cold", func(u *Upstream) []setting {
+		u.ColdComment = c.comment
+		return []setting{{"requestsPerSecond", func(w word) { u.ColdRate = c.decimal(w, 0.001, maxRate) }}}
+	})
+}
+
 func (p *parser) hedge(c *cursor) {
 	p.amend(c, "hedge", func(u *Upstream) []setting {
 		if u.Keyed {
@@ -83,7 +90,12 @@
 		if pin.Key, ok = c.quoted(value); !ok {
 			return
 		}
-		pin.Partition = keyspace.Partition(keyspace.Hash(pin.Key), partitions)
+		hash, ok := upstream.KeyHash(pin.Key)
+		if !ok {
+			c.fail(value.column, "found %q; expected a key from 0 to %d", pin.Key, keyspace.MaxNumber)
+			return
+		}
+		pin.Partition = keyspace.Partition(hash, partitions)
 	case kind == "partition" && value.text != "":
 		pin.Partition = uint32(c.integer(value, 0, int64(partitions)-1))
 	default:
--- /dev/null
+++ b/node/beat.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/jujubeknot/jujubeknot/node/dialect"
+	"github.com/jujubeknot/jujubeknot/node/internal/backend"
+)
+
+// ErrForeignBeat is wrapped by the error for a beat that cannot be one of the
+// backend server beside this node.
+var ErrForeignBeat = backend.ErrForeignBeat
+
+// Beat takes a beat of the backend server beside this node and returns what to
+// answer. It needs Config.Dialect and is safe for concurrent use.
+func (n *Node) Beat(b dialect.Beat) (dialect.BeatAnswer, error) {
+	current, err := n.backend.Beat(b)
+	if err != nil {
+		return dialect.BeatAnswer{}, fmt.Errorf("beat of %q: %w", b.Name, err)
+	}
+	if !current {
+		return dialect.BeatAnswer{Delivered: func() {}}, nil
+	}
+	return n.owner.Beat(b, n.cfg.Dialect.HoldLimit), nil
+}
+
+// Deregister notes that the backend server with a name ends.
+func (n *Node) Deregister(name string) { n.backend.Deregister(name) }
+
+// SetControlMembers follows a change of the settings. Members that control
+// named stay known.
+func (n *Node) SetControlMembers(members []netip.AddrPort) { n.session.SetMembers(members) }
--- a/node/cmd/jujubeknot-node/main.go
+++ b/node/cmd/jujubeknot-node/main.go
@@ -18,7 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/node"
-	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 )
 
 // Exit codes.
--- a/node/config.go
+++ b/node/config.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/node/dialect"
 )
 
 // DefaultDrainTimeout bounds how long a stopping node waits until its
@@ -76,6 +78,20 @@
 	OperatorSecret string
 	// Log gets one line for each routing decision. The zero value drops them.
 	Log zerolog.Logger
+	// Dialect is the protocol towards callers and the backend server. Nil means
+	// the project's own. With a dialect the backend server's beats come through
+	// Node.Beat, and nothing listens at Backend.
+	Dialect *dialect.Dialect
+	// PeerSecret is shared by all nodes and presented to each other. Empty means
+	// that each registration has a secret of its own, and that a node without
+	// lease is not trusted.
+	PeerSecret string
+	// WithoutLease lets the node route requests, and run those without a key,
+	// while it has no lease. Rules may then be in force for longer on a node that
+	// control cannot reach.
+	WithoutLease bool
+	// TakesOver says that no other process can use the node's peer address.
+	TakesOver bool
 	// RoutingSample writes the lines of completed routing decisions for one in
 	// this number of requests. 0 and 1 mean all. Refusals and answers with a
 	// status from 500 on are always written.
--- /dev/null
+++ b/node/dialect/dialect.go
@@ -0,0 +1,134 @@
+// Package dialect describes what a node speaks towards callers and towards the
+// backend server beside it, so that another protocol can take the place of the
+// project's own. A node without a dialect speaks the project's own.
+package dialect
+
+import (
+	"net/http"
+	"time"
+)
+
+// Dialect is another protocol than the project's own. Both parts are required.
+type Dialect struct {
+	Callers Callers
+	Backend Backend
+	// HoldLimit bounds how long a backend server may be told to hold keys.
+	HoldLimit time.Duration
+	// DrainLimit is the time after a backend server said that it leaves from
+	// which on it gets nothing any more.
+	DrainLimit time.Duration
+	// LostAfter is the time without a report or an answer after which a backend
+	// server without keys counts as lost.
+	LostAfter time.Duration
+}
+
+// Callers translates what callers send and get.
+type Callers interface {
+	// Wrap returns a handler that translates each request for next and what next
+	// answers. The request id that it puts in headers.RequestID is used for the
+	// request, and it may set headers.Deadline and headers.Depth.
+	Wrap(next http.Handler) http.Handler
+}
+
+// Backend translates calls to the backend server. It is used from many
+// goroutines.
+type Backend interface {
+	// Fields returns the header fields that a call gets besides its own.
+	Fields(c Call) []Field
+	// RequestName returns the name under which a header field of a call is sent,
+	// empty to leave it out.
+	RequestName(name string) string
+	// Answer reads the header of an answer and renames in it what goes on to the
+	// caller.
+	Answer(status int, header http.Header) Answer
+	// Expected returns the id by which an answer to a call is known, empty if
+	// there is none.
+	Expected(c Call) string
+}
+
+// Call is one call as the backend server is told of it.
+type Call struct {
+	// ID of the request.
+	ID string
+	// Header has the call's own fields.
+	Header http.Header
+	// Server is the name of the backend server that shall run the call.
+	Server string
+	// Left is the time until the answer is useless.
+	Left time.Duration
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Answer is what the header of an answer says about the call.
+type Answer struct {
+	// ID of the call that the answer belongs to, empty if it is not named.
+	ID string
+	// NotRun is true if the backend server says that it did not run the call.
+	NotRun bool
+	// NotHere is true if the backend server says that another one should run
+	// the call: it is another server, or does not hold the key.
+	NotHere bool
+	// RetryAfter is 0 if the answer names no time.
+	RetryAfter time.Duration
+	// IdleTimeout is the time after which the backend server closes an idle
+	// connection, 0 if the answer names none.
+	IdleTimeout time.Duration
+}
+
+// Beat is what a backend server reports of itself.
+type Beat struct {
+	Name     string
+	Upstream string
+	// Address is the IP address and port at which it takes calls.
+	Address string
+	// Started is when this life of the backend server began by its own account.
+	// A life with a later start replaces an earlier one at the same node.
+	Started time.Time
+	// Sequence rises with each beat of one life.
+	Sequence uint64
+	Slots    int
+	// Leaving is true from when the backend server wants to stop.
+	Leaving bool
+	// ColdFor is how much longer it is in cold start, 0 if it is not.
+	ColdFor time.Duration
+	// Holds are the keys that it holds or still works on.
+	Holds []Holding
+	// Freed are the keys that it has released since the last answered beat.
+	Freed []Freed
+}
+
+// Holding is a range of keys, both ends included, with its fencing token.
+type Holding struct {
+	First, Last uint16
+	Fence       uint64
+}
+
+// Freed is a range of keys that were released, with the token by which the next
+// holder takes over their state.
+type Freed struct {
+	First, Last uint16
+	Handover    string
+}
+
+// Grant is a range of keys that a backend server is to hold. Handover is empty
+// if there is no state to take over.
+type Grant struct {
+	Holding
+	Handover string
+}
+
+// BeatAnswer answers a beat.
+type BeatAnswer struct {
+	// Granting is false if nothing is granted or taken by this answer. Then the
+	// backend server keeps what it holds until that ends.
+	Granting bool
+	// Grants are all keys that the backend server is to hold; it releases the
+	// others.
+	Grants []Grant
+	// For is how long they are held, counted from the sending of the beat.
+	For time.Duration
+	// Delivered must be called after the answer was sent.
+	Delivered func()
+}
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -42,6 +42,7 @@
 	bw *bufio.Writer
 	// generation of the pool that the connection was opened in.
 	generation uint64
+	idleSince  time.Time
 	// headerLeft bounds the bytes read while a header is expected, -1 for no
 	// bound.
 	headerLeft int
@@ -117,6 +118,10 @@
 	aborted  atomic.Bool
 	stops    []func() bool
 	abortSrc func()
+	// rename is nil where header fields are sent under their own names.
+	rename func(string) string
+	// unframed allows a response whose body ends with the connection.
+	unframed bool
 }
 
 // watch ends the exchange when a context ends.
@@ -169,6 +174,11 @@
 	_, _ = w.WriteString(call.Host)
 	_, _ = w.WriteString("\r\n")
 	for name, values := range call.Header {
+		if x.rename != nil {
+			if name = x.rename(name); name == "" {
+				continue
+			}
+		}
 		for _, v := range values {
 			writeField(w, name, v)
 		}
@@ -239,8 +249,11 @@
 		x.response = response
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 			// A body that ends with the connection cannot be told from a short
-			// one.
-			return errFraming
+			// one, unless a short one ends with a reset.
+			if !x.unframed {
+				return errFraming
+			}
+			response.Close = true
 		}
 		return nil
 	}
--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -48,6 +48,9 @@
 	if s.cfg.Clock.Now().UnixNano() < s.refusedUntil.Load() {
 		return nil, relay.NotRun(outcome.ReasonUnreachable)
 	}
+	if s.drained() {
+		return nil, relay.NotRun(outcome.ReasonStopping)
+	}
 	ticket, refusal := s.guard.enter(ctx, call, gate.Halt, gate.HaltReason)
 	if refusal != nil {
 		if refusal.Reason == outcome.ReasonQueueFull && s.unreachable.Load() {
@@ -57,12 +60,19 @@
 		}
 		return nil, refusal
 	}
-	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.Clock.Now()}
+	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.Clock.Now(), server: s.Announced().GetName()}
 	c, err := s.pool.get(ctx)
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
 	}
 	a.x.c, a.x.method = c, call.Method
+	if d := s.cfg.Dialect; d != nil {
+		a.x.rename, a.x.unframed = d.Backend.RequestName, true
+	}
+	if s.drained() {
+		a.end(admission.ResultCancelled, true)
+		return nil, relay.NotRun(outcome.ReasonStopping)
+	}
 	if a.term, refusal = gate.Before(); refusal != nil {
 		a.end(admission.ResultCancelled, true)
 		return nil, refusal
@@ -80,6 +90,8 @@
 	x       exchange
 	once    sync.Once
 	body    io.ReadCloser
+	// server is the name of the backend server that the call is sent to.
+	server string
 }
 
 func (a *attempt) notConnected(ctx context.Context, err error) *outcome.Refusal {
@@ -97,6 +109,7 @@
 	a.s.refusedUntil.Store(a.s.cfg.Clock.Now().Add(refusedPause).UnixNano())
 	a.s.guard.leave(a.ticket, admission.ResultRefused, 0)
 	a.s.log.Debug().Err(err).Msg("backend server refused a connection")
+	a.s.refused(err)
 	return relay.NotRun(outcome.ReasonUnreachable)
 }
 
@@ -126,6 +139,9 @@
 	if err := x.readResponse(); err != nil {
 		return nil, a.failed(ctx, err)
 	}
+	if a.s.cfg.Dialect != nil {
+		return a.runDialect(ctx)
+	}
 	a.s.heard(x.response.Header.Get(headers.BootID))
 	a.s.unreachable.Store(false)
 	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.Name() {
@@ -177,6 +193,9 @@
 	if !a.term.Until.IsZero() && !a.call.Body.Streamed() {
 		left = min(left, a.term.Until.Sub(a.s.cfg.Clock.Now()))
 	}
+	if a.s.cfg.Dialect != nil {
+		return a.dialectFields(left)
+	}
 	list := make([]field, 0, 5)
 	list = append(list,
 		field{headers.RequestID, a.call.Name()},
@@ -231,6 +250,11 @@
 		ended = true
 		a.release(false)
 		took := a.s.cfg.Clock.Now().Sub(a.started)
+		if a.s.cfg.Dialect != nil {
+			// The closed connection is what such a backend server is told by.
+			a.s.guard.leave(a.ticket, kind, took)
+			return
+		}
 		a.s.cancelLater(a.call.Name(), func() { a.s.guard.leave(a.ticket, kind, took) })
 	})
 	return ended
--- a/node/internal/backend/guard.go
+++ b/node/internal/backend/guard.go
@@ -108,17 +108,24 @@
 	g.wake(g.state.BackendStarted(g.clock.Now(), bootID))
 }
 
+func (g *guard) chill(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.ColdUntil(g.clock.Now(), until)
+	g.wake(nil)
+}
+
 func (g *guard) cold() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.Cold()
+	return g.state.ColdAt(g.clock.Now())
 }
 
 // figures returns the guard's counts and whether the backend server is cold.
 func (g *guard) figures() (limit, inFlight, queued int, cold bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.Limit(), g.state.InFlight(), g.state.Queued(), g.state.Cold()
+	return g.state.Limit(), g.state.InFlight(), g.state.Queued(), g.state.ColdAt(g.clock.Now())
 }
 
 // wake hands out answers, expires what is due and schedules the next expiry.
@@ -176,8 +183,9 @@
 }
 
 // guardConfig derives the guard's bounds from announcement and rules.
-func guardConfig(b *wirev1.BackendServer, u rules.Upstream) admission.Config {
+func guardConfig(b *wirev1.BackendServer, u rules.Upstream, toldCold bool) admission.Config {
 	return admission.Config{
 		Slots: slots(b, u), Queue: u.Queue, KeyShare: u.KeyShare, RequestsPerSecond: u.RequestsPerSecond,
+		ToldCold: toldCold, ColdRate: u.ColdRate,
 	}
 }
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -26,6 +26,47 @@
 	idle       []*conn
 	open       int
 	generation uint64
+	// idleLimit is the age from which an idle connection is not used any more,
+	// 0 for no limit.
+	idleLimit time.Duration
+}
+
+// defaultIdleLimit is used where the backend server does not say when it closes
+// idle connections.
+const defaultIdleLimit = 4 * time.Second
+
+// limitIdle sets the limit from the time after which the backend server closes
+// idle connections: a request that crosses the close may have run.
+func (p *pool) limitIdle(timeout time.Duration) {
+	limit := defaultIdleLimit
+	if timeout > 0 {
+		limit = timeout / 2
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleLimit = limit
+}
+
+// closeIdle closes the connections that are over the limit.
+func (p *pool) closeIdle() {
+	now := time.Now()
+	var old []*conn
+	p.mu.Lock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if p.idleLimit > 0 && now.Sub(c.idleSince) >= p.idleLimit {
+			old = append(old, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.open -= len(old)
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.nc.Close()
+	}
 }
 
 // configure sets address and bound. A new address or a restart of the backend
@@ -58,13 +99,19 @@
 		if c == nil {
 			return p.dial(ctx, address, generation)
 		}
-		if c.quiet() {
+		if c.quiet() && !p.tooOld(c) {
 			return c, nil
 		}
 		p.put(c, false)
 	}
 }
 
+func (p *pool) tooOld(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idleLimit > 0 && time.Since(c.idleSince) >= p.idleLimit
+}
+
 func (p *pool) take() (*conn, string, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -101,6 +148,7 @@
 func (p *pool) put(c *conn, reusable bool) {
 	p.mu.Lock()
 	if reusable && c.generation == p.generation && p.open <= p.bound {
+		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
 		return
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -16,6 +16,7 @@
 	"github.com/jujubeknot/jujubeknot/core/admission"
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/node/dialect"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
@@ -49,6 +50,12 @@
 	ConnectTimeout time.Duration
 	LostAfter      time.Duration
 	CancelHold     time.Duration
+	// Dialect is nil for the project's own protocol. With a dialect the backend
+	// server reports by beats and is asked for nothing.
+	Dialect *dialect.Dialect
+	// HoldsUntil returns when a backend server that reports by beats holds no
+	// keys any more unless another beat comes. It is required with Dialect.
+	HoldsUntil func() time.Time
 	// Changed is called without locks held after the backend server appeared,
 	// restarted, changed its announcement, or was lost. It must not block.
 	Changed func()
@@ -66,6 +73,8 @@
 	refusedUntil atomic.Int64
 	// unreachable is true from a refused connection to the next response.
 	unreachable atomic.Bool
+	// confirming is true while a refused connection is tried again.
+	confirming atomic.Bool
 	// cancels are requests that the backend server is told to cancel.
 	cancels chan cancellation
 	grants  grants
@@ -75,8 +84,13 @@
 	alive     time.Time
 	lost      bool
 	leaving   bool
-	upstream  rules.Upstream
-	load      Load
+	// leavingSince is when the leaving was first said.
+	leavingSince time.Time
+	// started and sequence are those of the latest beat.
+	started  time.Time
+	sequence uint64
+	upstream rules.Upstream
+	load     Load
 	// left reports what still keeps a leaving backend server from stopping.
 	left func() (partitions int)
 }
@@ -155,7 +169,7 @@
 		return
 	}
 	s.pool.configure(b.GetAddress(), connections(b, u), restarted)
-	s.guard.configure(guardConfig(b, u))
+	s.guard.configure(guardConfig(b, u, s.cfg.Dialect != nil))
 }
 
 func connections(b *wirev1.BackendServer, u rules.Upstream) int {
@@ -221,10 +235,16 @@
 		case <-ctx.Done():
 			return
 		case <-probe.C:
-			if s.quiet() {
+			if s.cfg.Dialect != nil {
+				s.checkSilent()
+			} else if s.quiet() {
 				s.probe(ctx)
 			}
 		case <-second.C:
+			if s.cfg.Dialect != nil {
+				s.pool.closeIdle()
+				continue
+			}
 			s.readLoad(ctx)
 			s.keepWarm(ctx)
 		}
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -22,7 +23,8 @@
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
-	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
+	"github.com/jujubeknot/jujubeknot/node/dialect"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
@@ -72,6 +74,11 @@
 	Pressure *pressure.Monitor
 	// Sample says which routing decisions get a line. Nil means all.
 	Sample *loglines.Sample
+	// Dialect is nil for the project's own protocol.
+	Dialect *dialect.Dialect
+	// WithoutLease lets requests go on while the node has no lease: the owners
+	// check theirs.
+	WithoutLease bool
 	// AvailabilityZone is this node's own.
 	AvailabilityZone string
 	// Nested reports whether an address is the backend server's, whose calls
@@ -125,7 +132,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: h, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.wrapped(), Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: h.cfg.HeaderTimeout, IdleTimeout: h.cfg.IdleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow,
@@ -134,6 +141,14 @@
 	}
 }
 
+// wrapped returns the handler as callers reach it.
+func (h *Handler) wrapped() http.Handler {
+	if h.cfg.Dialect == nil {
+		return h
+	}
+	return h.cfg.Dialect.Callers.Wrap(h)
+}
+
 // request is a caller's request on its way through the entry node.
 type request struct {
 	h        *Handler
@@ -167,6 +182,9 @@
 	defer h.cfg.Pressure.Leave()
 	q := &request{h: h, w: w, r: r, control: http.NewResponseController(w), started: h.cfg.Clock.Now(), place: place}
 	q.call.ID = h.ids.next()
+	if given := r.Header.Get(headers.RequestID); h.cfg.Dialect != nil && given != "" {
+		q.call.ID = given
+	}
 	answer, refusal := q.serve()
 	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	q.closeUnlessRead()
@@ -205,8 +223,12 @@
 	if !plainRequest(r, uri) {
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
-	q.query = routing.Request{Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Header: r.Header}
+	q.query = routing.Request{Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Host: r.Host, Draw: rand.Uint64(), Header: r.Header}
 	t := q.h.cfg.View.Table()
+	if t.Revision() == 0 {
+		// It is not known yet whether there is a route.
+		return relay.NotRun(outcome.ReasonNoRules)
+	}
 	d := t.Decide(q.query)
 	q.route, q.upstream = d.Route, d.Upstream
 	switch d.Reason {
@@ -220,7 +242,7 @@
 	c.Upstream, c.Keyed, c.KeyHash = q.upstream.Name, q.upstream.Keyed, d.KeyHash
 	c.Priority = q.route.Priority
 	c.Method, c.URI, c.Host, c.Header = r.Method, uri, r.Host, relay.EndToEnd(r.Header)
-	c.Idempotent = relay.Idempotent(r.Method, q.route.Idempotent)
+	c.Idempotent = q.idempotent()
 	if refusal := q.readOwn(t); refusal != nil {
 		return refusal
 	}
@@ -233,6 +255,18 @@
 	return q.readBody()
 }
 
+// idempotent reports whether the request may run more than once.
+func (q *request) idempotent() bool {
+	switch q.route.Repeat {
+	case rules.RepeatAlways:
+		return true
+	case rules.RepeatNever:
+		return false
+	default:
+		return relay.Idempotent(q.r.Method, q.route.Idempotent)
+	}
+}
+
 // plainRequest refuses what could be read differently by a backend server:
 // HTTP/1.0, whose answers cannot be told from cut ones, and a target or host
 // with spaces or control characters.
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -82,7 +82,7 @@
 		case nextStop:
 			return nil, refusal
 		case nextRetry, nextRepeat:
-			if q.attempt >= attempts(q.upstream) || next == nextRetry && !u.retry() {
+			if q.attempt >= attempts(q.route, q.upstream) || next == nextRetry && !u.retry() {
 				return nil, refusal
 			}
 			q.h.cfg.Metrics.Attempts.Add("retry", 1)
@@ -155,7 +155,7 @@
 func (q *request) once(t *routing.Table, u *upstream) (*relay.Answer, *outcome.Refusal) {
 	q.held = held{}
 	identity := q.h.cfg.View.Identity()
-	if identity.Incarnation == 0 || !q.h.cfg.Clock.Now().Before(identity.Until) {
+	if !q.h.cfg.WithoutLease && (identity.Incarnation == 0 || !q.h.cfg.Clock.Now().Before(identity.Until)) {
 		// Without a lease the rules that this node knows may be out of force.
 		return q.refuse(outcome.ReasonNoLease)
 	}
--- a/node/internal/caller/upstream.go
+++ b/node/internal/caller/upstream.go
@@ -134,7 +134,10 @@
 }
 
 // attempts returns the bound on the sendings of one request.
-func attempts(u *rules.Upstream) int {
+func attempts(r *rules.Route, u *rules.Upstream) int {
+	if r.Attempts > 0 {
+		return r.Attempts
+	}
 	if u.RetryAttempts == 0 {
 		return rules.DefaultRetryAttempts
 	}
--- a/node/internal/controlclient/group.go
+++ b/node/internal/controlclient/group.go
@@ -46,6 +46,11 @@
 	// watched is the member with the watch stream. changed is closed when
 	// another one has answered as leader.
 	watched string
+	// hash is that of the members as control last named them.
+	hash uint64
+	// seeds are from the settings. They stay, so that a node finds a group whose
+	// members have all changed.
+	seeds   []string
 	changed chan struct{}
 }
 
@@ -63,6 +68,7 @@
 	for _, m := range members {
 		g.members = append(g.members, m.String())
 	}
+	g.seeds = slices.Clone(g.members)
 	return g
 }
 
@@ -148,6 +154,47 @@
 	return len(g.members) - 1
 }
 
+// setMembers follows a change of the members. Seeds that are no members come
+// last.
+func (g *group) setMembers(members []string, hash uint64) {
+	if len(members) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if hash == g.hash {
+		return
+	}
+	current := g.members[g.current]
+	next := make([]string, 0, len(members)+len(g.seeds))
+	for _, m := range append(slices.Clone(members), g.seeds...) {
+		if _, err := netip.ParseAddrPort(m); err == nil && !slices.Contains(next, m) {
+			next = append(next, m)
+		}
+	}
+	g.members, g.hash = next, hash
+	g.current = max(0, slices.Index(next, current))
+}
+
+func (g *group) membersHash() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hash
+}
+
+// setSeeds follows a change of the settings.
+func (g *group) setSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = g.seeds[:0]
+	for _, s := range seeds {
+		g.seeds = append(g.seeds, s.String())
+		if !slices.Contains(g.members, s.String()) {
+			g.members = append(g.members, s.String())
+		}
+	}
+}
+
 func (g *group) close() { g.transport.CloseIdleConnections() }
 
 // bearer presents the node secret.
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -75,6 +75,9 @@
 		}
 		return false
 	}
+	if len(response.GetMembers()) > 0 {
+		s.group.setMembers(response.GetMembers(), response.GetMembersHash())
+	}
 	if response.GetLost() {
 		s.cfg.Log.Warn().Uint64("incarnation", i.number).Msg("control does not know the lease any more")
 		i.lost()
@@ -114,7 +117,7 @@
 		Incarnation: i.number, Index: t.Index(), RulesRevision: t.Revision(),
 		RequestsPerSecond: load.RequestsPerSecond, InFlight: uint32(stats.InFlight), Heaviest: load.Heaviest,
 		Draining: s.draining(), Cold: stats.Cold, BackendServer: s.cfg.Backend.Announced(),
-		Released: s.cfg.Owner.Released(t),
+		Released: s.cfg.Owner.Released(t), MembersHash: s.group.membersHash(),
 	}
 }
 
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -1,6 +1,7 @@
 package controlclient
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"net/netip"
@@ -55,6 +56,19 @@
 	View    *view.View
 	Owner   *owner.Server
 	Backend *backend.Server
+	// PeerSecret is presented to other nodes. Empty means another one for each
+	// incarnation.
+	PeerSecret string
+	// TakesOver says that no other process can use the node's peer address, so
+	// that an earlier one there has ended.
+	TakesOver bool
+	// EndsOnRestart makes a restart of the backend server end the incarnation,
+	// because what it held is gone.
+	EndsOnRestart bool
+	// StopsAtOnce keeps a stopping node from having its partitions moved and from
+	// returning its lease: the backend server goes on, and the next process takes
+	// over.
+	StopsAtOnce bool
 	// Registered is called with each new incarnation before it is used.
 	Registered func(incarnation uint64)
 }
@@ -74,6 +88,7 @@
 	if len(cfg.Members) == 0 {
 		panic("controlclient: no control members")
 	}
+	cfg.View.SetIdentity(view.Identity{Secret: cfg.PeerSecret})
 	return &Session{
 		cfg: cfg, group: newGroup(cfg.Members, cfg.Secret),
 		backendChanged: make(chan struct{}, 1), kick: make(chan struct{}, 1),
@@ -87,6 +102,9 @@
 	wake(s.kick)
 }
 
+// SetMembers follows a change of the control members in the settings.
+func (s *Session) SetMembers(members []netip.AddrPort) { s.group.setSeeds(members) }
+
 // Drain makes the following renewals say that the node drains.
 func (s *Session) Drain() {
 	s.stopping.Store(true)
@@ -135,12 +153,12 @@
 // register registers until it succeeds or the context ends.
 func (s *Session) register(ctx context.Context, previous uint64) *incarnation {
 	node := proto.CloneOf(s.cfg.Node)
-	node.PeerSecret = rand.Text()
+	node.PeerSecret = cmp.Or(s.cfg.PeerSecret, rand.Text())
 	node.BackendServer = s.cfg.Backend.Announced()
 	node.Draining, node.Cold = s.draining(), s.cfg.Backend.Cold()
 	// The request id stays the same for all tries, so that a lost answer does
 	// not make two incarnations.
-	request := &wirev1.RegisterRequest{Node: node, Previous: previous, RequestId: rand.Text()}
+	request := &wirev1.RegisterRequest{Node: node, Previous: previous, RequestId: rand.Text(), TakesOver: s.cfg.TakesOver}
 	for failures := 0; ctx.Err() == nil; failures++ {
 		client, address := s.group.leader()
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -148,6 +166,7 @@
 		cancel()
 		if err == nil {
 			s.group.succeeded(address)
+			s.group.setMembers(response.Msg.GetMembers(), lease.MembersHash(response.Msg.GetMembers()))
 			s.cfg.Log.Info().Uint64("incarnation", response.Msg.GetIncarnation()).Uint64("previous", previous).
 				Str("backendServer", node.GetBackendServer().GetName()).Msg("registered")
 			return s.begin(node, response.Msg)
@@ -260,10 +279,10 @@
 	// Keyed work ends before anyone else can get the partitions: the lease is
 	// returned only afterwards.
 	s := i.s
-	s.cfg.View.SetIdentity(view.Identity{})
+	s.cfg.View.SetIdentity(view.Identity{Secret: s.cfg.PeerSecret})
 	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer done()
-	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned)
+	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned) || ctx.Err() != nil && s.cfg.StopsAtOnce && s.cfg.Backend.Announced() != nil && !s.cfg.Backend.Leaving()
 	if abandoned {
 		done()
 	}
@@ -293,6 +312,9 @@
 				}
 				return "backendServerChanged"
 			}
+			if i.s.cfg.EndsOnRestart && now.GetBootId() != i.server.GetBootId() {
+				return "backendServerRestarted"
+			}
 			i.configure()
 		}
 	}
--- /dev/null
+++ b/node/internal/owner/beats.go
@@ -0,0 +1,169 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
+	"github.com/jujubeknot/jujubeknot/core/lease"
+	"github.com/jujubeknot/jujubeknot/node/dialect"
+)
+
+const (
+	// settleTime is given to a backend server to act on the answer to its beat
+	// before a call for newly granted keys is sent.
+	settleTime = 5 * time.Millisecond
+	// holdMargin is taken off the lease for the time between this node's check
+	// of its lease and the answer.
+	holdMargin = 50 * time.Millisecond
+	// holderDriftPercent is how much slower a backend server's clock may run.
+	holderDriftPercent = 2
+)
+
+// Beat answers a beat of the backend server beside this node: it ends releases
+// that the backend server has carried out, begins those that were ordered, and
+// returns the keys to be held. Calls for keys that are left out are refused
+// from now on; calls for new ones go on once Delivered was called.
+func (s *Server) Beat(b dialect.Beat, limit time.Duration) dialect.BeatAnswer {
+	answer := dialect.BeatAnswer{Delivered: func() {}}
+	now := s.cfg.Clock.Now()
+	identity := s.cfg.View.Identity()
+	t := s.cfg.View.Table()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastBeat = now
+	s.noteReleased(b)
+	if identity.Incarnation == 0 || !now.Before(identity.Until) || t.Node(identity.Incarnation) == nil {
+		return answer
+	}
+	if u := t.Upstream(b.Upstream); u == nil || !u.Numbers || t.Node(identity.Incarnation).GetBackendServer().GetName() != b.Name {
+		return answer
+	}
+	left := identity.Until.Sub(now) - holdMargin
+	answer.For = min(limit, left-left*holderDriftPercent/100)
+	if answer.For <= 0 {
+		return answer
+	}
+	answer.Granting = true
+	var granted []*partition
+	for _, p := range s.partitions {
+		if p.id.Upstream != b.Upstream {
+			continue
+		}
+		if p.order != nil && p.state == stateServing {
+			// From here on nothing is sent for it, and the backend server hears
+			// that it no longer holds it.
+			p.state = stateReleasing
+			close(p.halt)
+		}
+		if p.state != stateServing {
+			continue
+		}
+		granted = append(granted, p)
+	}
+	s.holdUntil = now.Add(answer.For + answer.For*holderDriftPercent/100)
+	answer.Grants = grantsOf(granted, t.Partitions(b.Upstream))
+	answer.Delivered = func() { time.AfterFunc(settleTime, func() { s.open(granted) }) }
+	return answer
+}
+
+// HoldsUntil returns when all that the backend server was told to hold is over
+// unless another beat comes.
+func (s *Server) HoldsUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holdUntil
+}
+
+// open lets the calls of granted partitions go on.
+func (s *Server) open(granted []*partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range granted {
+		p.openOnce.Do(func() { close(p.granted) })
+	}
+}
+
+// grantsOf joins neighbouring partitions of the same fencing token and
+// handover, because the answer to a beat is bounded.
+func grantsOf(list []*partition, count uint32) []dialect.Grant {
+	slices.SortFunc(list, func(a, b *partition) int { return cmp.Compare(a.id.Partition, b.id.Partition) })
+	var grants []dialect.Grant
+	for _, p := range list {
+		first, last := keyspace.NumberRange(p.id.Partition, count)
+		if n := len(grants); n > 0 && grants[n-1].Fence == p.fence && grants[n-1].Handover == p.handover && grants[n-1].Last+1 == first {
+			grants[n-1].Last = last
+			continue
+		}
+		grants = append(grants, dialect.Grant{Holding: dialect.Holding{First: first, Last: last, Fence: p.fence}, Handover: p.handover})
+	}
+	return grants
+}
+
+// noteReleased ends the releases whose keys the backend server does not hold
+// any more. The lock is held.
+func (s *Server) noteReleased(b dialect.Beat) {
+	count := s.cfg.View.Table().Partitions(b.Upstream)
+	for _, p := range s.partitions {
+		if p.order == nil || p.state != stateReleasing || p.id.Upstream != b.Upstream || count == 0 {
+			continue
+		}
+		first, last := keyspace.NumberRange(p.id.Partition, count)
+		if slices.ContainsFunc(b.Holds, func(h dialect.Holding) bool { return h.First <= last && first <= h.Last }) {
+			continue
+		}
+		for _, f := range b.Freed {
+			if f.First <= first && last <= f.Last {
+				p.order.handover = f.Handover
+			}
+		}
+		if !p.order.freed {
+			p.order.freed = true
+			close(p.order.done)
+		}
+	}
+}
+
+// pendingRelease is an ordered release that waits for the backend server.
+type pendingRelease struct {
+	handover string
+	freed    bool
+	// done is closed when the backend server has released the keys.
+	done chan struct{}
+}
+
+// releaseByBeat carries out an order where the backend server is told by the
+// answers to its beats. The partition serves until the next beat, so that it is
+// paused only while it changes hands.
+func (s *Server) releaseByBeat(ctx, term context.Context, p *partition, done func(Release)) {
+	s.background.Go(func() {
+		select {
+		case <-p.order.done:
+		case <-ctx.Done():
+			return
+		case <-term.Done():
+			return
+		}
+		s.mu.Lock()
+		if s.partitions[p.id] != p || p.state != stateReleasing {
+			s.mu.Unlock()
+			return
+		}
+		report := p.report()
+		report.Handover = p.order.handover
+		p.state = stateReleased
+		s.released[p.id] = report
+		s.mu.Unlock()
+		records := s.requests.export(s.cfg.Clock.Now(), p.id)
+		s.cfg.Log.Info().Str("upstream", p.id.Upstream).Uint32("partition", p.id.Partition).Uint64("epoch", p.epoch).
+			Bool("handover", report.Handover != "").Msg("partition released")
+		done(Release{Partition: report, Records: records})
+	})
+}
+
+// grant returns the partition as the project's own grants name it.
+func (p *partition) grant() lease.GrantedPartition {
+	return lease.GrantedPartition{Partition: p.id.Partition, Epoch: p.epoch}
+}
--- a/node/internal/owner/grants.go
+++ b/node/internal/owner/grants.go
@@ -16,6 +16,9 @@
 // openGrants notes the grants of new partitions. It comes before any closing
 // of the same partitions. The lock is held.
 func (s *Server) openGrants(self uint64, fresh []*partition) {
+	if s.cfg.ByBeat {
+		return
+	}
 	byUpstream := map[string][]lease.GrantedPartition{}
 	for _, p := range fresh {
 		byUpstream[p.id.Upstream] = append(byUpstream[p.id.Upstream], p.grant())
@@ -25,20 +28,12 @@
 	}
 }
 
-func (p *partition) grant() lease.GrantedPartition {
-	return lease.GrantedPartition{Partition: p.id.Partition, Epoch: p.epoch}
-}
-
 // sendFresh sends the grants of new partitions without making the caller wait.
 func (s *Server) sendFresh(ctx context.Context, fresh []*partition) {
 	s.background.Go(func() {
 		var once sync.Once
 		open := func() {
-			once.Do(func() {
-				for _, p := range fresh {
-					close(p.granted)
-				}
-			})
+			once.Do(func() { s.open(fresh) })
 		}
 		timer := time.AfterFunc(grantWait, open)
 		defer timer.Stop()
@@ -53,6 +48,9 @@
 // sendGrants tells the backend server what it does not know. A failure is
 // logged only: the fencing token of each request says the same.
 func (s *Server) sendGrants(ctx context.Context) {
+	if s.cfg.ByBeat {
+		return
+	}
 	if err := s.cfg.Backend.SendGrants(ctx, s.cfg.View.Identity().Until); err != nil {
 		s.cfg.Log.Warn().Err(err).Msg("grant did not reach the backend server")
 	}
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -29,6 +30,11 @@
 	View     *view.View
 	Backend  *backend.Server
 	Requests outcome.RequestsConfig
+	// ByBeat is true where the backend server is told what it holds by the
+	// answers to its beats.
+	ByBeat bool
+	// WithoutLease lets calls without a key run while the node has no lease.
+	WithoutLease bool
 }
 
 // Server runs calls that are this node's to run. It is safe for concurrent use.
@@ -46,6 +52,9 @@
 	moved map[movedKey]bool
 	// unkeyed counts calls without a key since the last load report.
 	unkeyed uint64
+	// lastBeat is the time of the last beat of the backend server, holdUntil the
+	// end of what it was told to hold by its own clock at the latest.
+	lastBeat, holdUntil time.Time
 	// homes are those of the backend server's upstream if it is not keyed.
 	homes choice.Homes
 }
@@ -158,15 +167,15 @@
 }
 
 func (s *Server) admitUnkeyed(c *relay.Call) *outcome.Refusal {
-	if !s.cfg.View.Leased(s.cfg.Clock.Now()) {
+	if !s.cfg.WithoutLease && !s.cfg.View.Leased(s.cfg.Clock.Now()) {
 		return relay.NotRun(outcome.ReasonNoLease)
 	}
 	t := s.cfg.View.Table()
 	self := t.Node(s.cfg.View.Identity().Incarnation)
-	if self == nil || s.cfg.Backend.Announced().GetUpstream() != c.Upstream {
+	if self == nil && !s.cfg.WithoutLease || s.cfg.Backend.Announced().GetUpstream() != c.Upstream {
 		return relay.NotRun(outcome.ReasonNotOwner)
 	}
-	if t.Leaving(self) || s.cfg.Backend.Leaving() {
+	if self != nil && t.Leaving(self) || s.cfg.Backend.Leaving() {
 		return relay.NotRun(outcome.ReasonStopping)
 	}
 	s.mu.Lock()
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/choice"
@@ -9,6 +10,7 @@
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
 // PartitionID names a partition of an upstream.
@@ -31,7 +33,12 @@
 type partition struct {
 	id    PartitionID
 	epoch uint64
-	state partitionState
+	// fence and handover are what a backend server is granted with by beats.
+	fence    uint64
+	handover string
+	state    partitionState
+	// order is set once the partition is to be released by beats.
+	order *pendingRelease
 	// active calls hold the partition: from their first check to the end of
 	// their answer.
 	active int
@@ -41,7 +48,8 @@
 	halt chan struct{}
 	// granted is closed once the backend server knows of the grant, or the
 	// node stopped waiting for that.
-	granted chan struct{}
+	granted  chan struct{}
+	openOnce sync.Once
 	// count of calls since the last load report.
 	count uint64
 }
@@ -124,7 +132,7 @@
 			kept[id] = p
 			return
 		}
-		p := &partition{id: id, epoch: a.Epoch, halt: make(chan struct{}), granted: make(chan struct{})}
+		p := &partition{id: id, epoch: a.Epoch, fence: a.Fence, handover: a.Handover, halt: make(chan struct{}), granted: make(chan struct{})}
 		kept[id] = p
 		fresh = append(fresh, p)
 		s.taken(now, id, a)
@@ -138,11 +146,16 @@
 	s.partitions = kept
 	s.openGrants(self, fresh)
 	s.mu.Unlock()
-	if len(fresh) > 0 {
+	if len(fresh) > 0 && !s.cfg.ByBeat {
 		s.sendFresh(ctx, fresh)
 	}
 }
 
+// report returns the partition as control is told of its release.
+func (p *partition) report() *wirev1.ReleasedPartition {
+	return &wirev1.ReleasedPartition{Upstream: p.id.Upstream, Partition: p.id.Partition, Epoch: p.epoch}
+}
+
 // stop makes queued calls leave.
 func (p *partition) stop() {
 	if p.state == stateServing {
--- a/node/internal/owner/release.go
+++ b/node/internal/owner/release.go
@@ -43,6 +43,18 @@
 		s.mu.Unlock()
 		return
 	}
+	if s.cfg.ByBeat {
+		started := p.order == nil
+		if started {
+			p.order = &pendingRelease{done: make(chan struct{})}
+		}
+		term := s.term.context
+		s.mu.Unlock()
+		if started {
+			s.releaseByBeat(ctx, term, p, done)
+		}
+		return
+	}
 	p.state = stateReleasing
 	close(p.halt)
 	idle := make(chan struct{})
@@ -69,7 +81,7 @@
 	case <-ctx.Done():
 		return
 	}
-	report := &wirev1.ReleasedPartition{Upstream: p.id.Upstream, Partition: p.id.Partition, Epoch: p.epoch}
+	report := p.report()
 	s.mu.Lock()
 	if s.partitions[p.id] != p || p.state != stateReleasing {
 		s.mu.Unlock()
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -15,7 +15,7 @@
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
-	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
@@ -74,6 +74,9 @@
 	Clock  clock.Clock
 	View   *view.View
 	Owner  Owner
+	// SharedSecret is trusted whatever the sender's incarnation. Empty means that
+	// only registered nodes are trusted.
+	SharedSecret string
 	// Pressure refuses calls while the processor is overloaded. Nil means one
 	// that refuses none.
 	Pressure *pressure.Monitor
@@ -208,6 +211,9 @@
 
 // trust checks that the sender is a registered incarnation.
 func (h *Handler) trust(shown, secret, remote string) *outcome.Refusal {
+	if h.SharedSecret != "" && subtle.ConstantTimeCompare([]byte(h.SharedSecret), []byte(secret)) == 1 {
+		return nil
+	}
 	incarnation, err := strconv.ParseUint(shown, 10, 64)
 	if err != nil || incarnation == 0 || secret == "" {
 		h.Log.Warn().Str("remote", remote).Msg("request without a node's credentials on the peer port")
--- a/node/internal/relay/refusal.go
+++ b/node/internal/relay/refusal.go
@@ -61,6 +61,7 @@
 		h.Set(headers.RequestID, r.RequestID)
 	}
 	if r.RetryAfter > 0 {
+		h.Set(headers.RetryAfterMs, strconv.FormatInt(max(r.RetryAfter.Milliseconds(), 1), 10))
 		h.Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
 	}
 	w.WriteHeader(Status(r))
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -251,6 +251,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	control := newControl(t, testRules)
 	n := startNode(t, control, "bounded", nil, func(c *node.Config) { c.CallerMaxConnections = 2 })
+	eventually(t, "the rules are in force", n.Ready)
 	dial := func() net.Conn {
 		t.Helper()
 		c, err := net.Dial("tcp", n.Addresses().Callers.String())
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,7 +24,7 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/caller"
 	"github.com/jujubeknot/jujubeknot/node/internal/certificate"
 	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
-	"github.com/jujubeknot/jujubeknot/node/internal/loglines"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
@@ -59,6 +60,7 @@
 	pressure *pressure.Monitor
 	sample   *loglines.Sample
 	started  time.Time
+	draining atomic.Bool
 
 	killed   chan struct{}
 	killOnce sync.Once
@@ -127,7 +129,7 @@
 		if n.listeners[i] = g.listener; g.listener != nil {
 			continue
 		}
-		if i == placeCallersTLS && n.certificates == nil {
+		if i == placeCallersTLS && n.certificates == nil || i == placeBackend && n.cfg.Dialect != nil {
 			continue
 		}
 		if !g.address.IsValid() {
@@ -148,11 +150,12 @@
 	n.backend = backend.New(backend.Config{
 		Clock: clock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout,
 		Changed: func() { n.session.BackendChanged() },
+		Dialect: n.cfg.Dialect, HoldsUntil: func() time.Time { return n.owner.HoldsUntil() },
 	})
-	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend})
+	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend, ByBeat: n.cfg.Dialect != nil, WithoutLease: n.cfg.WithoutLease})
 	n.backend.OnLeave(n.owner.Partitions)
 	n.peers = peer.NewClient(peer.ClientConfig{Clock: clock, Log: log, View: n.view})
-	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure}
+	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure, SharedSecret: n.cfg.PeerSecret}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -160,9 +163,11 @@
 			PeerAddress: n.listeners[placePeer].Addr().String(),
 		},
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
+		PeerSecret: n.cfg.PeerSecret, TakesOver: n.cfg.TakesOver, EndsOnRestart: n.cfg.Dialect != nil, StopsAtOnce: n.cfg.TakesOver,
 	})
 	callers := caller.New(caller.Config{
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
+		Dialect: n.cfg.Dialect, WithoutLease: n.cfg.WithoutLease,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 		MaxConnections: n.cfg.CallerMaxConnections, IdleTimeout: n.cfg.CallerIdleTimeout,
@@ -177,7 +182,10 @@
 	}
 	n.servers = [places]server{
 		placeCallers: quiet(callers.Server()), placePeer: peer.NewServer(n.peer, errorLog),
-		placeBackend: quiet(n.backend.HTTPServer()), placeOperator: quiet(figures.Server()),
+		placeOperator: quiet(figures.Server()),
+	}
+	if n.cfg.Dialect == nil {
+		n.servers[placeBackend] = quiet(n.backend.HTTPServer())
 	}
 	if n.certificates != nil {
 		n.listeners[placeCallersTLS] = tls.NewListener(callers.Limit(n.listeners[placeCallersTLS]), n.certificates.TLS())
@@ -191,7 +199,10 @@
 func (n *Node) Addresses() Addresses {
 	a := Addresses{
 		Callers: n.listeners[placeCallers].Addr(), Peer: n.listeners[placePeer].Addr(),
-		Backend: n.listeners[placeBackend].Addr(), Operator: n.listeners[placeOperator].Addr(),
+		Operator: n.listeners[placeOperator].Addr(),
+	}
+	if l := n.listeners[placeBackend]; l != nil {
+		a.Backend = l.Addr()
 	}
 	if l := n.listeners[placeCallersTLS]; l != nil {
 		a.CallersTLS = l.Addr()
@@ -201,6 +212,12 @@
 
 // Ready reports whether the node is registered, has a lease and a table.
 func (n *Node) Ready() bool {
+	if n.draining.Load() {
+		return false
+	}
+	if n.cfg.WithoutLease {
+		return n.view.Table().Revision() > 0
+	}
 	return n.view.Leased(boottime.Clock{}.Now()) && n.view.Table().Revision() > 0
 }
 
@@ -272,9 +289,20 @@
 // partitions and requests from other nodes, then no new callers, then the end
 // of what is in flight.
 func (n *Node) drain() {
+	n.draining.Store(true)
+	if n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil {
+		// The backend server goes on, and the next process here takes over.
+		n.shutDown()
+		return
+	}
 	n.session.Drain()
 	n.cfg.Log.Info().Int("partitions", n.owner.Partitions()).Msg("draining")
 	n.waitMoved()
+	n.shutDown()
+}
+
+// shutDown ends listeners once their requests have ended.
+func (n *Node) shutDown() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
 	for _, place := range []int{placeCallers, placeCallersTLS, placePeer, placeBackend} {
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -15,6 +15,8 @@
 	Depth = "Jujubeknot-Depth"
 	// Outcome is notRun or unknown on a refusal.
 	Outcome = "Jujubeknot-Outcome"
+	// RetryAfterMs is Retry-After in milliseconds.
+	RetryAfterMs = "Jujubeknot-Retry-After-Ms"
 	// RequestID identifies a request from entry to answer.
 	RequestID = "Jujubeknot-Request-Id"
 )
--- a/wire/v1/wirev1connect/wire.connect.go
+++ b/wire/v1/wirev1connect/wire.connect.go
@@ -53,6 +53,8 @@
 	MemberServiceStepProcedure = "/jujubeknot.wire.v1.MemberService/Step"
 	// MemberServiceFormProcedure is the fully-qualified name of the MemberService's Form RPC.
 	MemberServiceFormProcedure = "/jujubeknot.wire.v1.MemberService/Form"
+	// MemberServiceJoinProcedure is the fully-qualified name of the MemberService's Join RPC.
+	MemberServiceJoinProcedure = "/jujubeknot.wire.v1.MemberService/Join"
 	// OperatorApplyRulesProcedure is the fully-qualified name of the Operator's ApplyRules RPC.
 	OperatorApplyRulesProcedure = "/jujubeknot.wire.v1.Operator/ApplyRules"
 	// OperatorGetRulesProcedure is the fully-qualified name of the Operator's GetRules RPC.
@@ -248,6 +250,8 @@
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	// Form exchanges the folder ids from which the first membership is made.
 	Form(context.Context, *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error)
+	// Join asks to be added to the group.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewMemberServiceClient constructs a client for the jujubeknot.wire.v1.MemberService service. By
@@ -273,6 +277,12 @@
 			connect.WithSchema(memberServiceMethods.ByName("Form")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+			httpClient,
+			baseURL+MemberServiceJoinProcedure,
+			connect.WithSchema(memberServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -280,6 +290,7 @@
 type memberServiceClient struct {
 	step *connect.Client[v1.StepRequest, v1.StepResponse]
 	form *connect.Client[v1.FormRequest, v1.FormResponse]
+	join *connect.Client[v1.JoinRequest, v1.JoinResponse]
 }
 
 // Step calls jujubeknot.wire.v1.MemberService.Step.
@@ -292,11 +303,18 @@
 	return c.form.CallUnary(ctx, req)
 }
 
+// Join calls jujubeknot.wire.v1.MemberService.Join.
+func (c *memberServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // MemberServiceHandler is an implementation of the jujubeknot.wire.v1.MemberService service.
 type MemberServiceHandler interface {
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	// Form exchanges the folder ids from which the first membership is made.
 	Form(context.Context, *connect.Request[v1.FormRequest]) (*connect.Response[v1.FormResponse], error)
+	// Join asks to be added to the group.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewMemberServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -318,12 +336,20 @@
 		connect.WithSchema(memberServiceMethods.ByName("Form")),
 		connect.WithHandlerOptions(opts...),
 	)
+	memberServiceJoinHandler := connect.NewUnaryHandler(
+		MemberServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(memberServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jujubeknot.wire.v1.MemberService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MemberServiceStepProcedure:
 			memberServiceStepHandler.ServeHTTP(w, r)
 		case MemberServiceFormProcedure:
 			memberServiceFormHandler.ServeHTTP(w, r)
+		case MemberServiceJoinProcedure:
+			memberServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -341,6 +367,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubeknot.wire.v1.MemberService.Form is not implemented"))
 }
 
+func (UnimplementedMemberServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubeknot.wire.v1.MemberService.Join is not implemented"))
+}
+
 // OperatorClient is a client for the jujubeknot.wire.v1.Operator service.
 type OperatorClient interface {
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
