--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -62,9 +62,10 @@
 	// TakesOver says that no other process can use the node's peer address, so
 	// that an earlier one there has ended.
 	TakesOver bool
-	// EndsOnRestart makes a restart of the backend server end the incarnation,
-	// because what it held is gone.
-	EndsOnRestart bool
+	// ByBeat is true where the backend server reports by beats: it is told
+	// nothing else, and its restart ends the incarnation, because what it held is
+	// gone.
+	ByBeat bool
 	// StopsAtOnce keeps a stopping node from having its partitions moved and from
 	// returning its lease: the backend server goes on, and the next process takes
 	// over.
@@ -266,19 +267,21 @@
 // incarnation is in use.
 func (i *incarnation) run(ctx context.Context) string {
 	loops, cancel := context.WithCancel(ctx)
+	s := i.s
 	running := tasks.New(6)
 	running.Go(loops, "renew", tasks.Quiet(i.renewLoop))
 	running.Go(loops, "watch", tasks.Quiet(i.watchLoop))
 	running.Go(loops, "report", tasks.Quiet(i.reportLoop))
 	running.Go(loops, "expiry", tasks.Quiet(i.expiryLoop))
 	running.Go(loops, "extend", tasks.Quiet(i.extendLoop))
-	running.Go(loops, "drain", tasks.Quiet(i.drainLoop))
+	if !s.cfg.ByBeat {
+		running.Go(loops, "drain", tasks.Quiet(i.drainLoop))
+	}
 	reason := i.wait(ctx)
 	held := i.giveUp()
 	cancel()
 	// Keyed work ends before anyone else can get the partitions: the lease is
 	// returned only afterwards.
-	s := i.s
 	s.cfg.View.SetIdentity(view.Identity{Secret: s.cfg.PeerSecret})
 	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer done()
@@ -312,7 +315,7 @@
 				}
 				return "backendServerChanged"
 			}
-			if i.s.cfg.EndsOnRestart && now.GetBootId() != i.server.GetBootId() {
+			if i.s.cfg.ByBeat && now.GetBootId() != i.server.GetBootId() {
 				return "backendServerRestarted"
 			}
 			i.configure()
--- a/node/node.go
+++ b/node/node.go
@@ -163,7 +163,7 @@
 			PeerAddress: n.listeners[placePeer].Addr().String(),
 		},
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
-		PeerSecret: n.cfg.PeerSecret, TakesOver: n.cfg.TakesOver, EndsOnRestart: n.cfg.Dialect != nil, StopsAtOnce: n.cfg.TakesOver,
+		PeerSecret: n.cfg.PeerSecret, TakesOver: n.cfg.TakesOver, ByBeat: n.cfg.Dialect != nil, StopsAtOnce: n.cfg.TakesOver,
 	})
 	callers := caller.New(caller.Config{
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
