--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -79,6 +79,11 @@
 // started that of the last request started, and alone says that the request
 // had the server for itself. Typical is the typical latency in nanoseconds.
 func (l *limiter) done(kind ResultKind, number, started uint64, inFlight int, alone bool, typical float64) {
+	if l.told {
+		// The slots are known, and work of callers that differ in their needs
+		// says nothing about them.
+		return
+	}
 	l.rebase(typical)
 	switch kind {
 	case ResultOK:
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -37,6 +37,7 @@
 	ReasonMoving           Reason = "moving"
 	ReasonNoLease          Reason = "noLease"
 	ReasonQueueFull        Reason = "queueFull"
+	ReasonProcessorBusy    Reason = "processorBusy"
 	ReasonQueueTimeout     Reason = "queueTimeout"
 	ReasonDeadline         Reason = "deadline"
 	ReasonKeyShare         Reason = "keyShare"
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -248,7 +248,7 @@
 	}
 	crowd := int64(q.h.cfg.MaxInFlight)
 	if q.place > crowd && (c.Depth == 0 || q.place > 2*crowd) || q.h.cfg.Pressure.Over(c.Depth) {
-		refusal := relay.NotRun(outcome.ReasonQueueFull)
+		refusal := relay.NotRun(outcome.ReasonProcessorBusy)
 		refusal.RetryAfter = crowdedRetryAfter
 		return refusal
 	}
--- a/node/internal/caller/pressure_test.go
+++ b/node/internal/caller/pressure_test.go
@@ -70,7 +70,7 @@
 		p.Enter()
 	}
 	w := ask("")
-	if w.Header().Get(headers.Outcome) != "notRun" || !strings.Contains(w.Body.String(), `"queueFull"`) || w.Header().Get("Retry-After") == "" {
+	if w.Header().Get(headers.Outcome) != "notRun" || !strings.Contains(w.Body.String(), `"processorBusy"`) || w.Header().Get("Retry-After") == "" {
 		t.Errorf("over the limit: %v %s", w.Header(), w.Body)
 	}
 	if w := ask("1"); !strings.Contains(w.Body.String(), `"noLease"`) {
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -143,7 +143,7 @@
 		return nextRetry
 	case outcome.ReasonBarred:
 		return nextRepeat
-	case outcome.ReasonShed, outcome.ReasonCold, outcome.ReasonQueueFull, outcome.ReasonQueueTimeout:
+	case outcome.ReasonShed, outcome.ReasonCold, outcome.ReasonQueueFull, outcome.ReasonProcessorBusy, outcome.ReasonQueueTimeout:
 		if !q.call.Keyed {
 			return nextRetry
 		}
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -268,6 +268,8 @@
 func (i *incarnation) run(ctx context.Context) string {
 	loops, cancel := context.WithCancel(ctx)
 	s := i.s
+	// The rules may be in force already, so that no change of them follows.
+	i.configure()
 	running := tasks.New(6)
 	running.Go(loops, "renew", tasks.Quiet(i.renewLoop))
 	running.Go(loops, "watch", tasks.Quiet(i.watchLoop))
--- a/node/internal/peer/framed_test.go
+++ b/node/internal/peer/framed_test.go
@@ -229,8 +229,8 @@
 		p.Enter()
 	}
 	_, refusal := n.do(t.Context(), "/")
-	if refusal == nil || refusal.Outcome != outcome.OutcomeNotRun || refusal.Reason != outcome.ReasonQueueFull || refusal.RetryAfter == 0 {
-		t.Errorf("refusal %+v, want notRun, queueFull and when to come again", refusal)
+	if refusal == nil || refusal.Outcome != outcome.OutcomeNotRun || refusal.Reason != outcome.ReasonProcessorBusy || refusal.RetryAfter == 0 {
+		t.Errorf("refusal %+v, want notRun, processorBusy and when to come again", refusal)
 	}
 	if p.Over(1) {
 		t.Error("nested calls are refused too")
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -202,7 +202,7 @@
 // admit runs a call unless the processor is overloaded.
 func (h *Handler) admit(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
 	if h.Pressure.Over(c.Depth) {
-		r := relay.NotRun(outcome.ReasonQueueFull)
+		r := relay.NotRun(outcome.ReasonProcessorBusy)
 		r.RetryAfter = overRetryAfter
 		return nil, r
 	}
