node/pipeline: requests of one connection run beside each other

Cause: net/http reads a request only once the one before it on the connection is answered. Requests without a body (GET, HEAD) run beside each other, answers go out in order, anything else runs alone.

--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -24,11 +24,12 @@
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
 	"github.com/jujubeknot/jujubeknot/node/dialect"
-	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
+	"github.com/jujubeknot/jujubeknot/node/internal/pipeline"
 	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -141,6 +142,15 @@
 	}
 }
 
+// PipelineServer returns a server for HTTP/1.1 that runs requests of one
+// connection beside each other. Other serves HTTP/2.
+func (h *Handler) PipelineServer(other *http.Server) *pipeline.Server {
+	return &pipeline.Server{
+		Handler: h.wrapped(), Other: other, ErrorLog: other.ErrorLog, MaxHeaderBytes: maxHeaderBytes,
+		HeaderTimeout: h.cfg.HeaderTimeout, IdleTimeout: h.cfg.IdleTimeout,
+	}
+}
+
 // wrapped returns the handler as callers reach it.
 func (h *Handler) wrapped() http.Handler {
 	if h.cfg.Dialect == nil {
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -15,10 +15,10 @@
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
-	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 )
 
--- a/node/node.go
+++ b/node/node.go
@@ -24,13 +24,13 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/caller"
 	"github.com/jujubeknot/jujubeknot/node/internal/certificate"
 	"github.com/jujubeknot/jujubeknot/node/internal/controlclient"
-	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/node/internal/metrics"
 	"github.com/jujubeknot/jujubeknot/node/internal/operator"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/peer"
 	"github.com/jujubeknot/jujubeknot/node/internal/pressure"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
+	"github.com/jujubeknot/jujubeknot/node/loglines"
 	"github.com/jujubeknot/jujubeknot/wire/boottime"
 	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
@@ -181,7 +181,7 @@
 		return s
 	}
 	n.servers = [places]server{
-		placeCallers: quiet(callers.Server()), placePeer: peer.NewServer(n.peer, errorLog),
+		placeCallers: callers.PipelineServer(quiet(callers.Server())), placePeer: peer.NewServer(n.peer, errorLog),
 		placeOperator: quiet(figures.Server()),
 	}
 	if n.cfg.Dialect == nil {
