node: no calls for keys that the backend server says it does not hold

It now keeps the partition from being called until the next grant, is sent again under the retry budget only, and where another server answers, its predecessor is lost.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -28,12 +28,15 @@
 
 // Reasons of refusals, as they stand in refusal bodies.
 const (
-	ReasonNoRoute          Reason = "noRoute"
-	ReasonNoRules          Reason = "noRules"
-	ReasonNoKey            Reason = "noKey"
-	ReasonBadRequest       Reason = "badRequest"
-	ReasonNoOwner          Reason = "noOwner"
-	ReasonNotOwner         Reason = "notOwner"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonNoRules    Reason = "noRules"
+	ReasonNoKey      Reason = "noKey"
+	ReasonBadRequest Reason = "badRequest"
+	ReasonNoOwner    Reason = "noOwner"
+	ReasonNotOwner   Reason = "notOwner"
+	// ReasonNotHeld means that the backend server of the owner does not hold the
+	// key.
+	ReasonNotHeld          Reason = "notHeld"
 	ReasonMoving           Reason = "moving"
 	ReasonNoLease          Reason = "noLease"
 	ReasonQueueFull        Reason = "queueFull"
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -40,7 +40,7 @@
 	RequestName(name string) string
 	// Answer reads the header of an answer and renames in it what goes on to the
 	// caller.
-	Answer(status int, header http.Header) Answer
+	Answer(c Call, status int, header http.Header) Answer
 	// Expected returns the id by which an answer to a call is known, empty if
 	// there is none.
 	Expected(c Call) string
@@ -67,9 +67,10 @@
 	ID string
 	// NotRun is true if the backend server says that it did not run the call.
 	NotRun bool
-	// NotHere is true if the backend server says that another one should run
-	// the call: it is another server, or does not hold the key.
-	NotHere bool
+	// NotHeld is true if the backend server says that it does not hold the key,
+	// OtherServer if it is another one than the call was sent to. Both imply
+	// that the call did not run.
+	NotHeld, OtherServer bool
 	// RetryAfter is 0 if the answer names no time.
 	RetryAfter time.Duration
 	// IdleTimeout is the time after which the backend server closes an idle
--- a/node/internal/backend/beat.go
+++ b/node/internal/backend/beat.go
@@ -142,6 +142,18 @@
 	})
 }
 
+// replaced notes that another server answers at the address of the backend
+// server with a name.
+func (s *Server) replaced(name string) {
+	s.mu.Lock()
+	gone := !s.lost && s.announced.GetName() == name
+	s.lost = s.lost || gone
+	s.mu.Unlock()
+	if gone {
+		s.lose("another server answers at its address", 0)
+	}
+}
+
 // lose follows the loss of the backend server, which has been noted.
 func (s *Server) lose(why string, silent time.Duration) {
 	s.log.Warn().Str("why", why).Dur("silentFor", silent).Msg("backend server lost")
--- a/node/internal/backend/dialect.go
+++ b/node/internal/backend/dialect.go
@@ -33,10 +33,11 @@
 // response has been read.
 func (a *attempt) runDialect(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
 	x, d := &a.x, a.s.cfg.Dialect
-	expected := d.Backend.Expected(a.dialectCall(0))
+	call := a.dialectCall(0)
+	expected := d.Backend.Expected(call)
 	var read dialect.Answer
 	for crossed := 0; ; crossed++ {
-		read = d.Backend.Answer(x.response.StatusCode, x.response.Header)
+		read = d.Backend.Answer(call, x.response.StatusCode, x.response.Header)
 		if read.ID == "" || expected == "" || read.ID == expected {
 			break
 		}
@@ -53,13 +54,18 @@
 	}
 	a.s.answered()
 	a.s.pool.limitIdle(read.IdleTimeout)
-	if !read.NotRun && !read.NotHere {
+	if !read.NotRun && !read.NotHeld && !read.OtherServer {
 		return a.answer(ctx)
 	}
 	_, err := relay.Copy(io.Discard, io.LimitReader(x.response.Body, relay.KeepBytes), nil)
 	refusal, kind := relay.NotRun(outcome.ReasonShed), admission.ResultShed
-	if read.NotHere {
-		refusal, kind = relay.NotRun(outcome.ReasonNotOwner), admission.ResultCancelled
+	switch {
+	case read.OtherServer:
+		// The address has another server now, so the one that was called is gone.
+		refusal, kind = relay.NotRun(outcome.ReasonUnreachable), admission.ResultCancelled
+		a.s.replaced(a.server)
+	case read.NotHeld:
+		refusal, kind = relay.NotRun(outcome.ReasonNotHeld), admission.ResultCancelled
 	}
 	a.end(kind, err == nil)
 	refusal.RetryAfter = read.RetryAfter
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -34,6 +34,9 @@
 	nextHold
 	// nextRetry sends again at once, under the retry budget.
 	nextRetry
+	// nextHoldRetry waits like nextHold, and sends again under the retry budget
+	// because the backend server was reached.
+	nextHoldRetry
 	// nextRepeat sends again at once. The budget bounds what retries add to the
 	// load of backend servers, and a sending that was barred has added nothing:
 	// half-open connections left 187 of 2,100 requests unserved that the budget
@@ -86,7 +89,11 @@
 				return nil, refusal
 			}
 			q.h.cfg.Metrics.Attempts.Add("retry", 1)
-		case nextHold:
+		case nextHold, nextHoldRetry:
+			if next == nextHoldRetry && !u.retry() {
+				refusal.RetryAfter = max(refusal.RetryAfter, maxPause)
+				return nil, refusal
+			}
 			left := min(t.Limits().HoldTimeout-now.Sub(heldSince), q.call.Deadline.Sub(now))
 			if left <= 0 {
 				refusal.RetryAfter = max(refusal.RetryAfter, maxPause)
@@ -136,6 +143,8 @@
 	case outcome.ReasonMoving, outcome.ReasonNotOwner, outcome.ReasonNoLease, outcome.ReasonNoOwner, outcome.ReasonNoServer,
 		outcome.ReasonStopping:
 		return nextHold
+	case outcome.ReasonNotHeld:
+		return nextHoldRetry
 	case outcome.ReasonUnreachable:
 		if q.call.Keyed {
 			return nextHold
--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -77,12 +77,33 @@
 	return s.holdUntil
 }
 
+// grantOf returns the channel that is closed once the backend server knows that
+// it holds a partition.
+func (s *Server) grantOf(p *partition) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.granted
+}
+
+// awaitGrant keeps calls for a partition that the backend server says it does
+// not hold from being sent until it has been granted again.
+func (s *Server) awaitGrant(p *partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.ByBeat && p.opened {
+		p.granted, p.opened = make(chan struct{}), false
+	}
+}
+
 // open lets the calls of granted partitions go on.
 func (s *Server) open(granted []*partition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range granted {
-		p.openOnce.Do(func() { close(p.granted) })
+		if !p.opened {
+			p.opened = true
+			close(p.granted)
+		}
 	}
 }
 
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -149,16 +149,21 @@
 		return refusal
 	}
 	r.held, r.halt = p, p.halt
+	granted := s.grantOf(p)
 	select {
-	case <-p.granted:
+	case <-granted:
 		return nil
 	default:
 	}
+	timer := time.NewTimer(c.Deadline.Sub(s.cfg.Clock.Now()))
+	defer timer.Stop()
 	select {
-	case <-p.granted:
+	case <-granted:
 		return nil
 	case <-r.halt:
 		refusal = relay.NotRun(outcome.ReasonMoving)
+	case <-timer.C:
+		refusal = relay.NotRun(outcome.ReasonDeadline)
 	case <-ctx.Done():
 		refusal = relay.NotRun(outcome.ReasonCancelled)
 	}
@@ -196,6 +201,9 @@
 		Halt: r.halt, HaltReason: outcome.ReasonMoving,
 		Before: func() (backend.Term, *outcome.Refusal) { return r.before(ctx) },
 	})
+	if refusal != nil && refusal.Reason == outcome.ReasonNotHeld && r.held != nil {
+		r.s.awaitGrant(r.held)
+	}
 	if !r.begun {
 		return answer, refusal
 	}
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/choice"
@@ -48,8 +47,8 @@
 	halt chan struct{}
 	// granted is closed once the backend server knows of the grant, or the
 	// node stopped waiting for that.
-	granted  chan struct{}
-	openOnce sync.Once
+	granted chan struct{}
+	opened  bool
 	// count of calls since the last load report.
 	count uint64
 }
