--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -100,6 +101,11 @@
 	Freed []Freed
 }
 
+// Life names one life of a backend server: another start has another one.
+func (b Beat) Life() string {
+	return b.Name + "/" + strconv.FormatInt(b.Started.UnixMilli(), 10)
+}
+
 // Holding is a range of keys, both ends included, with its fencing token.
 type Holding struct {
 	First, Last uint16
--- a/node/internal/backend/beat.go
+++ b/node/internal/backend/beat.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -28,7 +27,7 @@
 	if _, err := netip.ParseAddrPort(b.Address); err != nil || b.Name == "" || b.Upstream == "" || b.Slots < 1 || b.Slots > maxSlots {
 		return false, ErrForeignBeat
 	}
-	life := b.Name + "/" + strconv.FormatInt(b.Started.UnixMilli(), 10)
+	life := b.Life()
 	next := &wirev1.BackendServer{
 		Name: b.Name, Upstream: b.Upstream, Address: b.Address, BootId: life, Slots: uint32(b.Slots), ChecksFences: true,
 	}
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -113,10 +113,15 @@
 	load := s.cfg.Owner.Load(now.Sub(i.loadSince))
 	i.loadSince = now
 	stats := s.cfg.Backend.Stats()
+	server := s.cfg.Backend.Announced()
+	if s.cfg.ByBeat {
+		// Another life of it is another incarnation.
+		server = i.server
+	}
 	return &wirev1.RenewRequest{
 		Incarnation: i.number, Index: t.Index(), RulesRevision: t.Revision(),
 		RequestsPerSecond: load.RequestsPerSecond, InFlight: uint32(stats.InFlight), Heaviest: load.Heaviest,
-		Draining: s.draining(), Cold: stats.Cold, BackendServer: s.cfg.Backend.Announced(),
+		Draining: s.draining(), Cold: stats.Cold, BackendServer: server,
 		Released: s.cfg.Owner.Released(t), MembersHash: s.group.membersHash(),
 	}
 }
--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -38,7 +38,8 @@
 	if identity.Incarnation == 0 || !now.Before(identity.Until) || t.Node(identity.Incarnation) == nil {
 		return answer
 	}
-	if u := t.Upstream(b.Upstream); u == nil || !u.Numbers || t.Node(identity.Incarnation).GetBackendServer().GetName() != b.Name {
+	// The keys of this incarnation are those of one life of the backend server.
+	if u := t.Upstream(b.Upstream); u == nil || !u.Numbers || t.Node(identity.Incarnation).GetBackendServer().GetBootId() != b.Life() {
 		return answer
 	}
 	left := identity.Until.Sub(now) - holdMargin
