core/placement: policy ranges; zones out of service within their bound

Cause 1: answers to beats had up to 6,502 bytes with 2 of 3 servers left, of 4 KiB allowed (emulator). Partitions that are neighbours are given in runs as short as the bound of an answer allows; grants beyond it are left out, held ones kept first. Voters are replaced after 3 s of silence.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -190,6 +190,11 @@
 		}
 	}
 	t.pool.start()
+	total := 0.0
+	for i := range view.Partitions {
+		total += t.cost(&view.Partitions[i])
+	}
+	t.pool.setGoal(len(view.Partitions), total)
 	return t
 }
 
@@ -229,7 +234,7 @@
 }
 
 // placeLost gives partitions without a living owner to others at once, the
-// heaviest first. Their moves need no release and are not bounded.
+// heaviest first, or in their order where neighbours stay together. Their moves need no release and are not bounded.
 func (t *task) placeLost() {
 	var lost []int
 	for i, at := range t.owners {
@@ -237,9 +242,11 @@
 			lost = append(lost, i)
 		}
 	}
-	slices.SortStableFunc(lost, func(a, b int) int {
-		return cmp.Compare(t.partitions[b].Load, t.partitions[a].Load)
-	})
+	if _, together := t.planner.policy.(*ranges); !together {
+		slices.SortStableFunc(lost, func(a, b int) int {
+			return cmp.Compare(t.partitions[b].Load, t.partitions[a].Load)
+		})
+	}
 	t.pool.unowned = true
 	for _, i := range lost {
 		part := t.partitions[i]
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -37,6 +37,7 @@
 	PolicyRandom     = "random"
 	PolicyRoundRobin = "roundRobin"
 	PolicyHashing    = "hashing"
+	PolicyRanges     = "ranges"
 )
 
 // NewPolicy returns the policy of a name; empty means PolicyBalanced. The
@@ -51,9 +52,11 @@
 		return &roundRobin{}, nil
 	case PolicyHashing:
 		return hashing{}, nil
+	case PolicyRanges:
+		return &ranges{}, nil
 	default:
-		return nil, errors.Errorf("unknown placement policy %q: expected %s, %s, %s or %s",
-			name, PolicyBalanced, PolicyRandom, PolicyRoundRobin, PolicyHashing)
+		return nil, errors.Errorf("unknown placement policy %q: expected %s, %s, %s, %s or %s",
+			name, PolicyBalanced, PolicyRandom, PolicyRoundRobin, PolicyHashing, PolicyRanges)
 	}
 }
 
@@ -64,6 +67,40 @@
 
 func (balanced) Choose(item Partition, pool *Pool) int { return pool.Least(item.Load) }
 
+// maxRuns bounds the runs of neighbouring partitions that a server gets at
+// first. It leaves room for those that it gets later: the answer to a beat has
+// room for about 150.
+const maxRuns = 48
+
+// ranges spreads runs of neighbouring partitions, for backend servers that are
+// told of their keys as ranges in messages of bounded size. Runs are as short
+// as that bound allows, because busy keys are often neighbours.
+type ranges struct {
+	// incarnation and last are the server and the partition chosen last, run is
+	// the number of its neighbours that were chosen with it.
+	incarnation uint64
+	last        uint32
+	run         int
+}
+
+func (*ranges) Mode() Mode { return ModeBalance }
+
+func (r *ranges) Choose(item Partition, pool *Pool) int {
+	at := -1
+	if r.incarnation != 0 && item.Number == r.last+1 && r.run < pool.runLength() {
+		at = pool.roomAt(r.incarnation, item.Load)
+	}
+	r.run++
+	if at < 0 {
+		at, r.run = pool.Least(item.Load), 1
+	}
+	r.last, r.incarnation = item.Number, 0
+	if at >= 0 {
+		r.incarnation = pool.entries[at].Incarnation
+	}
+	return at
+}
+
 // random is a baseline that ignores load.
 type random struct{ source *rand.Rand }
 
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -17,6 +17,10 @@
 	queue      queue
 	// unowned is set while partitions without an owner are placed.
 	unowned bool
+	// goal is the utilization that all servers have if the load is even.
+	goal float64
+	// total is the number of partitions of the upstream.
+	total int
 	// urgent is set while partitions are placed whose owner leaves and has no
 	// time left to wait for servers to warm up.
 	urgent bool
@@ -90,6 +94,42 @@
 	return best
 }
 
+// roomAt returns the position of a server that may get a further rate and stays
+// within the goal, -1 if it does not.
+func (p *Pool) roomAt(incarnation uint64, rate float64) int {
+	for at := range p.entries {
+		e := &p.entries[at]
+		if e.Incarnation != incarnation {
+			continue
+		}
+		cost := rate + p.config.BaseLoad
+		if e.place < 0 || (e.cost+cost)/e.Weight > p.goal || !p.sustains(at, rate) {
+			return -1
+		}
+		return at
+	}
+	return -1
+}
+
+// runLength returns the number of neighbours that are to be given to a server
+// together.
+func (p *Pool) runLength() int {
+	servers := max(1, len(p.queue.order))
+	return (p.total + servers*maxRuns - 1) / (servers * maxRuns)
+}
+
+// setGoal derives the goal from the cost of all partitions.
+func (p *Pool) setGoal(partitions int, cost float64) {
+	p.total = partitions
+	weight := 0.0
+	for _, at := range p.queue.order {
+		weight += p.entries[at].Weight
+	}
+	if weight > 0 {
+		p.goal = cost / weight
+	}
+}
+
 // Candidates returns the positions of the warm servers, sorted by name. If no
 // server is warm it returns the cold ones that sustain a further rate.
 func (p *Pool) Candidates(rate float64) []int {
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -28,7 +28,7 @@
 	DefaultMaxUncommittedBytes = 16 << 20
 	// DefaultSilentAfter is well above the pauses of a busy machine, so that a
 	// voter which is only slow is not replaced.
-	DefaultSilentAfter = 5 * time.Second
+	DefaultSilentAfter = 3 * time.Second
 	// MaxMembers bounds voters and learners together.
 	MaxMembers = 7
 )
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -29,7 +29,7 @@
 
 // Policies that upstreams may name, the default first.
 var (
-	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing"}
+	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing", "ranges"}
 	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastInFlight"}
 )
 
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -18,6 +18,9 @@
 	// DrainLimit is the time after a backend server said that it leaves from
 	// which on it gets nothing any more.
 	DrainLimit time.Duration
+	// OutLimit is the time after the rules took a backend server out of service
+	// from which on it gets nothing any more.
+	OutLimit time.Duration
 	// LostAfter is the time without a report or an answer after which a backend
 	// server without keys counts as lost.
 	LostAfter time.Duration
--- a/node/internal/backend/beat.go
+++ b/node/internal/backend/beat.go
@@ -91,14 +91,31 @@
 	}
 }
 
-// drained reports whether a leaving backend server must get nothing any more.
+// SetOut notes whether the rules or control take the backend server out of
+// service.
+func (s *Server) SetOut(out bool) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !out:
+		s.outSince = time.Time{}
+	case s.outSince.IsZero():
+		s.outSince = now
+	}
+}
+
+// drained reports whether a backend server that leaves or was taken out of
+// service must get nothing any more.
 func (s *Server) drained() bool {
 	if s.cfg.Dialect == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving && s.cfg.Clock.Now().Sub(s.leavingSince) >= s.cfg.Dialect.DrainLimit
+	now := s.cfg.Clock.Now()
+	return s.leaving && now.Sub(s.leavingSince) >= s.cfg.Dialect.DrainLimit ||
+		!s.outSince.IsZero() && now.Sub(s.outSince) >= s.cfg.Dialect.OutLimit
 }
 
 // checkSilent finds a backend server that reports no more and holds no keys any
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -86,6 +86,8 @@
 	leaving   bool
 	// leavingSince is when the leaving was first said.
 	leavingSince time.Time
+	// outSince is when the rules took it out of service, zero if they did not.
+	outSince time.Time
 	// started and sequence are those of the latest beat.
 	started  time.Time
 	sequence uint64
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -83,6 +83,9 @@
 		s.cfg.Log.Error().Err(err).Msg("rules cannot be read; the earlier revision stays in force")
 	}
 	s.cfg.View.SetTable(t)
+	if self := t.Node(i.number); self != nil {
+		s.cfg.Backend.SetOut(t.Leaving(self))
+	}
 	s.cfg.Owner.TableChanged(context.WithoutCancel(ctx), t)
 	if t.Revision() != old.Revision() {
 		s.cfg.Log.Info().Uint64("rulesRevision", t.Revision()).Uint64("index", t.Index()).Msg("rules in force")
--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
@@ -18,6 +19,8 @@
 	// holdMargin is taken off the lease for the time between this node's check
 	// of its lease and the answer.
 	holdMargin = 50 * time.Millisecond
+	// answerBytes bounds the grants of one answer, which has at most 4 KiB.
+	answerBytes = 4000
 	// holderDriftPercent is how much slower a backend server's clock may run.
 	holderDriftPercent = 2
 )
@@ -35,6 +38,7 @@
 	defer s.mu.Unlock()
 	s.lastBeat = now
 	s.noteReleased(b)
+	s.noteHeld(b)
 	if identity.Incarnation == 0 || !now.Before(identity.Until) || t.Node(identity.Incarnation) == nil {
 		return answer
 	}
@@ -65,11 +69,66 @@
 		granted = append(granted, p)
 	}
 	s.holdUntil = now.Add(answer.For + answer.For*holderDriftPercent/100)
-	answer.Grants = grantsOf(granted, t.Partitions(b.Upstream))
+	granted, answer.Grants = fit(granted, t.Partitions(b.Upstream), answerBytes)
 	answer.Delivered = func() { time.AfterFunc(settleTime, func() { s.open(granted) }) }
 	return answer
 }
 
+// noteHeld drops the handovers of partitions that the backend server has taken
+// over. The lock is held.
+func (s *Server) noteHeld(b dialect.Beat) {
+	count := s.cfg.View.Table().Partitions(b.Upstream)
+	for _, p := range s.partitions {
+		if p.id.Upstream != b.Upstream || count == 0 {
+			continue
+		}
+		first, last := keyspace.NumberRange(p.id.Partition, count)
+		p.held = slices.ContainsFunc(b.Holds, func(h dialect.Holding) bool {
+			return h.First <= first && last <= h.Last && h.Fence == p.fence
+		})
+		if p.held {
+			p.handover = ""
+		}
+	}
+}
+
+// size returns the bytes that grants take as rows of numbers and a quoted token.
+func size(grants []dialect.Grant) int {
+	const punctuation = len(`[,,,""],`)
+	total := 0
+	for _, g := range grants {
+		total += punctuation + len(strconv.Itoa(int(g.First))) + len(strconv.Itoa(int(g.Last))) +
+			len(strconv.FormatUint(g.Fence, 10)) + len(g.Handover)
+	}
+	return total
+}
+
+// fit returns the grants of as many partitions as a limit allows. Those that the
+// backend server holds come first: an answer over its bound would cost it all.
+func fit(list []*partition, count uint32, limit int) ([]*partition, []dialect.Grant) {
+	grants := grantsOf(list, count)
+	if size(grants) <= limit {
+		return list, grants
+	}
+	slices.SortStableFunc(list, func(a, b *partition) int {
+		switch {
+		case a.held == b.held:
+			return 0
+		case a.held:
+			return -1
+		default:
+			return 1
+		}
+	})
+	for n := len(list); n > 0; n-- {
+		kept := slices.Clone(list[:n])
+		if grants = grantsOf(kept, count); size(grants) <= limit {
+			return kept, grants
+		}
+	}
+	return nil, nil
+}
+
 // HoldsUntil returns when all that the backend server was told to hold is over
 // unless another beat comes.
 func (s *Server) HoldsUntil() time.Time {
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -35,7 +35,9 @@
 	// fence and handover are what a backend server is granted with by beats.
 	fence    uint64
 	handover string
-	state    partitionState
+	// held is whether the latest beat said that the partition is held.
+	held  bool
+	state partitionState
 	// order is set once the partition is to be released by beats.
 	order *pendingRelease
 	// active calls hold the partition: from their first check to the end of
