--- a/control/control.go
+++ b/control/control.go
@@ -66,6 +66,10 @@
 	Placement      placement.Config
 	Policy         string
 	MoveTimeout    time.Duration
+	// LoadWindow is the time constant of load averages. Default 10 s.
+	LoadWindow time.Duration
+	// BySpeed gives servers that answer faster a larger share of the load.
+	BySpeed bool
 	// Clock must count through suspension. Default is the machine's.
 	Clock clock.Clock
 }
@@ -118,6 +122,7 @@
 	m.leader = leader.New(leader.Config{
 		Log: m.log, Clock: config.Clock, Logger: config.Logger, Lease: config.Lease,
 		Placement: config.Placement, Policy: config.Policy, MoveTimeout: config.MoveTimeout,
+		LoadWindow: config.LoadWindow, BySpeed: config.BySpeed,
 	})
 	return m, nil
 }
--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -60,6 +60,10 @@
 	Policy string
 	// MoveTimeout applies where the rules do not set one. 0 means 2 s.
 	MoveTimeout time.Duration
+	// LoadWindow is the time constant of load averages. 0 means 10 s.
+	LoadWindow time.Duration
+	// BySpeed gives servers that answer faster a larger share of the load.
+	BySpeed bool
 	// FirstWait of 0 means 500 ms.
 	FirstWait time.Duration
 }
@@ -121,6 +125,9 @@
 	if config.MoveTimeout == 0 {
 		config.MoveTimeout = DefaultMoveTimeout
 	}
+	if config.LoadWindow == 0 {
+		config.LoadWindow = smoothing
+	}
 	if config.FirstWait == 0 {
 		config.FirstWait = DefaultFirstWait
 	}
--- a/control/internal/leader/loads.go
+++ b/control/internal/leader/loads.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// smoothing is the time constant of load averages: renewals come every
+	// smoothing is the usual time constant of load averages: renewals come every
 	// 400 ms, too few requests of one partition to judge it by.
 	smoothing = 10 * time.Second
 	// reportMaxAge drops reports of nodes that no longer renew.
@@ -21,12 +21,14 @@
 	at    time.Time
 	since time.Time
 	rates []float64
+	// window is the time constant.
+	window time.Duration
 }
 
 // known reports whether loads have been observed for long enough to move
 // partitions by them.
 func (o *loads) known(now time.Time) bool {
-	return !o.since.IsZero() && now.Sub(o.since) >= smoothing
+	return !o.since.IsZero() && now.Sub(o.since) >= o.window
 }
 
 func (o *loads) rate(partition uint32) float64 {
@@ -40,13 +42,13 @@
 // partitions; the rest of the total is spread over their other partitions.
 func (o *loads) fold(now time.Time, state *cluster.State, upstream string, partitions uint32, reports map[uint64]*report) {
 	if len(o.rates) != int(partitions) {
-		*o = loads{rates: make([]float64, partitions)}
+		*o = loads{rates: make([]float64, partitions), window: o.window}
 	}
 	weight := 1.0
 	if o.since.IsZero() {
 		o.since = now
 	} else {
-		weight = 1 - math.Exp(-now.Sub(o.at).Seconds()/smoothing.Seconds())
+		weight = 1 - math.Exp(-now.Sub(o.at).Seconds()/o.window.Seconds())
 	}
 	o.at = now
 	owners := map[uint64]*observed{}
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -67,7 +67,7 @@
 func (l *Leader) fold(state *cluster.State, now time.Time, u *rules.Upstream) {
 	o := l.loads[u.Name]
 	if o == nil {
-		o = &loads{}
+		o = &loads{window: l.config.LoadWindow}
 		l.loads[u.Name] = o
 	}
 	o.fold(now, state, u.Name, u.Partitions, l.reports)
@@ -155,6 +155,7 @@
 	o := l.loads[u.Name]
 	view := placement.View{Upstream: u.Name, LoadsUnknown: !o.known(now), Partitions: make([]placement.Partition, u.Partitions)}
 	byName := map[string]uint64{}
+	speeds := l.speeds(state, now, u.Name)
 	alive := map[uint64]bool{}
 	for n := range state.Nodes() {
 		if n.GetBackendServer().GetUpstream() != u.Name {
@@ -168,6 +169,7 @@
 		if u.Slots > 0 {
 			s.Weight = float64(u.Slots)
 		}
+		s.Weight *= speeds.of(n.GetIncarnation())
 		s.Leaving = s.LeaveReason != ""
 		if s.LeaveReason == placement.ReasonZoneOut || !l.reports[s.Incarnation].draining() {
 			s.LeaveWithin = ruledLeave
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -42,6 +42,9 @@
 	// table for them, and 10,000 updates/s of a storm of lost leases leave nodes
 	// no processor time to renew theirs.
 	recordShare = 100 * time.Nanosecond
+	// compactFrom is the number of assignments from which joining them saves more
+	// than it costs.
+	compactFrom = 64
 	// maxPause keeps two large updates well within the 3 s for a lost node.
 	maxPause = 500 * time.Millisecond
 )
@@ -264,7 +267,7 @@
 	}
 	update, known := c.updates[base]
 	if !known {
-		update = state.Since(base)
+		update = compact(state.Since(base))
 		c.updates[base] = update
 	}
 	if far && update != nil {
@@ -277,6 +280,41 @@
 	return update
 }
 
+// compact joins the assignments of neighbouring partitions that differ in
+// nothing a node needs, and leaves out what nodes do not need. Assignments of
+// planned moves stay as they are, because their request ids are attached.
+func compact(update *wirev1.Update) *wirev1.Update {
+	if len(update.GetAssignments()) < compactFrom {
+		return update
+	}
+	joined := make([]*wirev1.Assignment, 0, len(update.GetAssignments())/2)
+	for _, a := range update.GetAssignments() {
+		if a.GetPlanned() {
+			joined = append(joined, a)
+			continue
+		}
+		if n := len(joined); n > 0 && follows(joined[n-1], a) {
+			joined[n-1].Following++
+			continue
+		}
+		joined = append(joined, &wirev1.Assignment{
+			Upstream: a.GetUpstream(), Partition: a.GetPartition(), Owner: a.GetOwner(), Epoch: a.GetEpoch(),
+			SinceIndex: a.GetSinceIndex(), Handover: a.GetHandover(),
+		})
+	}
+	return &wirev1.Update{
+		Index: update.GetIndex(), Snapshot: update.GetSnapshot(), Nodes: update.GetNodes(), RemovedNodes: update.GetRemovedNodes(),
+		Assignments: joined, Rules: update.GetRules(),
+	}
+}
+
+// follows reports whether an assignment can be joined to one before it.
+func follows(before, a *wirev1.Assignment) bool {
+	return !before.GetPlanned() && before.GetUpstream() == a.GetUpstream() && before.GetPartition()+before.GetFollowing()+1 == a.GetPartition() &&
+		before.GetOwner() == a.GetOwner() && before.GetEpoch() == a.GetEpoch() && before.GetSinceIndex() == a.GetSinceIndex() &&
+		before.GetHandover() == a.GetHandover()
+}
+
 func (s *Sink) takeOrders() []*wirev1.Release {
 	orders := s.orders
 	s.orders = nil
--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -94,6 +94,10 @@
 // InFlight returns the number of requests that run, never above the slots.
 func (g *Guard) InFlight() int { return len(g.running) }
 
+// ServiceTime returns the mean time that the backend server takes for a
+// request, 0 if none has ended yet.
+func (g *Guard) ServiceTime() time.Duration { return time.Duration(g.estimate.mean) }
+
 // Queued returns the number of requests that wait.
 func (g *Guard) Queued() int { return g.queue.length }
 
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -70,7 +70,7 @@
 // maxRuns bounds the runs of neighbouring partitions that a server gets at
 // first. It leaves room for those that it gets later: the answer to a beat has
 // room for about 150.
-const maxRuns = 48
+const maxRuns = 96
 
 // ranges spreads runs of neighbouring partitions, for backend servers that are
 // told of their keys as ranges in messages of bounded size. Runs are as short
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -146,7 +146,7 @@
 	}
 	fresh := map[string]bool{}
 	copied := map[place]bool{}
-	for _, w := range u.GetAssignments() {
+	for _, w := range expanded(u.GetAssignments()) {
 		if w.GetPartition() >= keyspace.MaxPartitions || w.GetEpoch() < old.Assignment(w.GetUpstream(), w.GetPartition()).Epoch {
 			continue
 		}
@@ -177,6 +177,24 @@
 	t.owners = owners
 }
 
+// expanded returns one assignment for each partition.
+func expanded(list []*wirev1.Assignment) []*wirev1.Assignment {
+	if !slices.ContainsFunc(list, func(a *wirev1.Assignment) bool { return a.GetFollowing() > 0 }) {
+		return list
+	}
+	var all []*wirev1.Assignment
+	for _, a := range list {
+		all = append(all, a)
+		for i := range min(a.GetFollowing(), keyspace.MaxPartitions) {
+			all = append(all, &wirev1.Assignment{
+				Upstream: a.GetUpstream(), Partition: a.GetPartition() + i + 1, Owner: a.GetOwner(), Epoch: a.GetEpoch(),
+				SinceIndex: a.GetSinceIndex(), Handover: a.GetHandover(),
+			})
+		}
+	}
+	return all
+}
+
 func (t *Table) applyRules(r *wirev1.RulesRevision) (bool, error) {
 	if r == nil || r.GetRevision() <= t.revision {
 		return false, nil
--- a/node/internal/backend/guard.go
+++ b/node/internal/backend/guard.go
@@ -121,6 +121,12 @@
 	return g.state.ColdAt(g.clock.Now())
 }
 
+func (g *guard) serviceTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.ServiceTime()
+}
+
 // figures returns the guard's counts and whether the backend server is cold.
 func (g *guard) figures() (limit, inFlight, queued int, cold bool) {
 	g.mu.Lock()
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -285,6 +285,10 @@
 	Reported Load `json:"reported"`
 }
 
+// ServiceTime returns the mean time that the backend server takes for a
+// request, 0 if it is not known.
+func (s *Server) ServiceTime() time.Duration { return s.guard.serviceTime() }
+
 // Stats returns the current figures.
 func (s *Server) Stats() Stats {
 	var t Stats
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -123,6 +123,7 @@
 		RequestsPerSecond: load.RequestsPerSecond, InFlight: uint32(stats.InFlight), Heaviest: load.Heaviest,
 		Draining: s.draining(), Cold: stats.Cold, BackendServer: server,
 		Released: s.cfg.Owner.Released(t), MembersHash: s.group.membersHash(),
+		ServiceMs: float32(s.cfg.Backend.ServiceTime().Seconds() * 1000),
 	}
 }
 
--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -70,6 +70,7 @@
 	}
 	s.holdUntil = now.Add(answer.For + answer.For*holderDriftPercent/100)
 	granted, answer.Grants = fit(granted, t.Partitions(b.Upstream), answerBytes)
+	raise(granted, answer.Grants, t.Partitions(b.Upstream))
 	answer.Delivered = func() { time.AfterFunc(settleTime, func() { s.open(granted) }) }
 	return answer
 }
@@ -84,11 +85,29 @@
 		}
 		first, last := keyspace.NumberRange(p.id.Partition, count)
 		p.held = slices.ContainsFunc(b.Holds, func(h dialect.Holding) bool {
-			return h.First <= first && last <= h.Last && h.Fence == p.fence
+			return h.First <= first && last <= h.Last && h.Fence >= p.fence
 		})
 		if p.held {
 			p.handover = ""
 		}
+		for _, h := range b.Holds {
+			if h.First <= last && first <= h.Last {
+				// An earlier process may have granted it with a higher token.
+				p.fence = max(p.fence, h.Fence)
+			}
+		}
+	}
+}
+
+// raise notes the fencing tokens that partitions are granted with.
+func raise(list []*partition, grants []dialect.Grant, count uint32) {
+	at := 0
+	for _, p := range list {
+		first, _ := keyspace.NumberRange(p.id.Partition, count)
+		for grants[at].Last < first {
+			at++
+		}
+		p.fence = grants[at].Fence
 	}
 }
 
@@ -167,15 +186,17 @@
 	}
 }
 
-// grantsOf joins neighbouring partitions of the same fencing token and
-// handover, because the answer to a beat is bounded.
+// grantsOf joins neighbouring partitions without different handovers, because
+// the answer to a beat is bounded. They get the highest of their fencing tokens:
+// it is below that of each later assignment, because tokens are indexes of the
+// log. What was granted once never gets a lower one.
 func grantsOf(list []*partition, count uint32) []dialect.Grant {
 	slices.SortFunc(list, func(a, b *partition) int { return cmp.Compare(a.id.Partition, b.id.Partition) })
 	var grants []dialect.Grant
 	for _, p := range list {
 		first, last := keyspace.NumberRange(p.id.Partition, count)
-		if n := len(grants); n > 0 && grants[n-1].Fence == p.fence && grants[n-1].Handover == p.handover && grants[n-1].Last+1 == first {
-			grants[n-1].Last = last
+		if n := len(grants); n > 0 && grants[n-1].Handover == p.handover && grants[n-1].Last+1 == first {
+			grants[n-1].Last, grants[n-1].Fence = last, max(grants[n-1].Fence, p.fence)
 			continue
 		}
 		grants = append(grants, dialect.Grant{Holding: dialect.Holding{First: first, Last: last, Fence: p.fence}, Handover: p.handover})
