--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -68,6 +68,7 @@
 	g.limiter.slots, g.limiter.told = g.config.Slots, g.config.ToldCold
 	g.limiter.chill(0)
 	g.rate.configure(g.config.RequestsPerSecond, g.config.Burst)
+	g.cold.configure(time.Time{}, g.config)
 	return g
 }
 
