--- a/core/choice/config.go
+++ b/core/choice/config.go
@@ -31,6 +31,10 @@
 	Seed uint64
 	// AvailabilityZone is this node's own.
 	AvailabilityZone string
+	// ZoneFactor is the ratio up to which a server of the own zone may cost more
+	// than one of another zone and is still taken. 0 and 1 mean that zones decide
+	// between equal costs only.
+	ZoneFactor float64
 	// StragglerFactor is the ratio of a server's latency to the median of all
 	// servers above which it gets only probes, above 1.
 	StragglerFactor float64
@@ -46,6 +50,11 @@
 	Silence          time.Duration
 }
 
+// NearestZoneFactor is the ZoneFactor of the policy nearest, for upstreams with
+// large bodies: a server of the own zone is left at three times the cost of
+// another, long before its queue is full.
+const NearestZoneFactor = 3
+
 func (c TwoChoicesConfig) withDefaults() TwoChoicesConfig {
 	if c.StragglerFactor <= 1 {
 		c.StragglerFactor = DefaultStragglerFactor
--- a/core/choice/twochoices.go
+++ b/core/choice/twochoices.go
@@ -92,6 +92,9 @@
 	if i, ok := t.probe(now, candidates); ok {
 		return candidates[i], ReasonProbe, true
 	}
+	if a, b, ok := t.nearAndAny(now, candidates); ok {
+		return t.nearer(a, b)
+	}
 	first, second, found := t.draw(now, candidates)
 	switch found {
 	case 0:
@@ -102,6 +105,43 @@
 	return t.better(candidates[first], candidates[second])
 }
 
+// nearAndAny returns a candidate of the own availability zone and any other one,
+// neither of them avoided. It is false without Config.ZoneFactor, and where the
+// own zone has none.
+func (t *TwoChoices) nearAndAny(now time.Time, candidates []Candidate) (near, other Candidate, ok bool) {
+	if t.config.ZoneFactor <= 1 {
+		return near, other, false
+	}
+	offset := t.random.IntN(len(candidates))
+	nears, others := 0, 0
+	for i := range candidates {
+		c := candidates[(i+offset)%len(candidates)]
+		if t.avoided(now, c) {
+			continue
+		}
+		if c.AvailabilityZone == t.config.AvailabilityZone {
+			if nears++; nears == 1 || t.cost(c) < t.cost(near) {
+				near = c
+			}
+		} else if others++; others == 1 {
+			other = c
+		}
+	}
+	if others == 0 {
+		other = near
+	}
+	return near, other, nears > 0
+}
+
+// nearer takes the candidate of the own zone unless the other one costs so much
+// less that the bytes between zones are worth it.
+func (t *TwoChoices) nearer(near, other Candidate) (Candidate, Reason, bool) {
+	if t.cost(near) <= t.cost(other)*t.config.ZoneFactor {
+		return near, ReasonSameZone, true
+	}
+	return other, ReasonLowerCost, true
+}
+
 // better compares two candidates that are not avoided.
 func (t *TwoChoices) better(a, b Candidate) (Candidate, Reason, bool) {
 	costA, costB := t.cost(a), t.cost(b)
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -30,7 +30,7 @@
 // Policies that upstreams may name, the default first.
 var (
 	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing", "ranges"}
-	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastInFlight"}
+	unkeyedPolicies = []string{"twoChoices", "random", "roundRobin", "leastInFlight", "nearest"}
 )
 
 func (p *parser) upstream(c *cursor) {
--- a/node/internal/caller/upstream.go
+++ b/node/internal/caller/upstream.go
@@ -66,6 +66,8 @@
 		return &choice.RoundRobin{}
 	case "leastInFlight":
 		return choice.NewLeastInFlight(seed)
+	case "nearest":
+		return choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: seed, AvailabilityZone: zone, ZoneFactor: choice.NearestZoneFactor})
 	default:
 		return choice.NewTwoChoices(choice.TwoChoicesConfig{Seed: seed, AvailabilityZone: zone})
 	}
