node: answers to beats wait for keys that change hands; no waiting for what comes too late

While a zone was emptied, requests waited for their keys until their callers gave up: 588 of 1,208 failed in the worst two seconds. A request waits for two fifths of its time at most, and not at all if the next beat comes later; Retry-After says when. Ruled out: lost handovers (956 of 972 releases had one).

--- a/node/beat.go
+++ b/node/beat.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 
@@ -13,8 +14,8 @@
 var ErrForeignBeat = backend.ErrForeignBeat
 
 // Beat takes a beat of the backend server beside this node and returns what to
-// answer. It needs Config.Dialect and is safe for concurrent use.
-func (n *Node) Beat(b dialect.Beat) (dialect.BeatAnswer, error) {
+// answer, at the latest after Dialect.BeatWait. It needs Config.Dialect and is safe for concurrent use.
+func (n *Node) Beat(ctx context.Context, b dialect.Beat) (dialect.BeatAnswer, error) {
 	current, err := n.backend.Beat(b)
 	if err != nil {
 		return dialect.BeatAnswer{}, fmt.Errorf("beat of %q: %w", b.Name, err)
@@ -22,7 +23,9 @@
 	if !current {
 		return dialect.BeatAnswer{Delivered: func() {}}, nil
 	}
-	return n.owner.Beat(b, n.cfg.Dialect.HoldLimit), nil
+	received := n.owner.Receive(b)
+	n.owner.Await(ctx, received, n.cfg.Dialect.BeatWait)
+	return n.owner.Answer(received, n.cfg.Dialect.HoldLimit), nil
 }
 
 // Deregister notes that the backend server with a name ends.
--- a/node/config.go
+++ b/node/config.go
@@ -90,6 +90,9 @@
 	// while it has no lease. Rules may then be in force for longer on a node that
 	// control cannot reach.
 	WithoutLease bool
+	// BeatInterval is the usual time between two beats of the backend server,
+	// with a dialect.
+	BeatInterval time.Duration
 	// TakesOver says that no other process can use the node's peer address.
 	TakesOver bool
 	// RoutingSample writes the lines of completed routing decisions for one in
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -15,6 +15,9 @@
 	Backend Backend
 	// HoldLimit bounds how long a backend server may be told to hold keys.
 	HoldLimit time.Duration
+	// BeatWait is how long the answer to a beat may wait for keys that change
+	// hands. 0 means not at all.
+	BeatWait time.Duration
 	// DrainLimit is the time after a backend server said that it leaves from
 	// which on it gets nothing any more.
 	DrainLimit time.Duration
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -16,6 +16,9 @@
 const (
 	firstPause = 5 * time.Millisecond
 	maxPause   = 100 * time.Millisecond
+	// holdShare is the part of a request's time, in percent, after which it is no
+	// longer held: its caller can still come back, or go elsewhere.
+	holdShare = 40
 )
 
 // held says how long a request waits for a node that was not reached. Wait is 0
@@ -94,8 +97,8 @@
 				refusal.RetryAfter = max(refusal.RetryAfter, maxPause)
 				return nil, refusal
 			}
-			left := min(t.Limits().HoldTimeout-now.Sub(heldSince), q.call.Deadline.Sub(now))
-			if left <= 0 {
+			left := min(t.Limits().HoldTimeout-now.Sub(heldSince), q.call.Deadline.Sub(q.started)*holdShare/100-now.Sub(q.started))
+			if left <= 0 || refusal.RetryAfter > left {
 				refusal.RetryAfter = max(refusal.RetryAfter, maxPause)
 				return nil, refusal
 			}
--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -10,6 +10,7 @@
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
 	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/node/dialect"
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 )
 
 const (
@@ -25,20 +26,104 @@
 	holderDriftPercent = 2
 )
 
-// Beat answers a beat of the backend server beside this node: it ends releases
-// that the backend server has carried out, begins those that were ordered, and
-// returns the keys to be held. Calls for keys that are left out are refused
-// from now on; calls for new ones go on once Delivered was called.
-func (s *Server) Beat(b dialect.Beat, limit time.Duration) dialect.BeatAnswer {
-	answer := dialect.BeatAnswer{Delivered: func() {}}
+// ReceivedBeat is a beat that has not been answered.
+type ReceivedBeat struct {
+	dialect.Beat
+	received time.Time
+	number   uint64
+}
+
+// Receive notes a beat of the backend server beside this node: it ends releases
+// that the backend server has carried out. Answer must follow.
+func (s *Server) Receive(b dialect.Beat) ReceivedBeat {
 	now := s.cfg.Clock.Now()
-	identity := s.cfg.View.Identity()
-	t := s.cfg.View.Table()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.beats++
 	s.lastBeat = now
+	s.newsLocked()
 	s.noteReleased(b)
 	s.noteHeld(b)
+	return ReceivedBeat{b, now, s.beats}
+}
+
+// Await waits until the backend server is to hold other keys than the beat
+// says, for at most the time given: keys change hands with the answer to a beat,
+// and a beat that is answered at once makes them wait for the next one.
+func (s *Server) Await(ctx context.Context, b ReceivedBeat, limit time.Duration) {
+	if len(b.Freed) > 0 || b.Leaving {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
+	for {
+		s.mu.Lock()
+		news, due := s.news, b.number != s.beats || s.differs(b.Beat)
+		s.mu.Unlock()
+		if due {
+			return
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
+// newsLocked wakes those who wait in Await. The lock is held.
+func (s *Server) newsLocked() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// differs reports whether the backend server is to hold other keys than a beat
+// says. The lock is held.
+func (s *Server) differs(b dialect.Beat) bool {
+	any, wanted := false, 0
+	for _, p := range s.partitions {
+		if p.id.Upstream != b.Upstream || p.state != stateServing {
+			continue
+		}
+		any = true
+		if p.order != nil || !p.held {
+			return true
+		}
+		wanted++
+	}
+	held := 0
+	for _, h := range b.Holds {
+		held += int(h.Last) - int(h.First) + 1
+	}
+	count := s.cfg.View.Table().Partitions(b.Upstream)
+	// Without keys nothing is known to be due, but for what must be released.
+	return count > 0 && any && held > wanted*(keyspace.MaxNumber+1)/int(count)
+}
+
+// Answer answers a beat: it begins the releases that were ordered and returns
+// the keys to be held. Calls for keys that are left out are refused from now on;
+// calls for new ones go on once Delivered was called.
+func (s *Server) Answer(b ReceivedBeat, limit time.Duration) dialect.BeatAnswer {
+	answer := dialect.BeatAnswer{Delivered: func() {}}
+	now := s.cfg.Clock.Now()
+	identity := s.cfg.View.Identity()
+	t := s.cfg.View.Table()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.number != s.beats {
+		// A later beat is answered, or was.
+		return answer
+	}
 	if identity.Incarnation == 0 || !now.Before(identity.Until) || t.Node(identity.Incarnation) == nil {
 		return answer
 	}
@@ -46,7 +131,8 @@
 	if u := t.Upstream(b.Upstream); u == nil || !u.Numbers || t.Node(identity.Incarnation).GetBackendServer().GetBootId() != b.Life() {
 		return answer
 	}
-	left := identity.Until.Sub(now) - holdMargin
+	// Keys are held from the sending of the beat, which was before its receipt.
+	left := identity.Until.Sub(b.received) - holdMargin
 	answer.For = min(limit, left-left*holderDriftPercent/100)
 	if answer.For <= 0 {
 		return answer
@@ -164,6 +250,32 @@
 	return p.granted
 }
 
+// waitShare is the part of the time left, in percent, for which a call waits for
+// its keys to be granted. Its caller can still come back afterwards.
+const waitShare = 40
+
+// grantWait returns how long a call may wait for its keys to be granted, 0 if
+// the next beat will come too late for it, and the time until that beat.
+func (s *Server) grantWait(c *relay.Call) (wait, next time.Duration) {
+	now := s.cfg.Clock.Now()
+	wait = c.Deadline.Sub(now)
+	if !s.cfg.ByBeat {
+		return wait, 0
+	}
+	wait = wait * waitShare / 100
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next = s.lastBeat.Add(s.cfg.BeatInterval).Sub(now)
+	if s.waiting > 0 {
+		// A beat waits for its answer.
+		next = 0
+	}
+	if next > wait {
+		return 0, next
+	}
+	return wait, max(next, settleTime)
+}
+
 // awaitGrant keeps calls for a partition that the backend server says it does
 // not hold from being sent until it has been granted again.
 func (s *Server) awaitGrant(p *partition) {
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -33,6 +33,8 @@
 	// ByBeat is true where the backend server is told what it holds by the
 	// answers to its beats.
 	ByBeat bool
+	// BeatInterval is the usual time between two beats.
+	BeatInterval time.Duration
 	// WithoutLease lets calls without a key run while the node has no lease.
 	WithoutLease bool
 }
@@ -52,9 +54,16 @@
 	moved map[movedKey]bool
 	// unkeyed counts calls without a key since the last load report.
 	unkeyed uint64
-	// lastBeat is the time of the last beat of the backend server, holdUntil the
-	// end of what it was told to hold by its own clock at the latest.
-	lastBeat, holdUntil time.Time
+	// holdUntil is the end of what the backend server was told to hold, by its
+	// own clock at the latest.
+	holdUntil time.Time
+	// lastBeat is the time of the latest beat, beats its number. News is closed when what the backend
+	// server is to hold may have changed.
+	lastBeat time.Time
+	beats    uint64
+	// waiting is the number of beats whose answer waits.
+	waiting int
+	news    chan struct{}
 	// homes are those of the backend server's upstream if it is not keyed.
 	homes choice.Homes
 }
@@ -66,7 +75,7 @@
 	}
 	return &Server{
 		cfg: cfg, requests: newRequests(cfg.Requests), partitions: map[PartitionID]*partition{},
-		released: map[PartitionID]*wirev1.ReleasedPartition{}, moved: map[movedKey]bool{}, term: newTerm(),
+		released: map[PartitionID]*wirev1.ReleasedPartition{}, moved: map[movedKey]bool{}, term: newTerm(), news: make(chan struct{}),
 	}
 }
 
@@ -155,7 +164,14 @@
 		return nil
 	default:
 	}
-	timer := time.NewTimer(c.Deadline.Sub(s.cfg.Clock.Now()))
+	wait, next := s.grantWait(c)
+	if wait <= 0 {
+		s.drop(p)
+		refusal = relay.NotRun(outcome.ReasonMoving)
+		refusal.RetryAfter = next
+		return refusal
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-granted:
@@ -163,7 +179,8 @@
 	case <-r.halt:
 		refusal = relay.NotRun(outcome.ReasonMoving)
 	case <-timer.C:
-		refusal = relay.NotRun(outcome.ReasonDeadline)
+		refusal = relay.NotRun(outcome.ReasonMoving)
+		refusal.RetryAfter = next
 	case <-ctx.Done():
 		refusal = relay.NotRun(outcome.ReasonCancelled)
 	}
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -145,6 +145,7 @@
 		}
 	}
 	s.partitions = kept
+	s.newsLocked()
 	s.openGrants(self, fresh)
 	s.mu.Unlock()
 	if len(fresh) > 0 && !s.cfg.ByBeat {
--- a/node/internal/owner/release.go
+++ b/node/internal/owner/release.go
@@ -47,6 +47,7 @@
 		started := p.order == nil
 		if started {
 			p.order = &pendingRelease{done: make(chan struct{})}
+			s.newsLocked()
 		}
 		term := s.term.context
 		s.mu.Unlock()
