--- a/control/control.go
+++ b/control/control.go
@@ -286,6 +286,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(operator.Handler(m.leader, m.log, m.config.Logger))
 	mux.Handle("GET /debug/vars", m.variables())
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		// A failed write means that the operator has gone.
+		_ = m.WriteMetrics(w)
+	})
 	if m.config.OperatorSecret != "" {
 		return rpc.RequireSecret(m.config.OperatorSecret, mux)
 	}
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -79,7 +79,7 @@
 // of a rule, that differs from what the programs read. With -update it writes
 // the tables.
 func TestDocuments(t *testing.T) {
-	const path = "testdata/docs/OPERATING.md"
+	const path = "testdata/docs/OPERATIONS.md"
 	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
--- a/node/cmd/jujubeknot-node/samples_test.go
+++ b/node/cmd/jujubeknot-node/samples_test.go
@@ -25,12 +25,12 @@
 // TestDocumentedSettings guards against a table in the documents that differs
 // from what the program reads.
 func TestDocumentedSettings(t *testing.T) {
-	page, err := os.ReadFile("testdata/docs/OPERATING.md")
+	page, err := os.ReadFile("testdata/docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if table := settings.Table(settings.Describe(&fileSettings{})); !strings.Contains(string(page), table) {
-		t.Errorf("docs/OPERATING.md lacks this table:\n%s", table)
+		t.Errorf("docs/OPERATIONS.md lacks this table:\n%s", table)
 	}
 }
 
--- /dev/null
+++ b/node/exposition.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jujubeknot/jujubeknot/wire/exposition"
+)
+
+// microsPerSecond converts the bounds of the latency histogram.
+const microsPerSecond = 1e6
+
+// WriteMetrics writes the node's figures in the text format that monitoring
+// tools read. It is safe for concurrent use.
+func (n *Node) WriteMetrics(w io.Writer) error {
+	latency := n.metrics.Latency()
+	h := exposition.Histogram{Name: "latency_seconds", Sum: latency.Mean * float64(latency.Count) / microsPerSecond}
+	for _, b := range latency.Bars {
+		h.Bars = append(h.Bars, exposition.Bar{UpTo: float64(b.UpTo) / microsPerSecond, Count: b.Count})
+	}
+	if err := exposition.Write(w, "jujubeknot_node", n.vars(), exposition.Labelled{"requests": "result", "attempts": "kind"}, h); err != nil {
+		return fmt.Errorf("metrics of the node: %w", err)
+	}
+	return nil
+}
--- a/node/internal/operator/operator.go
+++ b/node/internal/operator/operator.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,16 +12,22 @@
 	"time"
 )
 
+// MetricsType is the content type of metrics.
+const MetricsType = "text/plain; version=0.0.4; charset=utf-8"
+
 const headerTimeout = 5 * time.Second
 
 // Handler serves GET /debug/vars in the form of package expvar, with the
-// figures of one node, and GET /healthz.
+// figures of one node, GET /metrics with the same in the text format of
+// monitoring tools, and GET /healthz.
 type Handler struct {
 	// Secret that operators present as bearer token. Empty means that only
 	// loopback addresses have access.
 	Secret string
 	// Vars returns the figures.
 	Vars func() any
+	// Metrics writes them as text.
+	Metrics func(io.Writer) error
 	// Ready reports whether the node has a lease and a table.
 	Ready func() bool
 }
@@ -46,6 +53,10 @@
 		e.SetIndent("", "  ")
 		// A failed write means that the operator has gone.
 		_ = e.Encode(h.Vars())
+	case r.URL.Path == "/metrics":
+		w.Header().Set("Content-Type", MetricsType)
+		// A failed write means that the operator has gone.
+		_ = h.Metrics(w)
 	case r.URL.Path == "/healthz":
 		if !h.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/node/node.go
+++ b/node/node.go
@@ -173,7 +173,7 @@
 		MaxConnections: n.cfg.CallerMaxConnections, IdleTimeout: n.cfg.CallerIdleTimeout,
 	})
 	n.listeners[placeCallers] = callers.Limit(n.listeners[placeCallers])
-	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Ready: n.Ready}
+	figures := &operator.Handler{Secret: n.cfg.OperatorSecret, Vars: n.vars, Metrics: n.WriteMetrics, Ready: n.Ready}
 	// What net/http reports is about single connections.
 	errorLog := stdlog.New(log.With().Str("component", "http").Logger().Level(zerolog.DebugLevel), "", 0)
 	quiet := func(s *http.Server) *http.Server {
