--- a/core/rules/format.go
+++ b/core/rules/format.go
@@ -101,7 +101,7 @@
 	}
 	if u.RetryComment.given() {
 		add(2, u.Name, "retry "+u.Name, u.RetryComment, "retry", u.Name,
-			"budget="+formatShare(u.RetryBudget), optional("attempts", u.RetryAttempts, 0))
+			"budget="+formatShare(u.RetryBudget), optional("attempts", u.RetryAttempts, 0), optional("burst", u.RetryBurst, 0))
 	}
 	if u.ColdComment.given() {
 		add(2, u.Name, "cold "+u.Name, u.ColdComment, "cold", u.Name, "requestsPerSecond="+formatNumber(u.ColdRate))
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -85,6 +85,9 @@
 	MinPriority int
 	// RetryBudget is the share of requests that may be retries, 0 to 1.
 	RetryBudget float64
+	// RetryBurst is the number of retries that a node may save up. 0 means the
+	// default of outcome.Budget.
+	RetryBurst int
 	// RetryAttempts bounds the sendings of one request, the first included.
 	RetryAttempts int
 	// ColdRate bounds the requests/s that a backend server gets in cold start. 0
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -20,6 +20,7 @@
 	maxSegment     = 32
 	maxAttempts    = 10
 	maxWeight      = 1_000_000
+	maxBurst       = 1000
 	maxPrefix      = 1024
 	minTimeout     = time.Millisecond
 	maxTimeout     = time.Hour
--- a/core/rules/traffic.go
+++ b/core/rules/traffic.go
@@ -41,6 +41,7 @@
 		return []setting{
 			{"budget", func(w word) { u.RetryBudget = c.share(w, 0, 100) }},
 			{"attempts", func(w word) { u.RetryAttempts = int(c.integer(w, 1, maxAttempts)) }},
+			{"burst", func(w word) { u.RetryBurst = int(c.integer(w, 1, maxBurst)) }},
 		}
 	})
 }
--- a/node/config.go
+++ b/node/config.go
@@ -71,6 +71,9 @@
 	// CallerIdleTimeout is the time without a request after which a caller's
 	// connection is closed. Default 2 minutes.
 	CallerIdleTimeout time.Duration
+	// DrainNotice is how long a stopping node still takes callers while it says
+	// that it is not ready. Default 0.
+	DrainNotice time.Duration
 	// DrainTimeout is described at DefaultDrainTimeout.
 	DrainTimeout time.Duration
 	// OperatorSecret is asked for on the operator port. Empty means that only
--- a/node/internal/caller/upstream.go
+++ b/node/internal/caller/upstream.go
@@ -40,7 +40,9 @@
 	if u.rules == r {
 		return
 	}
-	u.retries.Configure(budget(r.RetryBudget))
+	retries := budget(r.RetryBudget)
+	retries.Burst = float64(r.RetryBurst)
+	u.retries.Configure(retries)
 	u.hedges.Configure(budget(r.HedgeBudget))
 	if u.policy == nil || u.name != r.Policy {
 		u.policy, u.name = newPolicy(r.Policy, zone), r.Policy
--- a/node/node.go
+++ b/node/node.go
@@ -291,7 +291,9 @@
 func (n *Node) drain() {
 	n.draining.Store(true)
 	if n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil {
-		// The backend server goes on, and the next process here takes over.
+		// The backend server goes on, and the next process here takes over. Callers
+		// would meet a closed port meanwhile.
+		time.Sleep(n.cfg.DrainNotice)
 		n.shutDown()
 		return
 	}
