--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -90,12 +90,12 @@
 // differs reports whether the backend server is to hold other keys than a beat
 // says. The lock is held.
 func (s *Server) differs(b dialect.Beat) bool {
-	any, wanted := false, 0
+	owns, wanted := false, 0
 	for _, p := range s.partitions {
 		if p.id.Upstream != b.Upstream || p.state != stateServing {
 			continue
 		}
-		any = true
+		owns = true
 		if p.order != nil || !p.held {
 			return true
 		}
@@ -107,7 +107,7 @@
 	}
 	count := s.cfg.View.Table().Partitions(b.Upstream)
 	// Without keys nothing is known to be due, but for what must be released.
-	return count > 0 && any && held > wanted*(keyspace.MaxNumber+1)/int(count)
+	return count > 0 && owns && held > wanted*(keyspace.MaxNumber+1)/int(count)
 }
 
 // Answer answers a beat: it begins the releases that were ordered and returns
