--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -118,7 +118,7 @@
 			t.Errorf("%v in the example:\n%s", faults, example)
 		}
 	}
-	if len(blocks) != 9 {
-		t.Errorf("%d examples, want one for each of 9 rules", len(blocks))
+	if len(blocks) != 10 {
+		t.Errorf("%d examples, want one for each of 10 rules", len(blocks))
 	}
 }
