node: a lease is not returned while the leaving backend server holds keys

Cause: a stopping node whose backend server had just said that it leaves returned its lease at the end of the drain. The keys went to others at once, while the backend server held them for up to 2.4 s more. The lease runs out now unless the keys were released or the backend server is gone. TestStopWhileKeysAreHeld failed first (key held by one server and granted to another).

--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -287,7 +287,7 @@
 	s.cfg.View.SetIdentity(view.Identity{Secret: s.cfg.PeerSecret})
 	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer done()
-	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned) || ctx.Err() != nil && s.cfg.StopsAtOnce && s.cfg.Backend.Announced() != nil && !s.cfg.Backend.Leaving()
+	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned) || ctx.Err() != nil && i.outlived()
 	if abandoned {
 		done()
 	}
@@ -301,6 +301,17 @@
 	return reason
 }
 
+// outlived reports whether a stopping node leaves its lease to run out: the
+// backend server goes on beside the next process, or still holds keys, which
+// others would get at once if the lease were returned.
+func (i *incarnation) outlived() bool {
+	s := i.s
+	if s.cfg.Backend.Announced() == nil {
+		return false
+	}
+	return s.cfg.StopsAtOnce && !s.cfg.Backend.Leaving() || s.cfg.ByBeat && s.cfg.Owner.Partitions() > 0
+}
+
 // wait returns why the incarnation ends.
 func (i *incarnation) wait(ctx context.Context) string {
 	for {
