node/pipeline: a stop marks all connections before it closes idle ones

Shutdown went over the connections in map order and both closed idle ones and marked busy ones in one pass. A caller whose answer was sent while earlier idle connections were being closed was not told that it was the last, and its next request met the close. Conclusion: connections that are in the middle of a header are marked too, so that the request being read is told to be the last.

--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -45,9 +45,9 @@
 	running int
 	// reading is true from the first byte of a request to the end of its header.
 	reading bool
-	// last is set once no request is read any more, closed once an answer has
-	// told the caller so: none follows it.
-	last, closed bool
+	// stopping is set by a shutdown, last once no request is read any more, and
+	// closed once an answer has told the caller so: none follows it.
+	stopping, last, closed bool
 }
 
 // headerSource bounds the bytes that are read while a header is expected.
@@ -249,6 +249,7 @@
 	c.reading = false
 	if read {
 		c.running++
+		c.last = c.last || c.stopping
 	}
 }
 
@@ -296,16 +297,20 @@
 	return c.last
 }
 
-// closeIdle closes a connection without requests, and keeps others from reading
-// more.
+// stopReading makes the request whose header is being read, or the latest one,
+// the last of the connection.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	c.last = c.last || !c.reading
+}
+
+// closeIdle closes a connection that reads no more and has no requests.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
-		return
-	}
-	c.last = true
-	if c.running == 0 {
+	if c.last && c.running == 0 && !c.reading {
 		_ = c.nc.Close()
 	}
 }
--- a/node/internal/pipeline/pipeline_test.go
+++ b/node/internal/pipeline/pipeline_test.go
@@ -24,6 +24,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startOn(t, s, l)
+}
+
+func startOn(t *testing.T, s *pipeline.Server, l net.Listener) func() net.Conn {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -273,6 +278,81 @@
 	}
 }
 
+// slowToClose holds the Close of its connections back until released.
+type slowToClose struct {
+	net.Listener
+	closing chan struct{}
+	release chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *slowToClose) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{c, l}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	listener *slowToClose
+}
+
+// Close tells that it was called and waits for the release.
+func (c *slowConn) Close() error {
+	select {
+	case c.listener.closing <- struct{}{}:
+	default:
+	}
+	<-c.listener.release
+	return c.Conn.Close()
+}
+
+// TestShutdownMarksBusyConnectionsFirst guards against a stop that closes idle
+// connections one by one while answers on the others, sent meanwhile, do not
+// tell that they are the last: their callers' next requests met the close.
+func TestShutdownMarksBusyConnectionsFirst(t *testing.T) {
+	const idleConnections = 32
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			began <- struct{}{}
+			<-release
+		}
+		_, _ = fmt.Fprint(w, r.URL.Path)
+	})}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &slowToClose{Listener: inner, closing: make(chan struct{}, 1), release: make(chan struct{})}
+	connect := startOn(t, s, l)
+	for range idleConnections {
+		c := connect()
+		send(t, c, get("/idle"))
+		read(t, bufio.NewReader(c), "GET")
+	}
+	busy := connect()
+	send(t, busy, get("/busy"))
+	<-began
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		stopped <- s.Shutdown(ctx)
+	}()
+	<-l.closing
+	close(release)
+	if r, body := read(t, bufio.NewReader(busy), "GET"); body != "/busy" || !r.Close {
+		t.Errorf("answer %q with close %v, want the end with it", body, r.Close)
+	}
+	close(l.release)
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
 // TestIdleConnectionsEnd guards against connections without requests that stay
 // open for ever, also after requests.
 func TestIdleConnectionsEnd(t *testing.T) {
--- a/node/internal/pipeline/server.go
+++ b/node/internal/pipeline/server.go
@@ -151,6 +151,11 @@
 	defer ticker.Stop()
 	for {
 		list := s.stop()
+		// All of them first: closing one may take a while, and answers that are
+		// sent meanwhile tell that they are the last.
+		for _, c := range list {
+			c.stopReading()
+		}
 		for _, c := range list {
 			c.closeIdle()
 		}
