node: rules that are out of force elsewhere are not used

Change: timeouts towards control double with each round of members that gives no answer, up to 1.2 s; calls carry the revision of their entry node, and an owner whose newer rules are older than RulesGrace refuses them (oldRules, not run); a node that control has not answered for as long says noRules in place of noRoute.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -28,8 +28,11 @@
 
 // Reasons of refusals, as they stand in refusal bodies.
 const (
-	ReasonNoRoute    Reason = "noRoute"
-	ReasonNoRules    Reason = "noRules"
+	ReasonNoRoute Reason = "noRoute"
+	ReasonNoRules Reason = "noRules"
+	// ReasonOldRules means that the node which a request came in at has older rules
+	// than the one that it was sent to.
+	ReasonOldRules   Reason = "oldRules"
 	ReasonNoKey      Reason = "noKey"
 	ReasonBadRequest Reason = "badRequest"
 	ReasonNoOwner    Reason = "noOwner"
--- a/node/config.go
+++ b/node/config.go
@@ -96,6 +96,11 @@
 	// while it has no lease. Rules may then be in force for longer on a node that
 	// control cannot reach.
 	WithoutLease bool
+	// RulesGrace bounds how long rules are used that may be out of force, at a node
+	// that control cannot reach: it runs no calls at nodes whose newer rules are
+	// older than this, and says no more that there is no route once control has
+	// been silent for that long. Default 0, which means no bound.
+	RulesGrace time.Duration
 	// BeatInterval is the usual time between two beats of the backend server,
 	// with a dialect.
 	BeatInterval time.Duration
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -79,6 +79,9 @@
 	// WithoutLease lets requests go on while the node has no lease: the owners
 	// check theirs.
 	WithoutLease bool
+	// RulesGrace is how long after control last answered the node still says that
+	// there is no route. 0 means for ever.
+	RulesGrace time.Duration
 	// AvailabilityZone is this node's own.
 	AvailabilityZone string
 	// Nested reports whether an address is the backend server's, whose calls
@@ -212,6 +215,10 @@
 	}
 	d := t.Decide(q.query)
 	q.route, q.upstream = d.Route, d.Upstream
+	if d.Reason == outcome.ReasonNoRoute && q.h.silent() {
+		// A route may have come that this node has not heard of.
+		return relay.NotRun(outcome.ReasonNoRules)
+	}
 	switch d.Reason {
 	case outcome.ReasonNoRoute, outcome.ReasonNoKey, outcome.ReasonBadRequest:
 		return relay.NotRun(d.Reason)
@@ -236,6 +243,12 @@
 	return q.readBody()
 }
 
+// silent reports whether control has not answered for so long that the rules may
+// have changed.
+func (h *Handler) silent() bool {
+	return h.cfg.RulesGrace > 0 && h.cfg.View.Silence(h.cfg.Clock.Now()) > h.cfg.RulesGrace
+}
+
 // idempotent reports whether the request may run more than once.
 func (q *request) idempotent() bool {
 	switch q.route.Repeat {
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -144,7 +144,7 @@
 	}
 	switch r.Reason {
 	case outcome.ReasonMoving, outcome.ReasonNotOwner, outcome.ReasonNoLease, outcome.ReasonNoOwner, outcome.ReasonNoServer,
-		outcome.ReasonStopping:
+		outcome.ReasonStopping, outcome.ReasonOldRules:
 		return nextHold
 	case outcome.ReasonNotHeld:
 		return nextHoldRetry
@@ -169,6 +169,7 @@
 // once decides by a table and makes one sending.
 func (q *request) once(t *routing.Table, u *upstream) (*relay.Answer, *outcome.Refusal) {
 	q.held = held{}
+	q.call.Revision = t.Revision()
 	identity := q.h.cfg.View.Identity()
 	if !q.h.cfg.WithoutLease && (identity.Incarnation == 0 || !q.h.cfg.Clock.Now().Before(identity.Until)) {
 		// Without a lease the rules that this node knows may be out of force.
--- a/node/internal/controlclient/export_test.go
+++ b/node/internal/controlclient/export_test.go
@@ -1,11 +1,12 @@
 package controlclient
 
-// NewGroup, Watch, Failure and Succeeded are for tests.
+// NewGroup, Watch, Failure, Succeeded and Patience are for tests.
 var (
 	NewGroup  = newGroup
 	Watch     = (*group).watch
 	Failure   = (*group).failure
 	Succeeded = (*group).succeeded
+	Patience  = (*group).patience
 )
 
 // Spread is for tests.
--- a/node/internal/controlclient/group.go
+++ b/node/internal/controlclient/group.go
@@ -27,6 +27,10 @@
 	pingTimeout = 400 * time.Millisecond
 )
 
+// maxPatience bounds by how much timeouts grow while no member answers, as a
+// power of two: 300 ms become 1.2 s, which is below lateTimeout.
+const maxPatience = 2
+
 // maxMembers bounds the addresses that hints of members can add.
 const maxMembers = 16
 
@@ -43,6 +47,8 @@
 	// failed is the member that last did not answer. Its address is not taken
 	// from hints of others, who may not know yet that it is gone.
 	failed string
+	// silent counts failures without an answer since a member last gave one.
+	silent int
 	// watched is the member with the watch stream. changed is closed when
 	// another one has answered as leader.
 	watched string
@@ -60,11 +66,14 @@
 	g := &group{
 		secret: secret, clients: map[string]wirev1connect.ControlClient{}, changed: make(chan struct{}),
 		transport: &http.Transport{
-			Protocols: protocols, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+			Protocols: protocols, DisableCompression: true,
 			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 			IdleConnTimeout: time.Minute,
 		},
 	}
+	g.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{Timeout: g.patience(dialTimeout)}).DialContext(ctx, network, address)
+	}
 	for _, m := range members {
 		g.members = append(g.members, m.String())
 	}
@@ -102,11 +111,25 @@
 	return c, address
 }
 
+// patience returns a timeout, doubled for each round of all members in which
+// none has answered: a busy link may take longer than the timeout, and each try
+// that is given up too early adds to its load.
+func (g *group) patience(timeout time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return timeout << min(g.silent/len(g.members), maxPatience)
+}
+
 // failure follows the hint of a member that does not lead, or goes on to the
 // next member. It does nothing if another member was chosen meanwhile.
 func (g *group) failure(address string, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if connect.IsWireError(err) {
+		g.silent = 0
+	} else {
+		g.silent++
+	}
 	if g.members[g.current] != address {
 		return
 	}
@@ -130,6 +153,7 @@
 func (g *group) succeeded(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.silent = 0
 	if g.failed == address {
 		g.failed = ""
 	}
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -53,7 +53,7 @@
 	_, address := s.group.leader()
 	answered := make(chan bool, 1)
 	late.Go(func() { answered <- i.send(ctx, request) })
-	timer := time.NewTimer(renewTimeout)
+	timer := time.NewTimer(s.group.patience(renewTimeout))
 	defer timer.Stop()
 	select {
 	case ok := <-answered:
@@ -97,6 +97,7 @@
 	valid := i.holder.Granted(s.cfg.Clock.Now(), r.GetSequence(), time.Duration(r.GetLeaseMs())*time.Millisecond)
 	until := i.holder.Expiry()
 	if valid {
+		s.cfg.View.Heard(s.cfg.Clock.Now())
 		// Under the lock, so that it cannot follow the end of the incarnation.
 		s.cfg.View.SetIdentity(view.Identity{Incarnation: i.number, Secret: i.secret, Until: until})
 	}
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -82,7 +82,9 @@
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Msg("rules cannot be read; the earlier revision stays in force")
 	}
-	s.cfg.View.SetTable(t)
+	now := s.cfg.Clock.Now()
+	s.cfg.View.SetTable(now, t)
+	s.cfg.View.Heard(now)
 	if self := t.Node(i.number); self != nil {
 		s.cfg.Backend.SetOut(t.Leaving(self))
 	}
--- a/node/internal/peer/call.go
+++ b/node/internal/peer/call.go
@@ -15,7 +15,7 @@
 const maxLeft = 24 * time.Hour
 
 // callFields is the number of fields of a call in a header.
-const callFields = 13
+const callFields = 14
 
 // EncodeCall writes a call for the header Jujubeknot-Peer-Call: fields
 // separated by spaces, in the order in which DecodeCall reads them.
@@ -40,6 +40,7 @@
 	number(bit(c.Idempotent)|bit(c.CallerID)<<1, 10)
 	number(uint64(c.Attempt), 10)
 	number(lead(c), 10)
+	number(c.Revision, 10)
 	return string(b)
 }
 
@@ -93,6 +94,7 @@
 	c.Idempotent, c.CallerID = flags&1 != 0, flags&2 != 0
 	c.Attempt = int(number(11, 10, 31))
 	lead := time.Duration(number(12, 10, 32)) * time.Millisecond
+	c.Revision = number(13, 10, 64)
 	if bad >= 0 {
 		return nil, errors.Errorf("call of a peer: field %d is not a number in range", bad+1)
 	}
--- a/node/internal/peer/call_test.go
+++ b/node/internal/peer/call_test.go
@@ -25,7 +25,7 @@
 			Upstream: rapid.StringN(1, 30, -1).Draw(t, "upstream"), Keyed: rapid.Bool().Draw(t, "keyed"),
 			Partition: rapid.Uint32().Draw(t, "partition"), Epoch: rapid.Uint64().Draw(t, "epoch"), KeyHash: rapid.Uint64().Draw(t, "key"),
 			Depth: rapid.IntRange(0, 2).Draw(t, "depth"), Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
-			Idempotent: rapid.Bool().Draw(t, "idempotent"), CallerID: rapid.Bool().Draw(t, "callerID"), Attempt: rapid.IntRange(0, 9).Draw(t, "attempt"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), CallerID: rapid.Bool().Draw(t, "callerID"), Attempt: rapid.IntRange(0, 9).Draw(t, "attempt"), Revision: rapid.Uint64().Draw(t, "revision"),
 		}
 		now := time.Unix(1000, 0)
 		if rapid.Bool().Draw(t, "targeted") {
@@ -43,7 +43,7 @@
 		if got.ID != want.ID || got.Sending != want.Sending || got.Upstream != want.Upstream || got.Keyed != want.Keyed ||
 			got.Partition != want.Partition || got.Epoch != want.Epoch || got.KeyHash != want.KeyHash || got.Depth != want.Depth ||
 			got.Priority != want.Priority || got.Idempotent != want.Idempotent || got.CallerID != want.CallerID ||
-			got.Attempt != want.Attempt || !got.Deadline.Equal(want.Deadline) || !got.Target.Equal(want.Target) {
+			got.Attempt != want.Attempt || got.Revision != want.Revision || !got.Deadline.Equal(want.Deadline) || !got.Target.Equal(want.Target) {
 			t.Fatalf("got %+v, want %+v", got, &want)
 		}
 	})
@@ -52,10 +52,10 @@
 // FuzzDecodeCall guards against panics and against calls without an id that
 // could not be settled.
 func FuzzDecodeCall(f *testing.F) {
-	f.Add("id sending applications 1 7 3 ff 1000 0 5 1 0 0")
+	f.Add("id sending applications 1 7 3 ff 1000 0 5 1 0 0 9")
 	f.Add("")
-	f.Add("id sending a%zz 1 7 3 ff 1000 0 5 1 0 301")
-	f.Add("id sending applications 1 7 3 ff 99999999999 0 5 1 0 0")
+	f.Add("id sending a%zz 1 7 3 ff 1000 0 5 1 0 301 9")
+	f.Add("id sending applications 1 7 3 ff 99999999999 0 5 1 0 0 9")
 	f.Fuzz(func(t *testing.T, text string) {
 		now := time.Unix(1000, 0)
 		c, err := peer.DecodeCall(text, now)
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -77,6 +77,9 @@
 	// SharedSecret is trusted whatever the sender's incarnation. Empty means that
 	// only registered nodes are trusted.
 	SharedSecret string
+	// RulesGrace is how long calls that were decided by older rules than this
+	// node's are still run. 0 means for ever.
+	RulesGrace time.Duration
 	// Pressure refuses calls while the processor is overloaded. Nil means one
 	// that refuses none.
 	Pressure *pressure.Monitor
@@ -199,8 +202,18 @@
 	return h.admit(ctx, c)
 }
 
-// admit runs a call unless the processor is overloaded.
+// oldRules reports whether a call was decided by rules that should be out of
+// force everywhere: its entry node has lost control without noticing.
+func (h *Handler) oldRules(c *relay.Call) bool {
+	return h.RulesGrace > 0 && c.Revision < h.View.Table().Revision() && h.View.RulesAge(h.Clock.Now()) > h.RulesGrace
+}
+
+// admit runs a call unless it was decided by old rules or the processor is
+// overloaded.
 func (h *Handler) admit(ctx context.Context, c *relay.Call) (*relay.Answer, *outcome.Refusal) {
+	if h.oldRules(c) {
+		return nil, relay.NotRun(outcome.ReasonOldRules)
+	}
 	if h.Pressure.Over(c.Depth) {
 		r := relay.NotRun(outcome.ReasonProcessorBusy)
 		r.RetryAfter = overRetryAfter
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -39,6 +39,9 @@
 	// Attempt is 1 if the caller says that it never sent the request before,
 	// 0 if it says nothing.
 	Attempt int
+	// Revision is that of the rules in force at the entry node when it sent the
+	// call.
+	Revision uint64
 	// Deadline is by the node's clock, and so is Target, after which the answer
 	// is late. The zero time means that there is no target.
 	Deadline, Target time.Time
--- a/node/internal/view/view.go
+++ b/node/internal/view/view.go
@@ -23,8 +23,11 @@
 type View struct {
 	table    atomic.Pointer[routing.Table]
 	identity atomic.Pointer[Identity]
-	mu       sync.Mutex
-	changed  chan struct{}
+	// since is when the rules in force came, heard when control last answered, by
+	// the node's clock in nanoseconds.
+	since, heard atomic.Int64
+	mu           sync.Mutex
+	changed      chan struct{}
 }
 
 // New returns a view with a table and without a registration.
@@ -56,11 +59,26 @@
 }
 
 // SetTable puts a table in force.
-func (v *View) SetTable(t *routing.Table) {
-	v.table.Store(t)
+func (v *View) SetTable(now time.Time, t *routing.Table) {
+	if old := v.table.Swap(t); old.Revision() != t.Revision() {
+		v.since.Store(now.UnixNano())
+	}
 	v.Notify()
 }
 
+// RulesAge returns for how long the rules have been in force here.
+func (v *View) RulesAge(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - v.since.Load())
+}
+
+// Heard notes that control has confirmed what the node knows.
+func (v *View) Heard(now time.Time) { v.heard.Store(now.UnixNano()) }
+
+// Silence returns the time since control confirmed what the node knows.
+func (v *View) Silence(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - v.heard.Load())
+}
+
 // SetIdentity puts a registration or the end of its lease in force. Waiters
 // are woken only when the incarnation or the presence of a lease changes.
 func (v *View) SetIdentity(i Identity) {
--- a/node/node.go
+++ b/node/node.go
@@ -155,7 +155,7 @@
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend, ByBeat: n.cfg.Dialect != nil, BeatInterval: n.cfg.BeatInterval, WithoutLease: n.cfg.WithoutLease})
 	n.backend.OnLeave(n.owner.Partitions)
 	n.peers = peer.NewClient(peer.ClientConfig{Clock: clock, Log: log, View: n.view})
-	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure, SharedSecret: n.cfg.PeerSecret}
+	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure, SharedSecret: n.cfg.PeerSecret, RulesGrace: n.cfg.RulesGrace}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -167,7 +167,7 @@
 	})
 	callers := caller.New(caller.Config{
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
-		Dialect: n.cfg.Dialect, WithoutLease: n.cfg.WithoutLease,
+		Dialect: n.cfg.Dialect, WithoutLease: n.cfg.WithoutLease, RulesGrace: n.cfg.RulesGrace,
 		AvailabilityZone: n.cfg.AvailabilityZone, Nested: n.backend.IsAddress,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 		MaxConnections: n.cfg.CallerMaxConnections, IdleTimeout: n.cfg.CallerIdleTimeout,
