--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -11,13 +11,26 @@
 )
 
 type explainCommand struct {
-	Upstream string `long:"upstream" value-name:"NAME" required:"yes" description:"keyed upstream"`
+	Upstream string `long:"upstream" value-name:"NAME" description:"keyed upstream of the key"`
+	Request  string `long:"request" value-name:"ID" description:"show the way of this request through the logs given, offline"`
 	Args     struct {
-		Key string `positional-arg-name:"KEY" description:"key as it stands in requests"`
+		Names []string `positional-arg-name:"KEY|LOG" required:"1" description:"key as it stands in requests, or log files"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 func (c *explainCommand) run(ctx context.Context, s *session) error {
+	switch {
+	case c.Request != "" && c.Upstream != "":
+		return coded(ExitUsage, "--request and --upstream exclude each other")
+	case c.Request != "":
+		return explainRequest(s, c.Request, c.Args.Names)
+	case c.Upstream == "" || len(c.Args.Names) != 1:
+		return coded(ExitUsage, "expected one key and --upstream, or --request and log files")
+	}
+	return c.key(ctx, s, c.Args.Names[0])
+}
+
+func (c *explainCommand) key(ctx context.Context, s *session, key string) error {
 	if err := s.connect(); err != nil {
 		return err
 	}
@@ -29,7 +42,7 @@
 	if !ok || !upstream.Keyed {
 		return coded(ExitInvalid, fmt.Sprintf("%q is not a keyed upstream of the rules in force", c.Upstream))
 	}
-	explained, err := s.client.Explain(ctx, c.Upstream, c.Args.Key)
+	explained, err := s.client.Explain(ctx, c.Upstream, key)
 	if err != nil {
 		return err
 	}
@@ -43,7 +56,7 @@
 	}
 	assignment, owner := explained.GetAssignment(), explained.GetOwner()
 	rows := [][]string{
-		{"key", c.Args.Key},
+		{"key", key},
 		{"partition", fmt.Sprintf("%d of %d of upstream %s", assignment.GetPartition(), upstream.Partitions, c.Upstream)},
 	}
 	if owner.GetIncarnation() == 0 {
--- a/ctl/options.go
+++ b/ctl/options.go
@@ -67,7 +67,8 @@
 		"has stored it; in force means that every node follows it or takes no work.", &applyCommand{})
 	add(root, "watch", "Apply a rules file on each save", "Watches a rules file, applies it on each save and shows where it is in force.", &watchCommand{})
 	add(root, "status", "Show members, zones and servers", "Shows members, availability zones and servers as the leader sees them.", &statusCommand{})
-	add(root, "explain", "Show who owns a key and why", "Shows the owner of a key, its epoch, the reason and the last moves.", &explainCommand{})
+	add(root, "explain", "Show who owns a key and why", "Shows the owner of a key, its epoch, the reason and the last moves. With --request, "+
+		"shows the way of a request through the logs of processes in the order of time, and what changed at them meanwhile.", &explainCommand{})
 	add(root, "drain", "Drain a backend server", "Moves all work off a backend server; --undo returns it to service.", &drainCommand{})
 	add(root, "history", "Show the changes of the rules", "Shows revisions with author, time, and who asked for each change and why.", &historyCommand{})
 	add(root, "inspect", "Read a data folder offline", "Shows the log, the snapshots and any damage in the data folder of a control "+
