node/loglines: a reader who stops blocks nobody

Before: TestSlowReaderBlocksNobody waits for ever. After: 5,000 lines of 1,000 bytes are taken while the reader stands still, 1 MiB of them is kept, and a line tells how many were left out.

--- a/node/loglines/writer.go
+++ b/node/loglines/writer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -13,60 +14,89 @@
 	// flushBytes and flushInterval bound the lines that a crash loses.
 	flushBytes    = 64 << 10
 	flushInterval = 100 * time.Millisecond
+	// maxBytes bounds the lines that wait for a slow reader, a few seconds of a
+	// busy node.
+	maxBytes = 1 << 20
 )
 
-// Writer collects lines and writes them when 64 KiB have come together, 100 ms
-// after the first of them, and on Flush. It is safe for concurrent use.
+// Writer collects lines and writes them when 64 KiB have come together and 100
+// ms after the first of them. Write never waits for the reader: while 1 MiB
+// waits, lines are left out, and a line tells how many. It is safe for
+// concurrent use.
 type Writer struct {
 	out io.Writer
-	// collected gets a value with the first line after a flush.
-	collected chan struct{}
+	// collected gets a value with the first line after a flush, full when
+	// flushBytes have come together.
+	collected, full chan struct{}
 
 	mu     sync.Mutex
 	buffer []byte
-	err    error
+	// omitted lines have not been told yet.
+	omitted int
+	err     error
+
+	// writing is held while out is written to; spare is the buffer written last.
+	writing sync.Mutex
+	spare   []byte
 }
 
-// New returns a writer to out.
+// New returns a writer to out. Lines are written while Run runs, and by Flush.
 func New(out io.Writer) *Writer {
-	return &Writer{out: out, collected: make(chan struct{}, 1), buffer: make([]byte, 0, 2*flushBytes)}
+	return &Writer{out: out, collected: make(chan struct{}, 1), full: make(chan struct{}, 1), buffer: make([]byte, 0, 2*flushBytes)}
 }
 
 // Write takes one line. The error is that of an earlier write.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(w.buffer)+len(line) > maxBytes {
+		w.omitted++
+		return len(line), w.err
+	}
 	if len(w.buffer) == 0 {
-		select {
-		case w.collected <- struct{}{}:
-		default:
-		}
+		wake(w.collected)
 	}
 	w.buffer = append(w.buffer, line...)
 	if len(w.buffer) >= flushBytes {
-		w.flush()
+		wake(w.full)
 	}
 	return len(line), w.err
 }
 
-// Flush writes what was collected.
-func (w *Writer) Flush() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.flush()
-	return w.err
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
-func (w *Writer) flush() {
-	if len(w.buffer) == 0 {
-		return
+// Flush writes what was collected, and waits for the reader.
+func (w *Writer) Flush() error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	w.mu.Lock()
+	lines, omitted := w.buffer, w.omitted
+	w.buffer, w.omitted = w.spare[:0], 0
+	w.mu.Unlock()
+	if omitted > 0 {
+		lines = fmt.Appendf(lines, `{"level":"warn","omitted":%d,"message":"log lines were left out: their reader was too slow"}`+"\n", omitted)
+	}
+	if cap(lines) <= 2*flushBytes {
+		w.spare = lines
 	}
-	_, w.err = w.out.Write(w.buffer)
-	w.buffer = w.buffer[:0]
+	if len(lines) == 0 {
+		return nil
+	}
+	_, err := w.out.Write(lines)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.err = err
+	return err
 }
 
-// Run flushes 100 ms after the first line that was collected, until the context
-// ends, and once more then. Without lines it does nothing.
+// Run flushes 100 ms after the first line that was collected and whenever 64 KiB
+// have come together, until the context ends, and once more then. Without lines
+// it does nothing.
 func (w *Writer) Run(ctx context.Context) {
 	// There is nobody left to tell of an error at the end.
 	defer func() { _ = w.Flush() }()
@@ -82,8 +112,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.full:
 		case <-timer.C:
-			_ = w.Flush()
 		}
+		// Write reports the error to the logger.
+		_ = w.Flush()
 	}
 }
--- a/node/loglines/writer_test.go
+++ b/node/loglines/writer_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +29,7 @@
 			time.Sleep(time.Minute)
 			_, _ = w.Write([]byte("a\n"))
 			time.Sleep(101 * time.Millisecond)
+			synctest.Wait()
 			if out.String() != want {
 				t.Errorf("written: %q, want %q", out.String(), want)
 			}
@@ -38,3 +42,49 @@
 		}
 	})
 }
+
+// stuckReader reads nothing until it is released.
+type stuckReader struct {
+	began, release chan struct{}
+	once           sync.Once
+	bytes.Buffer
+}
+
+// Write waits for the release.
+func (s *stuckReader) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.began) })
+	<-s.release
+	return s.Buffer.Write(p)
+}
+
+// TestSlowReaderBlocksNobody guards against requests that wait because the
+// reader of the log has stopped, against memory that grows with what it has not
+// read, and against lines that are left out without a word.
+func TestSlowReaderBlocksNobody(t *testing.T) {
+	out := &stuckReader{began: make(chan struct{}), release: make(chan struct{})}
+	w := loglines.New(out)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx)
+	}()
+	const lines = 5000
+	line := []byte(strings.Repeat("x", 999) + "\n")
+	_, _ = w.Write(line)
+	<-out.began
+	for range lines {
+		_, _ = w.Write(line)
+	}
+	close(out.release)
+	stop()
+	<-ended
+	text := out.String()
+	written := strings.Count(text, string(line))
+	if len(text) > 2<<20 || written < 500 {
+		t.Errorf("%d bytes and %d lines of a reader that stopped, want about 1 MiB", len(text), written)
+	}
+	if told := fmt.Sprintf(`"omitted":%d,`, lines+1-written); !strings.Contains(text, told) {
+		t.Errorf("no line tells %s", told)
+	}
+}
