bench/soak: a fault soak with real processes; grants end by the backend server's clock

The soak (jujubeknot-bench soak) runs control members, nodes and stand-ins as processes, with proxies before callers' addresses and backend servers, draws faults that overlap from a seed, changes rules meanwhile, and checks what ran against what callers were told. Records and logs: the frozen server found a whole grant among what had arrived meanwhile, and counted its time from when it read it. Ruled out: the node (its lease had ended at 7.902 s, and it had sent nothing after); the window in docs/design.md, because this server checks fences. Change: a server tells its clock with each announcement, and a grant names its end by that clock. TestHeldUpGrantGrantsNothing shows both kinds of servers; one that tells no clock is where it was.

--- a/bench/backend/config.go
+++ b/bench/backend/config.go
@@ -50,7 +50,9 @@
 	Node string
 	// Announce is the address of the node's listener for backend servers. Empty
 	// means that the server does not announce itself.
-	Announce      string
+	Announce string
+	// Advertise is the address to announce, where it is not the one listened at.
+	Advertise     string
 	AnnounceEvery time.Duration
 	Slots         int
 	Connections   int
--- a/bench/backend/control.go
+++ b/bench/backend/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -196,8 +197,9 @@
 			announced = now
 			// A node that does not answer hears the next announcement.
 			_ = s.post(b.ctx, "/v1/announce", map[string]any{
-				"name": s.config.Name, "upstream": s.config.Upstream, "address": s.Address(), "bootId": b.id,
+				"name": s.config.Name, "upstream": s.config.Upstream, "address": cmp.Or(s.config.Advertise, s.Address()), "bootId": b.id,
 				"slots": s.config.Slots, "connections": s.config.Connections, "checksFences": s.config.ChecksFences,
+				"clockMs": time.Since(b.started).Milliseconds(),
 			}, nil)
 		}
 		select {
--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -41,10 +41,12 @@
 
 // boot is one life of the server between start and crash.
 type boot struct {
-	id     string
-	server *http.Server
-	ctx    context.Context
-	cancel context.CancelFunc
+	// started is when the clock that announcements tell began.
+	started time.Time
+	id      string
+	server  *http.Server
+	ctx     context.Context
+	cancel  context.CancelFunc
 	// ended is closed when the background work has ended.
 	ended   sync.WaitGroup
 	running map[string]*job
@@ -99,7 +101,9 @@
 	b.server = &http.Server{Handler: s.handler(b), ReadHeaderTimeout: time.Minute}
 	s.boot = b
 	s.leaving, s.draining, s.previous, s.history = false, false, nil, nil
-	s.grants = lease.GrantReceiver{}
+	// The clock starts above 0, which would mean none.
+	b.started = time.Now().Add(-time.Millisecond)
+	s.grants = lease.GrantReceiver{Started: b.started}
 	s.config.Records.add(s.entry(EntryBoot, b))
 	limited := newListener(l, s.config.Connections, s.config.ConnectionCost, func() {
 		s.config.Records.add(s.entry(EntryConnection, b))
--- a/bench/cmd/jujubeknot-bench/commands.go
+++ b/bench/cmd/jujubeknot-bench/commands.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/bench/backend"
 	"github.com/jujubeknot/jujubeknot/bench/demo"
 	"github.com/jujubeknot/jujubeknot/bench/load"
+	"github.com/jujubeknot/jujubeknot/bench/soak"
 )
 
 // command makes a type a command of go-flags; main calls run instead.
@@ -42,6 +46,7 @@
 	Zone         string        `long:"zone" description:"availability zone, for records"`
 	Listen       string        `long:"listen" default:"127.0.0.1:0" description:"address to listen at"`
 	Announce     string        `long:"announce" required:"true" description:"the node's address for backend servers"`
+	Advertise    string        `long:"advertise" description:"address to announce, if another one than it listens at"`
 	Node         string        `long:"node" description:"the node's address for callers, for nested calls"`
 	Slots        int           `long:"slots" default:"6" description:"requests at a time"`
 	Connections  int           `long:"connections" default:"110" description:"connections at a time"`
@@ -63,7 +68,7 @@
 	}
 	s := backend.New(backend.Config{
 		Seed: c.Seed, Records: records,
-		Name: c.Name, Upstream: c.Upstream, Zone: c.Zone, Listen: c.Listen, Announce: c.Announce, Node: c.Node,
+		Name: c.Name, Upstream: c.Upstream, Zone: c.Zone, Listen: c.Listen, Announce: c.Announce, Advertise: c.Advertise, Node: c.Node,
 		Slots: c.Slots, Connections: c.Connections, ChecksFences: c.ChecksFences,
 		Service: backend.Service{Mean: c.Service},
 	})
@@ -84,6 +89,35 @@
 // leaveTimeout bounds the time that a backend server waits for its node.
 const leaveTimeout = 30 * time.Second
 
+type soakCommand struct {
+	command
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the first run; the next runs have the next seeds"`
+	Runs     int           `long:"runs" default:"1" description:"number of runs, one after the other"`
+	For      time.Duration `long:"for" default:"20s" description:"time with faults of each run"`
+	Nodes    int           `long:"nodes" default:"4" description:"nodes, each with a backend server"`
+	Rate     float64       `long:"rate" default:"200" description:"requests per second"`
+	Programs string        `long:"programs" default:"bin" description:"folder of the programs"`
+	Folder   string        `long:"folder" description:"folder for settings, logs and records; default a temporary one, kept if a promise is broken"`
+}
+
+func (c *soakCommand) run(ctx context.Context) error {
+	var failed []error
+	for seed := c.Seed; seed < c.Seed+uint64(c.Runs) && ctx.Err() == nil; seed++ {
+		folder := c.Folder
+		if folder != "" {
+			folder = filepath.Join(folder, strconv.FormatUint(seed, 10))
+		}
+		err := soak.Run(ctx, soak.Config{
+			Seed: seed, Programs: c.Programs, Folder: folder, Nodes: c.Nodes, Duration: c.For, Rate: c.Rate, Out: os.Stdout,
+		})
+		if err != nil {
+			fmt.Println("FAILED", err)
+			failed = append(failed, err)
+		}
+	}
+	return errors.Join(failed...)
+}
+
 type loadCommand struct {
 	command
 	Targets  string        `long:"targets" required:"true" description:"callers' addresses of nodes, separated by commas"`
--- a/bench/cmd/jujubeknot-bench/main.go
+++ b/bench/cmd/jujubeknot-bench/main.go
@@ -28,6 +28,7 @@
 	Demo    demoCommand    `command:"demo" description:"run all roles in one process and check the promises"`
 	Backend backendCommand `command:"backend" description:"run one stand-in backend server"`
 	Load    loadCommand    `command:"load" description:"send load to nodes"`
+	Soak    soakCommand    `command:"soak" description:"run the programs as processes, make faults, and check the promises"`
 
 	Nodes    nodesCommand    `command:"nodes" hidden:"true" description:"run many idle nodes in one process"`
 	StandIns standInsCommand `command:"stand-ins" hidden:"true" description:"run the minimal backend servers of idle nodes"`
--- a/core/lease/grants.go
+++ b/core/lease/grants.go
@@ -28,7 +28,11 @@
 	Whole    bool   `json:"whole,omitempty"`
 	// ExpiryMs is the time until all partitions of the grant end, in
 	// milliseconds. 0 ends them now.
-	ExpiryMs   int64              `json:"expiryMs"`
+	ExpiryMs int64 `json:"expiryMs"`
+	// EndsAtMs is the same end by the backend server's own clock, for those that
+	// tell it: a message that was held up grants no more than one in time. 0 means
+	// that the clock is not known.
+	EndsAtMs   int64              `json:"endsAtMs,omitempty"`
 	Partitions []GrantedPartition `json:"partitions,omitempty"`
 	Closed     []GrantedPartition `json:"closed,omitempty"`
 }
@@ -69,7 +73,10 @@
 	known bool
 	// told is the end of the lease that the backend server knows.
 	told time.Time
-	sent struct {
+	// clock is what the backend server's clock showed, at the latest at seen.
+	clock time.Duration
+	seen  time.Time
+	sent  struct {
 		grant Grant
 		until time.Time
 	}
@@ -82,7 +89,10 @@
 		return
 	}
 	if lease > s.lease || s.open == nil {
-		*s = GrantSender{lease: lease, upstream: upstream, open: map[uint32]uint64{}, opened: map[uint32]uint64{}, closed: map[uint32]uint64{}}
+		*s = GrantSender{
+			lease: lease, upstream: upstream, open: map[uint32]uint64{}, opened: map[uint32]uint64{}, closed: map[uint32]uint64{},
+			clock: s.clock, seen: s.seen,
+		}
 	}
 	for _, p := range partitions {
 		if p.Epoch > s.open[p.Partition] {
@@ -91,6 +101,10 @@
 	}
 }
 
+// Clock notes what the backend server's steady clock showed when it sent what
+// arrived now. 0 means that it tells no clock.
+func (s *GrantSender) Clock(now time.Time, clock time.Duration) { s.clock, s.seen = clock, now }
+
 // Close takes partitions away. One that is open at a higher epoch stays.
 func (s *GrantSender) Close(partitions ...GrantedPartition) {
 	for _, p := range partitions {
@@ -131,6 +145,9 @@
 	g := Grant{Upstream: s.upstream, Lease: s.lease, Sequence: s.sequence}
 	if !s.over {
 		g.ExpiryMs = max(1, until.Sub(now).Milliseconds())
+		if s.clock > 0 {
+			g.EndsAtMs = (s.clock + until.Sub(s.seen)).Milliseconds()
+		}
 	}
 	switch {
 	case !s.known:
@@ -186,6 +203,9 @@
 // which epoch until when. Its zero value holds nothing. It is not safe for
 // concurrent use.
 type GrantReceiver struct {
+	// Started is when the clock that the server tells the node began.
+	Started time.Time
+
 	lease, sequence, version uint64
 	expires                  time.Time
 	granted                  map[uint32]uint64
@@ -223,7 +243,11 @@
 		}
 	}
 	r.version = g.Version
-	if r.expires = now.Add(time.Duration(g.ExpiryMs) * time.Millisecond); g.ExpiryMs <= 0 {
+	r.expires = now.Add(time.Duration(g.ExpiryMs) * time.Millisecond)
+	if end := r.Started.Add(time.Duration(g.EndsAtMs) * time.Millisecond); g.EndsAtMs > 0 && !r.Started.IsZero() && end.Before(r.expires) {
+		r.expires = end
+	}
+	if g.ExpiryMs <= 0 {
 		clear(r.granted)
 	}
 	return r.answer("")
--- a/core/lease/grants_test.go
+++ b/core/lease/grants_test.go
@@ -179,3 +179,38 @@
 		t.Errorf("message of a lease that is over: %+v", g)
 	}
 }
+
+// TestHeldUpGrantGrantsNothing guards against a backend server that was frozen,
+// finds a whole grant of a lease that is over among what arrived meanwhile, and
+// serves keys that another one has got. Soak seed 20: a request ran at fence 1
+// 0.4 s after another server had begun one at fence 2.
+func TestHeldUpGrantGrantsNothing(t *testing.T) {
+	started := time.Unix(500, 0)
+	for name, c := range map[string]struct {
+		told bool
+		held bool
+	}{"tells its clock": {true, false}, "tells none": {false, true}} {
+		var sender lease.GrantSender
+		now := time.Unix(1000, 0)
+		var receiver lease.GrantReceiver
+		if c.told {
+			receiver.Started = started
+			// The announcement was on its way for 100 ms.
+			sender.Clock(now, now.Add(-100*time.Millisecond).Sub(started))
+		}
+		sender.Open(1, "desk", lease.GrantedPartition{Partition: 3, Epoch: 1})
+		until := now.Add(1500 * time.Millisecond)
+		g, _ := sender.Next(now, until)
+		receiver.Take(now, g)
+		if !receiver.Holds(until.Add(-200*time.Millisecond), 3, 1) {
+			t.Errorf("%s: not held before the end of the lease", name)
+		}
+		sender.Failed()
+		g, _ = sender.Next(now.Add(time.Second), until)
+		thawed := now.Add(3 * time.Second)
+		receiver.Take(thawed, g)
+		if got := receiver.Holds(thawed, 3, 1); got != c.held {
+			t.Errorf("%s: held after the end of the lease: %v, want %v", name, got, c.held)
+		}
+	}
+}
--- a/node/internal/backend/announce.go
+++ b/node/internal/backend/announce.go
@@ -31,6 +31,8 @@
 	Slots        uint32 `json:"slots"`
 	Connections  uint32 `json:"connections"`
 	ChecksFences bool   `json:"checksFences"`
+	// ClockMs is what the server's steady clock shows, 0 if it tells none.
+	ClockMs int64 `json:"clockMs"`
 }
 
 // leave is the body of POST /v1/leave.
@@ -105,6 +107,8 @@
 		return errors.Errorf("bootId: expected 1 to %d bytes", maxNameBytes)
 	case a.Slots == 0 || a.Slots > maxSlots:
 		return errors.Errorf("slots: expected 1 to %d", maxSlots)
+	case a.ClockMs < 0:
+		return errors.New("clockMs: expected 0 or more")
 	case a.Connections == 0 || a.Connections > maxConnections:
 		return errors.Errorf("connections: expected 1 to %d", maxConnections)
 	}
@@ -135,6 +139,7 @@
 		s.leaving = false
 	}
 	s.mu.Unlock()
+	s.grants.clock(now, a.ClockMs)
 	if !changed {
 		return nil
 	}
--- a/node/internal/backend/grants.go
+++ b/node/internal/backend/grants.go
@@ -22,6 +22,13 @@
 	sender lease.GrantSender
 }
 
+// clock notes what the backend server's clock showed.
+func (g *grants) clock(now time.Time, ms int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sender.Clock(now, time.Duration(ms)*time.Millisecond)
+}
+
 // OpenGrants adds partitions of a lease to what SendGrants tells the backend
 // server.
 func (s *Server) OpenGrants(number uint64, upstream string, partitions []lease.GrantedPartition) {
