core/choice: the server of the own zone is taken while it is in time

The server of the own zone was left at three times the cost of another, and for a whole probe interval once it was silent for 200 ms or a straggler beside faster ones: uploads of 72 ms with a target of 300 ms met that often. Ruled out: control's traffic (a tenth); requests with keys, whose owner is the only one. Change: a server of the own zone is left only when it is late for the request's target, or silent for as long.

--- a/core/choice/baselines.go
+++ b/core/choice/baselines.go
@@ -16,7 +16,7 @@
 }
 
 // Pick implements Policy.
-func (r *Random) Pick(_ time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+func (r *Random) Pick(_ time.Time, candidates []Candidate, _ time.Duration) (Candidate, Reason, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, "", false
 	}
@@ -36,7 +36,7 @@
 }
 
 // Pick implements Policy.
-func (r *RoundRobin) Pick(_ time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+func (r *RoundRobin) Pick(_ time.Time, candidates []Candidate, _ time.Duration) (Candidate, Reason, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, "", false
 	}
@@ -65,7 +65,7 @@
 }
 
 // Pick implements Policy.
-func (l *LeastInFlight) Pick(_ time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+func (l *LeastInFlight) Pick(_ time.Time, candidates []Candidate, _ time.Duration) (Candidate, Reason, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, "", false
 	}
--- a/core/choice/choice_test.go
+++ b/core/choice/choice_test.go
@@ -74,7 +74,7 @@
 				p.Done(now, 1, now.Sub(sent), choice.KindOK)
 			}
 		}
-		c, _, _ := p.Pick(now, candidates)
+		c, _, _ := p.Pick(now, candidates, 0)
 		p.Sent(now, c.Incarnation)
 		if c.Incarnation == 1 && i >= 1000 && i < 4000 {
 			stuck = append(stuck, now)
@@ -124,8 +124,8 @@
 			"pick": func(t *rapid.T) {
 				candidates, warm := drawCandidates(t)
 				n := len(candidates)
-				c, reason, ok := a.Pick(now, candidates)
-				c2, reason2, ok2 := b.Pick(now, candidates)
+				c, reason, ok := a.Pick(now, candidates, 0)
+				c2, reason2, ok2 := b.Pick(now, candidates, 0)
 				if c != c2 || reason != reason2 || ok != ok2 {
 					t.Fatalf("%v %v and %v %v with the same seed", c, reason, c2, reason2)
 				}
@@ -175,7 +175,7 @@
 	shed := 0
 	for range 10_000 {
 		now = now.Add(time.Millisecond)
-		c, _, _ := p.Pick(now, candidates)
+		c, _, _ := p.Pick(now, candidates, 0)
 		p.Sent(now, c.Incarnation)
 		if c.Incarnation == 1 {
 			shed++
@@ -201,7 +201,7 @@
 	now := time.Unix(0, 0)
 	own := 0
 	for range 1000 {
-		c, _, _ := p.Pick(now, candidates)
+		c, _, _ := p.Pick(now, candidates, 0)
 		if c.AvailabilityZone == "a" {
 			own++
 		}
@@ -212,7 +212,7 @@
 	}
 	own = 0
 	for range 1000 {
-		c, _, _ := p.Pick(now, candidates)
+		c, _, _ := p.Pick(now, candidates, 0)
 		p.Sent(now, c.Incarnation)
 		if c.AvailabilityZone == "a" {
 			own++
@@ -264,7 +264,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Microsecond)
-				c, _, _ := p.Pick(now, candidates)
+				c, _, _ := p.Pick(now, candidates, 0)
 				p.Sent(now, c.Incarnation)
 				p.Done(now, c.Incarnation, time.Millisecond, choice.KindOK)
 			}
@@ -291,7 +291,7 @@
 	const requests = 1400
 	for range requests {
 		now = now.Add(time.Millisecond)
-		c, _, ok := p.Pick(now, candidates)
+		c, _, ok := p.Pick(now, candidates, 0)
 		if !ok {
 			t.Fatal("no server was picked")
 		}
--- a/core/choice/doc.go
+++ b/core/choice/doc.go
@@ -68,8 +68,9 @@
 // are not safe for concurrent use. Candidates must be in the same order on
 // each call for a run to be repeatable; Pick does not change them.
 type Policy interface {
-	// Pick chooses a candidate. It reports false only if there is none.
-	Pick(now time.Time, candidates []Candidate) (Candidate, Reason, bool)
+	// Pick chooses a candidate for a request whose answer is late after the target,
+	// 0 for none. It reports false only if there is none.
+	Pick(now time.Time, candidates []Candidate, target time.Duration) (Candidate, Reason, bool)
 	// Sent reports that a request was sent to the node.
 	Sent(now time.Time, incarnation uint64)
 	// Done reports how a request that was reported with Sent ended, and the
--- a/core/choice/sim_test.go
+++ b/core/choice/sim_test.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		node := r.random.IntN(s.nodes)
-		c, _, _ := policies[node].Pick(r.now, candidates)
+		c, _, _ := policies[node].Pick(r.now, candidates, 0)
 		policies[node].Sent(r.now, c.Incarnation)
 		r.arrive(event{server: int(c.Incarnation - 1), node: node, sent: r.now})
 		if next := r.now.Add(time.Duration(r.random.ExpFloat64() / rate * 1e9)); next.Sub(r.start) < s.duration {
--- a/core/choice/twochoices.go
+++ b/core/choice/twochoices.go
@@ -78,7 +78,7 @@
 }
 
 // Pick implements Policy.
-func (t *TwoChoices) Pick(now time.Time, candidates []Candidate) (Candidate, Reason, bool) {
+func (t *TwoChoices) Pick(now time.Time, candidates []Candidate, target time.Duration) (Candidate, Reason, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, "", false
 	}
@@ -92,8 +92,8 @@
 	if i, ok := t.probe(now, candidates); ok {
 		return candidates[i], ReasonProbe, true
 	}
-	if a, b, ok := t.nearAndAny(now, candidates); ok {
-		return t.nearer(a, b)
+	if a, b, ok := t.nearAndAny(now, candidates, target); ok {
+		return t.nearer(now, a, b, target)
 	}
 	first, second, found := t.draw(now, candidates)
 	switch found {
@@ -108,7 +108,7 @@
 // nearAndAny returns a candidate of the own availability zone and any other one,
 // neither of them avoided. It is false without Config.ZoneFactor, and where the
 // own zone has none.
-func (t *TwoChoices) nearAndAny(now time.Time, candidates []Candidate) (near, other Candidate, ok bool) {
+func (t *TwoChoices) nearAndAny(now time.Time, candidates []Candidate, target time.Duration) (near, other Candidate, ok bool) {
 	if t.config.ZoneFactor <= 1 {
 		return near, other, false
 	}
@@ -116,10 +116,11 @@
 	nears, others := 0, 0
 	for i := range candidates {
 		c := candidates[(i+offset)%len(candidates)]
-		if t.avoided(now, c) {
+		own := c.AvailabilityZone == t.config.AvailabilityZone
+		if t.avoided(now, c) && !(own && t.inTime(now, c, target)) {
 			continue
 		}
-		if c.AvailabilityZone == t.config.AvailabilityZone {
+		if own {
 			if nears++; nears == 1 || t.cost(c) < t.cost(near) {
 				near = c
 			}
@@ -133,10 +134,21 @@
 	return near, other, nears > 0
 }
 
-// nearer takes the candidate of the own zone unless the other one costs so much
-// less that the bytes between zones are worth it.
-func (t *TwoChoices) nearer(near, other Candidate) (Candidate, Reason, bool) {
-	if t.cost(near) <= t.cost(other)*t.config.ZoneFactor {
+// inTime reports whether a server that is slow beside others still answers within
+// the target: it answers at all, and is expected to take no longer.
+func (t *TwoChoices) inTime(now time.Time, c Candidate, target time.Duration) bool {
+	s := t.servers[c.Incarnation]
+	if target <= 0 || s == nil || t.coldFull(c) || now.Before(s.backoffUntil) {
+		return false
+	}
+	quiet := s.inFlight > 0 && now.Sub(s.quietSince) > max(t.config.Silence, target)
+	return !quiet && t.cost(c) <= float64(target)
+}
+
+// nearer takes the candidate of the own zone unless it is late for the target and
+// the other one costs so much less that the bytes between zones are worth it.
+func (t *TwoChoices) nearer(now time.Time, near, other Candidate, target time.Duration) (Candidate, Reason, bool) {
+	if t.inTime(now, near, target) || t.cost(near) <= t.cost(other)*t.config.ZoneFactor {
 		return near, ReasonSameZone, true
 	}
 	return other, ReasonLowerCost, true
--- a/node/internal/caller/choose.go
+++ b/node/internal/caller/choose.go
@@ -19,7 +19,7 @@
 	if q.call.CallerID {
 		return q.chooseByID(t, u, candidates, self)
 	}
-	picked, why, ok := u.pick(now, q.untried(candidates))
+	picked, why, ok := u.pick(now, q.untried(candidates), q.targetLeft(now))
 	if !ok {
 		return q.refuse(outcome.ReasonNoServer)
 	}
@@ -31,6 +31,14 @@
 	return q.hedged(t, u, first, candidates, self)
 }
 
+// targetLeft returns the time until the answer is late, 0 if there is no target.
+func (q *request) targetLeft(now time.Time) time.Duration {
+	if q.call.Target.IsZero() {
+		return 0
+	}
+	return max(q.call.Target.Sub(now), 0)
+}
+
 // untried returns the candidates that have not refused this request, or all of
 // them if there are none.
 func (q *request) untried(candidates []choice.Candidate) []choice.Candidate {
@@ -180,7 +188,7 @@
 	if len(warm) == 0 || !u.hedge() {
 		return sendTo{}, false
 	}
-	picked, _, ok := u.pick(q.h.cfg.Clock.Now(), warm)
+	picked, _, ok := u.pick(q.h.cfg.Clock.Now(), warm, 0)
 	if !ok {
 		return sendTo{}, false
 	}
--- a/node/internal/caller/upstream.go
+++ b/node/internal/caller/upstream.go
@@ -95,10 +95,10 @@
 }
 
 // pick chooses a node and counts the request as sent to it.
-func (u *upstream) pick(now time.Time, candidates []choice.Candidate) (choice.Candidate, choice.Reason, bool) {
+func (u *upstream) pick(now time.Time, candidates []choice.Candidate, target time.Duration) (choice.Candidate, choice.Reason, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c, reason, ok := u.policy.Pick(now, candidates)
+	c, reason, ok := u.policy.Pick(now, candidates, target)
 	if ok {
 		u.policy.Sent(now, c.Incarnation)
 	}
