--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -214,24 +214,6 @@
 	g.queue.drop(w.lane.key)
 }
 
-func (k *key) lowestLane() *lane {
-	lowest := k.lanes[0]
-	for _, l := range k.lanes[1:] {
-		if l.class < lowest.class {
-			lowest = l
-		}
-	}
-	return lowest
-}
-
-// end returns the waiter to drop first.
-func (l *lane) end(oldest bool) *waiter {
-	if oldest {
-		return l.head
-	}
-	return l.tail
-}
-
 func (g *Guard) start(r Request) {
 	k := g.queue.key(r.Key)
 	k.inFlight++
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -247,6 +247,24 @@
 	}
 }
 
+func (k *key) lowestLane() *lane {
+	lowest := k.lanes[0]
+	for _, l := range k.lanes[1:] {
+		if l.class < lowest.class {
+			lowest = l
+		}
+	}
+	return lowest
+}
+
+// end returns the waiter to drop first.
+func (l *lane) end(oldest bool) *waiter {
+	if oldest {
+		return l.head
+	}
+	return l.tail
+}
+
 // cap moves the key's lanes to the groups that are served last.
 func (q *queue) cap(k *key) {
 	if k.capped {
--- a/node/internal/backend/intake.go
+++ b/node/internal/backend/intake.go
@@ -14,6 +14,9 @@
 	// receiveBytes bounds the body that is received whole before its call asks
 	// for a slot. Larger ones go on to the backend server while they come.
 	receiveBytes = 1 << 20
+	// defaultRate is that of a link of which nothing is known, in bytes/s: 32 MB of
+	// bodies are received at once, a sixth of a node's memory.
+	defaultRate = 320e6
 	// unknownBytes is what a body of unknown length is taken for: it is longer
 	// than what was kept of it.
 	unknownBytes = 2 * relay.KeepBytes
@@ -31,13 +34,12 @@
 	waiting map[uint64]chan struct{}
 }
 
-// newIntake returns an intake for a link of so many bytes/s, 0 for no bound.
+// newIntake returns an intake for a link of so many bytes/s, 0 if it is not known.
 func newIntake(c clock.Clock, bytesPerSecond float64) *intake {
-	i := &intake{clock: c, waiting: map[uint64]chan struct{}{}}
-	if bytesPerSecond > 0 {
-		i.state = admission.NewIntake(bytesPerSecond)
+	if bytesPerSecond <= 0 {
+		bytesPerSecond = defaultRate
 	}
-	return i
+	return &intake{clock: c, state: admission.NewIntake(bytesPerSecond), waiting: map[uint64]chan struct{}{}}
 }
 
 // receive takes the body of a call into memory, up to receiveBytes.
@@ -82,9 +84,6 @@
 
 // enter waits until a body may be received.
 func (i *intake) enter(ctx context.Context, c *relay.Call, size int64) (uint64, *outcome.Refusal) {
-	if i.state == nil {
-		return 0, nil
-	}
 	i.mu.Lock()
 	i.last++
 	id := i.last
@@ -108,9 +107,6 @@
 }
 
 func (i *intake) leave(id uint64) {
-	if i.state == nil {
-		return
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.waiting, id)
--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -59,8 +59,8 @@
 	clock clock.Clock
 	view  *view.View
 	log   zerolog.Logger
-	// framed has the connections for calls whose body is in memory, shared those
-	// for streamed bodies; fresh opens a connection for each question about a
+	// framed has the connections for calls with short bodies, shared those for
+	// longer ones; fresh opens a connection for each question about a
 	// lost call.
 	framed framedClient
 	shared *http.Transport
--- a/node/internal/peer/framedclient.go
+++ b/node/internal/peer/framedclient.go
@@ -18,7 +18,7 @@
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-// framedClient sends calls whose body is in memory on framed connections, one
+// framedClient sends calls with short bodies on framed connections, one
 // for each other node.
 type framedClient struct {
 	watched *connections
