--- a/node/cmd/jujubeknot-node/settings.go
+++ b/node/cmd/jujubeknot-node/settings.go
@@ -13,6 +13,9 @@
 	"github.com/jujubeknot/jujubeknot/node"
 )
 
+// bytesPerMegabit is for rates in Mbit/s.
+const bytesPerMegabit = 1e6 / 8
+
 // fileSettings is the settings file.
 type fileSettings struct {
 	Node struct {
@@ -21,6 +24,7 @@
 		AvailabilityZone string           `ini:"availabilityZone" check:"required|max=200" help:"availability zone of the VM"`
 		ControlMembers   []netip.AddrPort `ini:"controlMembers" check:"required" help:"addresses of the control members"`
 		NodeSecret       string           `ini:"nodeSecret" check:"required|min=16|secret" help:"secret that control asks nodes for"`
+		LinkMbps         float64          `ini:"linkMbps" check:"min=0|max=1000000" help:"rate of the VM's link in Mbit/s, by which bodies of calls are received; 0 if unknown"`
 	} `ini:"node"`
 	Listen struct {
 		Callers netip.AddrPort `ini:"callers" check:"required" help:"address for callers"`
@@ -72,7 +76,7 @@
 	}
 	cfg := node.Config{
 		Name: s.Node.Name, Region: s.Node.Region, AvailabilityZone: s.Node.AvailabilityZone,
-		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret,
+		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret, LinkRate: s.Node.LinkMbps * bytesPerMegabit,
 		Callers: s.Listen.Callers, Peer: s.Listen.Peer, Backend: s.Listen.Backend, Operator: s.Listen.Operator,
 		HealthInterval: s.Backend.HealthInterval, ConnectTimeout: s.Backend.ConnectTimeout, DrainTimeout: s.Stop.DrainTimeout,
 		CallerMaxConnections: s.Callers.MaxConnections, CallerIdleTimeout: s.Callers.IdleTimeout,
