bench/soak: ports below those of outgoing connections

Ports were taken from the range that the system gives to outgoing connections (32768 to 60999), and one of those took it between the check and the start. Ruled out: a fault of the node; its log has this one line.

--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/bench/faults"
 )
 
@@ -139,18 +141,32 @@
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-// freePorts returns ports that nothing listens at.
+// Ports of processes lie below those that the system gives to connections of its
+// own: a process that starts again must find its port free.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+// freePorts returns ports that nothing listens at. Processes that look at the same
+// time begin at different ones.
 func freePorts(count int) ([]int, error) {
 	ports := make([]int, 0, count)
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	begin := os.Getpid() * 64 % (lastPort - firstPort)
+	for i := range lastPort - firstPort {
+		port := firstPort + (begin+i)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", address(port))
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, fmt.Errorf("ports: %w", err)
 		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		if ports = append(ports, port); len(ports) == count {
+			return ports, nil
+		}
 	}
-	return ports, nil
+	return nil, errors.Errorf("only %d of %d ports from %d to %d are free", len(ports), count, firstPort, lastPort)
 }
 
 func (w *world) settings(name, text string) (string, error) {
