bench/load: the transport sends nothing again by itself

The entry's line says unknown, cancelled, at the very millisecond at which resetCallers cut 9 connections of that node; net/http's transport then sent the idempotent request again, and the refusal of that second sending was held against the first one's run. Before: TestEachSendingIsAnAttempt counts 39 arrivals in 20 attempts.

--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,3 +188,35 @@
 		t.Errorf("shed requests: violations %v, outcomes %v", violations, r.Counts)
 	}
 }
+
+// TestEachSendingIsAnAttempt guards against a transport that sends requests again
+// by itself after a reset: what the first one did is then held against the refusal
+// of the second (soak seeds 231 and 236: "ran after notRun").
+func TestEachSendingIsAnAttempt(t *testing.T) {
+	var arrived atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1)%2 == 1 {
+			// The first request of a connection is answered, the next one resets it.
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	result, err := load.Run(t.Context(), load.Config{
+		Seed: 1, Targets: []string{s.Listener.Addr().String()}, Rate: 100, Duration: 200 * time.Millisecond, MaxInFlight: 1,
+		Classes: []load.Class{
+			{Name: "read", Weight: 1, Path: "/{key}"},
+			{Name: "own", Weight: 1, Method: http.MethodPost, Path: "/{key}", Bytes: 10, IdempotencyKey: 1},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	attempts := 0
+	for _, o := range result.Operations {
+		attempts += len(o.Attempts)
+	}
+	if got := arrived.Load(); got != int64(attempts) || attempts < 4 {
+		t.Errorf("%d requests arrived in %d attempts", got, attempts)
+	}
+}
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -167,8 +167,15 @@
 	return a, minRetryAfter
 }
 
+// emptyBody is a body without bytes that the transport takes for one that it
+// cannot read again.
+type emptyBody struct{}
+
+// Read returns the end.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
 func (g *generator) request(ctx context.Context, c Class, o Operation, number int, target string, deadline time.Time) (*http.Request, error) {
-	var body io.Reader
+	var body io.Reader = emptyBody{}
 	if c.Bytes > 0 {
 		body = strings.NewReader(g.body[:c.Bytes])
 	}
@@ -177,6 +184,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("class %s: %w", c.Name, err)
 	}
+	// Without it the transport does not send an idempotent request again by itself
+	// when its connection is reset: each sending is an attempt that is judged.
+	q.GetBody = nil
 	q.Header.Set(backend.HeaderOperation, o.ID)
 	q.Header.Set(backend.HeaderAttempt, strconv.Itoa(number))
 	q.Header.Set(backend.HeaderKey, o.Key)
