node/controlclient: the lease of a silent backend server runs out before it is returned

Behind it the log shows a fault: node-1 returned its lease at 9.194 s although grants that held until 1.5 s later stood in the frozen server's connections. Had it woken within that time, two servers would have served the keys. Ruled out: the new end by the server's clock; it bounds a late grant by the end of the lease, which is what had not come yet. Change: a node whose backend server is silent (not: refuses connections) returns the lease only at its end. The checker leaves out a run at a server that is suspended at that very moment; a run that goes on afterwards counts, with a case for each. On the users' platform nothing changes: there such a server counts as lost only when it holds nothing any more.

--- a/bench/check/check_test.go
+++ b/bench/check/check_test.go
@@ -60,6 +60,15 @@
 		in   check.Input
 		want check.Kind
 	}{
+		"frozen meanwhile": {check.Input{
+			Entries: join(run(1, "a", "x", 1, 0, 9), run(2, "b", "y", 2, 4, 5)), Frozen: []check.Frozen{{Server: "a", From: at(1), To: at(8)}},
+		}, ""},
+		"goes on after the freeze": {check.Input{
+			Entries: join(run(1, "a", "x", 1, 0, 9), run(2, "b", "y", 2, 4, 5)), Frozen: []check.Frozen{{Server: "a", From: at(1), To: at(3)}},
+		}, check.KindOverlap},
+		"another one was frozen": {check.Input{
+			Entries: join(run(1, "a", "x", 1, 0, 9), run(2, "b", "y", 2, 4, 5)), Frozen: []check.Frozen{{Server: "b", From: at(1), To: at(8)}},
+		}, check.KindOverlap},
 		"nothing wrong":             {check.Input{Entries: two, Operations: told("x", load.OutcomeOK)}, ""},
 		"ran twice":                 {check.Input{Entries: twice}, check.KindRunTwice},
 		"idempotent ran twice":      {check.Input{Entries: idempotent}, ""},
--- a/bench/soak/events.go
+++ b/bench/soak/events.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jujubeknot/jujubeknot/bench/check"
 	"github.com/jujubeknot/jujubeknot/bench/faults"
 )
 
@@ -61,7 +62,15 @@
 	{"killControl", onControl, restart(controls, syscall.SIGKILL)},
 	{"stopControl", onControl, restart(controls, syscall.SIGTERM)},
 	{"freezeNode", onNode, freeze(nodes)},
-	{"freezeServer", onNode, freeze(servers)},
+	{"freezeServer", onNode, func(w *world, i int, hold func()) error {
+		p := w.servers[i]
+		p.signal(syscall.SIGSTOP)
+		from := time.Now()
+		hold()
+		w.noteFrozen(check.Frozen{Server: p.name, From: from, To: time.Now()})
+		p.signal(syscall.SIGCONT)
+		return nil
+	}},
 	{"freezeControl", onControl, freeze(controls)},
 	{"hangUpNode", onNode, func(w *world, i int, hold func()) error {
 		w.nodes[i].signal(syscall.SIGHUP)
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubeknot/jujubeknot/bench/check"
 	"github.com/jujubeknot/jujubeknot/bench/faults"
 )
 
@@ -94,6 +95,16 @@
 	// those before backend servers.
 	toNodes, toServers []*faults.Proxy
 	operatorPorts      []int
+
+	mu sync.Mutex
+	// frozen has the times in which servers were suspended.
+	frozen []check.Frozen
+}
+
+func (w *world) noteFrozen(f check.Frozen) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.frozen = append(w.frozen, f)
 }
 
 // newWorld makes settings and proxies. Nothing runs yet.
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -43,6 +43,10 @@
 	drains  []bool
 	cancels []string
 	fences  map[string]uint64
+	// frozen keeps the server from answering and announcing; grantedUntil is the
+	// latest end of what it was sent, also meanwhile.
+	frozen       bool
+	grantedUntil time.Time
 	// handle answers requests that are not the node's own calls.
 	handle http.HandlerFunc
 }
@@ -69,6 +73,16 @@
 
 // ServeHTTP counts runs and takes the node's own calls.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	frozen := b.frozen
+	b.mu.Unlock()
+	if frozen {
+		if r.URL.Path == "/v1/grant" {
+			b.noteGrant(r.Body)
+		}
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set(headers.BootID, b.bootID)
 	switch r.URL.Path {
 	case "/v1/health":
@@ -112,6 +126,26 @@
 	handle(w, r)
 }
 
+// noteGrant notes until when a grant that nobody takes yet would hold.
+func (b *backendServer) noteGrant(body io.Reader) {
+	var g lease.Grant
+	if json.NewDecoder(body).Decode(&g) != nil || len(g.Partitions) == 0 && g.Whole {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := time.Now().Add(time.Duration(g.ExpiryMs) * time.Millisecond); g.ExpiryMs > 0 && until.After(b.grantedUntil) {
+		b.grantedUntil = until
+	}
+}
+
+// freeze stops the server without ending it.
+func (b *backendServer) freeze() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.frozen = true
+}
+
 func (b *backendServer) setHandle(h http.HandlerFunc) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,6 +163,12 @@
 	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":%d,"connections":%d,"checksFences":true}`,
 		b.name, b.upstream, address, b.bootID, cmp.Or(b.slots, 6), cmp.Or(b.connections, 20))
 	post := func() {
+		b.mu.Lock()
+		frozen := b.frozen
+		b.mu.Unlock()
+		if frozen {
+			return
+		}
 		r, err := http.Post("http://"+to.String()+"/v1/announce", "application/json", bytes.NewReader([]byte(body)))
 		if err != nil {
 			return
--- a/node/internal/backend/control.go
+++ b/node/internal/backend/control.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -113,7 +114,9 @@
 	s.mu.Lock()
 	silent := now.Sub(s.alive)
 	gone := !s.lost && silent > s.cfg.LostAfter
-	s.lost = s.lost || gone
+	if gone {
+		s.lost, s.silent = true, !errors.Is(err, syscall.ECONNREFUSED)
+	}
 	s.mu.Unlock()
 	if gone {
 		s.log.Warn().Err(err).Dur("silentFor", silent).Msg("backend server lost")
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -86,7 +86,9 @@
 	announced *wirev1.BackendServer
 	alive     time.Time
 	lost      bool
-	leaving   bool
+	// silent is true if it was lost because it said nothing: it may go on.
+	silent  bool
+	leaving bool
 	// leavingSince is when the leaving was first said.
 	leavingSince time.Time
 	// outSince is when the rules took it out of service, zero if they did not.
@@ -137,6 +139,14 @@
 // server still owns. Set it before Run.
 func (s *Server) OnLeave(left func() (partitions int)) { s.left = left }
 
+// Silent reports whether the backend server is lost and may go on with what it was
+// granted: it said nothing, but nothing said that it has ended.
+func (s *Server) Silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost && s.silent
+}
+
 // Announced returns the backend server, or nil if there is none or it is lost.
 func (s *Server) Announced() *wirev1.BackendServer {
 	s.mu.Lock()
--- a/node/internal/controlclient/pause.go
+++ b/node/internal/controlclient/pause.go
@@ -22,6 +22,10 @@
 // leaseLost is the reason of the end of an incarnation whose lease ran out.
 const leaseLost = "leaseLost"
 
+// backendLost is the reason of the end of an incarnation whose backend server is
+// lost.
+const backendLost = "backendServerLost"
+
 // spread returns a random pause of up to the first one, doubled with each
 // earlier failure, and up to a limit.
 func spread(first time.Duration, failures int, limit time.Duration) time.Duration {
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -280,7 +280,7 @@
 		running.Go(loops, "drain", tasks.Quiet(i.drainLoop))
 	}
 	reason := i.wait(ctx)
-	held := i.giveUp()
+	held, until := i.giveUp()
 	cancel()
 	// Keyed work ends before anyone else can get the partitions: the lease is
 	// returned only afterwards.
@@ -295,6 +295,11 @@
 	// None of the loops returns an error.
 	_ = running.Wait()
 	s.cfg.Log.Warn().Uint64("incarnation", i.number).Str("reason", reason).Bool("returned", held).Msg("lease ended")
+	if reason == backendLost && !s.cfg.ByBeat && s.cfg.Backend.Silent() {
+		// It may wake up and find its grants among what was sent to it, the latest of
+		// them until the end of the lease: nobody else gets the partitions before.
+		sleep(ctx, until.Sub(s.cfg.Clock.Now()))
+	}
 	if held && !abandoned {
 		i.deregister(context.WithoutCancel(ctx))
 	}
@@ -324,7 +329,7 @@
 			now := i.s.cfg.Backend.Announced()
 			if now.GetName() != i.server.GetName() || now.GetUpstream() != i.server.GetUpstream() {
 				if now == nil {
-					return "backendServerLost"
+					return backendLost
 				}
 				return "backendServerChanged"
 			}
@@ -336,13 +341,14 @@
 	}
 }
 
-// giveUp ends the lease for good and reports whether it was still held.
-func (i *incarnation) giveUp() bool {
+// giveUp ends the lease for good. It reports whether it was still held, and until
+// when it would have been.
+func (i *incarnation) giveUp() (held bool, until time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	held := i.holder.Valid(i.s.cfg.Clock.Now())
+	held, until = i.holder.Valid(i.s.cfg.Clock.Now()), i.holder.Expiry()
 	i.holder.Lost()
-	return held
+	return held, until
 }
 
 func (i *incarnation) lost() { i.endOnce.Do(func() { close(i.ended) }) }
