node: requests have the rest of a stop to end

A node whose backend server leaves has no notice to give and nothing to move, and gave its requests DrainTimeout (3.3 s), although the kill comes after 6 s. Uploads there may last 4 s. Ruled out: the intake (the request was within its deadline of 4 s); the other way to stop, which had 2.2 s of notice and then the same 3.3 s.

--- a/node/config.go
+++ b/node/config.go
@@ -79,6 +79,9 @@
 	DrainNotice time.Duration
 	// DrainTimeout is described at DefaultDrainTimeout.
 	DrainTimeout time.Duration
+	// StopTimeout bounds the whole stop: what is left of it after the moves is for
+	// requests to end. Default 0, which gives them another DrainTimeout.
+	StopTimeout time.Duration
 	// OperatorSecret is asked for on the operator port. Empty means that only
 	// loopback addresses have access.
 	OperatorSecret string
--- a/node/node.go
+++ b/node/node.go
@@ -290,22 +290,28 @@
 // of what is in flight.
 func (n *Node) drain() {
 	n.draining.Store(true)
+	began := boottime.Clock{}.Now()
 	if n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil {
 		// The backend server goes on, and the next process here takes over. Callers
 		// would meet a closed port meanwhile.
 		time.Sleep(n.cfg.DrainNotice)
-		n.shutDown()
+		n.shutDown(began)
 		return
 	}
 	n.session.Drain()
 	n.cfg.Log.Info().Int("partitions", n.owner.Partitions()).Msg("draining")
 	n.waitMoved()
-	n.shutDown()
+	n.shutDown(began)
 }
 
-// shutDown ends listeners once their requests have ended.
-func (n *Node) shutDown() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
+// shutDown ends listeners once their requests have ended, in a stop that began at
+// a time.
+func (n *Node) shutDown(began time.Time) {
+	left := n.cfg.DrainTimeout
+	if n.cfg.StopTimeout > 0 {
+		left = n.cfg.StopTimeout - boottime.Clock{}.Now().Sub(began)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	for _, place := range []int{placeCallers, placeCallersTLS, placePeer, placeBackend} {
 		if n.servers[place] == nil {
