--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -194,7 +194,7 @@
 // of the second (soak seeds 231 and 236: "ran after notRun").
 func TestEachSendingIsAnAttempt(t *testing.T) {
 	var arrived atomic.Int64
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
 		if arrived.Add(1)%2 == 1 {
 			// The first request of a connection is answered, the next one resets it.
 			return
