node/loglines: a buffer that is written is not collected in

Found in the last read-through: after a burst whose buffer exceeds 128 KiB, the spare buffer stayed the one in use, and lines were overwritten while they were written. TestLinesDoNotOverlap fails without the change (first flush after a burst of 500 KiB) and passes with it.

--- a/node/loglines/writer.go
+++ b/node/loglines/writer.go
@@ -76,7 +76,7 @@
 	defer w.writing.Unlock()
 	w.mu.Lock()
 	lines, omitted := w.buffer, w.omitted
-	w.buffer, w.omitted = w.spare[:0], 0
+	w.buffer, w.spare, w.omitted = w.spare[:0], nil, 0
 	w.mu.Unlock()
 	if omitted > 0 {
 		lines = fmt.Appendf(lines, `{"level":"warn","omitted":%d,"message":"log lines were left out: their reader was too slow"}`+"\n", omitted)
--- a/node/loglines/writer_test.go
+++ b/node/loglines/writer_test.go
@@ -88,3 +88,32 @@
 		t.Errorf("no line tells %s", told)
 	}
 }
+
+// overlapping writes a line to a writer while it is written to, and checks that
+// what it was given does not change meanwhile.
+type overlapping struct {
+	t *testing.T
+	w *loglines.Writer
+}
+
+// Write compares the lines before and after another one was taken.
+func (o *overlapping) Write(p []byte) (int, error) {
+	before := string(p)
+	_, _ = o.w.Write([]byte("other\n"))
+	if string(p) != before {
+		o.t.Errorf("lines changed while they were written: %.20q", p)
+	}
+	return len(p), nil
+}
+
+// TestLinesDoNotOverlap guards against lines that are overwritten by later ones
+// while they are written, after a burst whose buffer is too large to keep.
+func TestLinesDoNotOverlap(t *testing.T) {
+	out := &overlapping{t: t}
+	w := loglines.New(out)
+	out.w = w
+	for _, size := range []int{10, 500 << 10, 10, 10, 10} {
+		_, _ = w.Write([]byte(strings.Repeat("x", size) + "\n"))
+		_ = w.Flush()
+	}
+}
