--- a/node/loglines/writer_test.go
+++ b/node/loglines/writer_test.go
@@ -92,14 +92,16 @@
 // overlapping writes a line to a writer while it is written to, and checks that
 // what it was given does not change meanwhile.
 type overlapping struct {
-	t *testing.T
-	w *loglines.Writer
+	t     *testing.T
+	w     *loglines.Writer
+	lines int
 }
 
 // Write compares the lines before and after another one was taken.
 func (o *overlapping) Write(p []byte) (int, error) {
 	before := string(p)
-	_, _ = o.w.Write([]byte("other\n"))
+	o.lines++
+	_, _ = fmt.Fprintf(o.w, "other %d\n", o.lines)
 	if string(p) != before {
 		o.t.Errorf("lines changed while they were written: %.20q", p)
 	}
