--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -106,6 +106,7 @@
 	moved    *movedRecords
 	planners map[string]*planner
 	loads    map[string]*loads
+	speeds   map[string]*placement.Speeds
 	seen     map[uint64]time.Time
 	dirty    bool
 	planned  time.Time
@@ -161,6 +162,7 @@
 	l.moved = newMovedRecords()
 	l.planners = map[string]*planner{}
 	l.loads = map[string]*loads{}
+	l.speeds = map[string]*placement.Speeds{}
 	l.seen = map[uint64]time.Time{}
 	l.revisions = map[uint64]time.Time{}
 	l.dirty = true
--- a/control/internal/leader/loads.go
+++ b/control/internal/leader/loads.go
@@ -23,6 +23,11 @@
 	rates []float64
 	// window is the time constant.
 	window time.Duration
+	// rest is what each partition is taken to get beyond its average: an equal
+	// part of the requests that the averages do not show yet. Right after
+	// traffic begins, a partition without a request looks as if it cost nothing,
+	// and one server got 734 of 1,396 partitions of a zone that was taken out.
+	rest float64
 }
 
 // known reports whether loads have been observed for long enough to move
@@ -33,9 +38,9 @@
 
 func (o *loads) rate(partition uint32) float64 {
 	if int(partition) < len(o.rates) {
-		return o.rates[partition]
+		return o.rates[partition] + o.rest
 	}
-	return 0
+	return o.rest
 }
 
 // fold brings in the latest reports. Nodes report a total and their heaviest
@@ -64,6 +69,10 @@
 			owner.read(state, upstream, incarnation, r.request)
 		}
 	}
+	total, shown := 0.0, 0.0
+	for _, owner := range owners {
+		total += owner.total
+	}
 	for a := range state.Assignments(upstream) {
 		owner := owners[a.GetOwner()]
 		if !owner.fresh || int(a.GetPartition()) >= len(o.rates) {
@@ -74,7 +83,9 @@
 			rate = owner.rest
 		}
 		o.rates[a.GetPartition()] += weight * (rate - o.rates[a.GetPartition()])
+		shown += o.rates[a.GetPartition()]
 	}
+	o.rest = max(0, total-shown) / float64(max(1, partitions))
 }
 
 // observed is what one owner reported of an upstream.
@@ -84,12 +95,15 @@
 	heaviest   map[uint32]float64
 	// rest is the rate of each partition that is not among the heaviest.
 	rest float64
+	// total is the rate of all of them.
+	total float64
 }
 
 func (o *observed) read(state *cluster.State, upstream string, incarnation uint64, r *wirev1.RenewRequest) {
 	o.fresh = true
 	o.heaviest = make(map[uint32]float64, len(r.GetHeaviest()))
-	left := float64(r.GetRequestsPerSecond())
+	o.total = float64(r.GetRequestsPerSecond())
+	left := o.total
 	for _, p := range r.GetHeaviest() {
 		// A report may be older than a move of the partition.
 		if p.GetUpstream() == upstream && state.Assignment(upstream, p.GetPartition()).GetOwner() == incarnation {
--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -270,6 +270,7 @@
 	if last != nil && request.GetSequence() <= last.request.GetSequence() {
 		return
 	}
+	l.observeSpeed(node, last, request, now)
 	l.reports[incarnation] = &report{at: now, request: request}
 	draining := node.GetDraining() || request.GetDraining()
 	if last != nil && last.request.GetDraining() && !request.GetDraining() {
--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -40,6 +40,7 @@
 	l.dirty, l.planIndex = false, state.Index()
 	if fold {
 		l.planned = now
+		l.forgetSpeeds(state)
 	}
 	var changes []*wirev1.AssignChange
 	for i := range l.rules.set.Upstreams {
@@ -80,7 +81,9 @@
 		l.dirty = true
 		return changes
 	}
-	for _, m := range l.plannerOf(u).Plan(now, view) {
+	moves := l.plannerOf(u).Plan(now, view)
+	l.logPlan(&view, moves)
+	for _, m := range moves {
 		at := place{u.Name, m.Partition}
 		if m.Planned {
 			l.begin(at, m, now)
@@ -96,6 +99,40 @@
 	return changes
 }
 
+// logPlan writes what a plan with moves was decided by: a line for each server.
+func (l *Leader) logPlan(view *placement.View, moves []placement.Move) {
+	if len(moves) == 0 {
+		return
+	}
+	type sum struct {
+		load                    float64
+		partitions, gets, gives int
+	}
+	sums := map[uint64]*sum{}
+	of := func(incarnation uint64) *sum {
+		if sums[incarnation] == nil {
+			sums[incarnation] = &sum{}
+		}
+		return sums[incarnation]
+	}
+	for _, p := range view.Partitions {
+		s := of(p.Owner)
+		s.load += p.Load
+		s.partitions++
+	}
+	for _, m := range moves {
+		of(m.From).gives++
+		of(m.To).gets++
+	}
+	for _, s := range view.Servers {
+		n := of(s.Incarnation)
+		l.config.Logger.Info().Str("upstream", view.Upstream).Str("backendServer", s.Name).Uint64("incarnation", s.Incarnation).
+			Float64("weight", s.Weight).Float64("requestsPerSecond", n.load).Int("partitions", n.partitions).
+			Int("gets", n.gets).Int("gives", n.gives).Bool("cold", s.Cold).Bool("lost", s.Lost).
+			Str("leaves", string(s.LeaveReason)).Bool("loadsKnown", !view.LoadsUnknown).Msg("placement planned")
+	}
+}
+
 // begin starts a planned move.
 func (l *Leader) begin(at place, m placement.Move, now time.Time) {
 	moving := &move{from: m.From, to: m.To, epoch: m.Epoch, reason: m.Reason, begun: now, timeout: l.moveTimeout()}
@@ -155,7 +192,7 @@
 	o := l.loads[u.Name]
 	view := placement.View{Upstream: u.Name, LoadsUnknown: !o.known(now), Partitions: make([]placement.Partition, u.Partitions)}
 	byName := map[string]uint64{}
-	speeds := l.speeds(state, now, u.Name)
+	speeds := l.speedsOf(u.Name).Ratios(now)
 	alive := map[uint64]bool{}
 	for n := range state.Nodes() {
 		if n.GetBackendServer().GetUpstream() != u.Name {
@@ -169,7 +206,9 @@
 		if u.Slots > 0 {
 			s.Weight = float64(u.Slots)
 		}
-		s.Weight *= speeds.of(n.GetIncarnation())
+		if speed, known := speeds[n.GetIncarnation()]; known {
+			s.Weight *= speed
+		}
 		s.Leaving = s.LeaveReason != ""
 		if s.LeaveReason == placement.ReasonZoneOut || !l.reports[s.Incarnation].draining() {
 			s.LeaveWithin = ruledLeave
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -64,7 +64,7 @@
 				return
 			}
 			i := b.pickCold(from, to)
-			if i < 0 || !t.churn() {
+			if i < 0 || !t.churn(ReasonReturn) {
 				break
 			}
 			t.move(i, to, ReasonReturn, true)
@@ -149,22 +149,96 @@
 	if b.even(high, low) {
 		return false
 	}
+	reason := b.reason(to, low)
+	var run []int
+	if reason == ReasonReturn {
+		run = b.pickRun(from, to)
+	}
+	if len(run) > 0 {
+		for _, i := range run {
+			if !b.churn(reason) {
+				return false
+			}
+			b.move(i, to, reason, true)
+		}
+		return true
+	}
 	i := b.pick(from, to)
 	if i < 0 {
 		b.spent[from] = true
 		return len(b.spent) < len(b.pool.warm)
 	}
-	if !b.churn() {
+	if !b.churn(reason) {
 		return false
 	}
-	reason := ReasonRebalance
-	if low < returnBelow {
-		reason = ReasonReturn
-	}
 	b.move(i, to, reason, true)
 	return true
 }
 
+// reason returns why a server with a ratio to the mean utilization gets
+// partitions. A server that returns to use counts as such until it has its share.
+func (b *balance) reason(to int, ratio float64) Reason {
+	incarnation := b.pool.entries[to].Incarnation
+	switch {
+	case ratio < returnBelow:
+		b.planner.returning[incarnation] = true
+	case ratio > 1/b.config.StopBelow:
+		delete(b.planner.returning, incarnation)
+	}
+	if b.planner.returning[incarnation] {
+		return ReasonReturn
+	}
+	return ReasonRebalance
+}
+
+// pickRun returns the heaviest range of a server whose move leaves the target no
+// higher than the source, nothing if there is none or ranges do not matter.
+// Longer ranges are cut to the length that servers get at first.
+func (b *balance) pickRun(from, to int) []int {
+	if b.pool.rows == nil || b.pool.rows.counts[to] >= evenRows {
+		return nil
+	}
+	f, t := &b.pool.entries[from], &b.pool.entries[to]
+	most := (f.utilization() - t.utilization()) / (1/f.Weight + 1/t.Weight)
+	var best []int
+	heaviest, longest := 0.0, b.pool.runLength()
+	for i := 0; i < len(b.partitions); {
+		first, cost := i, 0.0
+		for ; i < len(b.partitions) && i-first < longest && b.givable(i, from); i++ {
+			cost += b.cost(&b.partitions[i])
+		}
+		if cost > heaviest && cost <= most && b.divides(first, i, from) {
+			best, heaviest = indexes(first, i), cost
+		}
+		if i == first {
+			i++
+		}
+	}
+	return best
+}
+
+// divides reports whether a server has room for what is left of its ranges
+// without the partitions from first up to last.
+func (b *balance) divides(first, last, from int) bool {
+	r := b.pool.rows
+	return r.owner(first-1) != from || r.owner(last) != from || r.counts[from] < evenRows
+}
+
+// givable reports whether a server may give a partition to another.
+func (b *balance) givable(i, from int) bool {
+	part := &b.partitions[i]
+	return b.owners[i] == from && b.free(i) && (part.PinnedTo == 0 || part.PinnedTo != part.Owner)
+}
+
+// indexes returns the numbers from first up to last, without last.
+func indexes(first, last int) []int {
+	list := make([]int, 0, last-first)
+	for i := first; i < last; i++ {
+		list = append(list, i)
+	}
+	return list
+}
+
 // pick returns the heaviest partition of a server whose move leaves the
 // target no higher than the source, -1 if there is none. The heaviest of all
 // stays if it is hot: moving it would interrupt the busiest keys and only
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -35,8 +36,13 @@
 	// MovesPerServer bounds planned moves at a time from and to one server.
 	MovesPerServer int
 	// ChurnPerMinute is the share of partitions that may be moved within any
-	// minute to even out load or to return servers to use, 0 to 1.
+	// minute to even out load, and to return servers to use unless
+	// ReturnPerMinute is set, 0 to 1.
 	ChurnPerMinute float64
+	// ReturnPerMinute is the share of partitions that may be moved within any
+	// minute to return servers to use, 0 to 1; a sixth of it within any 10 s.
+	// 0 means that these moves are taken from the churn budget.
+	ReturnPerMinute float64
 	// StartAbove and StopBelow are the ratios of the highest to the mean
 	// utilization at which evening out starts and stops. Their inverses apply
 	// to the lowest.
@@ -57,12 +63,12 @@
 	return Config{
 		MovesInFlight:  cmp.Or(c.MovesInFlight, DefaultMovesInFlight),
 		MovesPerServer: cmp.Or(c.MovesPerServer, DefaultMovesPerServer),
-		ChurnPerMinute: cmp.Or(c.ChurnPerMinute, DefaultChurnPerMinute),
-		StartAbove:     cmp.Or(c.StartAbove, DefaultStartAbove),
-		StopBelow:      cmp.Or(c.StopBelow, DefaultStopBelow),
-		ColdRate:       cmp.Or(c.ColdRate, DefaultColdRate),
-		BaseLoad:       cmp.Or(c.BaseLoad, DefaultBaseLoad),
-		ColdWait:       cmp.Or(c.ColdWait, DefaultColdWait),
+		ChurnPerMinute: cmp.Or(c.ChurnPerMinute, DefaultChurnPerMinute), ReturnPerMinute: c.ReturnPerMinute,
+		StartAbove: cmp.Or(c.StartAbove, DefaultStartAbove),
+		StopBelow:  cmp.Or(c.StopBelow, DefaultStopBelow),
+		ColdRate:   cmp.Or(c.ColdRate, DefaultColdRate),
+		BaseLoad:   cmp.Or(c.BaseLoad, DefaultBaseLoad),
+		ColdWait:   cmp.Or(c.ColdWait, DefaultColdWait),
 	}
 }
 
@@ -75,13 +81,17 @@
 	balancing bool
 	// churned has the times of moves that count against the churn budget.
 	churned []time.Time
+	// returned has the times of moves that count against the budget for returns.
+	returned []time.Time
 	// leaving has the time since which each leaving server leaves.
 	leaving map[uint64]time.Time
+	// returning has the servers that get their share after a return to use.
+	returning map[uint64]bool
 }
 
 // NewPlanner returns a planner for one upstream.
 func NewPlanner(config Config, policy Policy[Partition]) *Planner {
-	return &Planner{config: config.WithDefaults(), policy: policy, leaving: map[uint64]time.Time{}}
+	return &Planner{config: config.WithDefaults(), policy: policy, leaving: map[uint64]time.Time{}, returning: map[uint64]bool{}}
 }
 
 // SetChurn changes the churn budget; moves of the last minute still count.
@@ -112,13 +122,24 @@
 	return t.moves
 }
 
-// forget drops moves from the churn budget that are over a minute old.
+// returnPace is the time within which a sixth of the moves of a minute that
+// return servers to use may begin: keys of a zone that is back are paused in
+// turn, not all at once.
+const returnPace = 10 * time.Second
+
+// forget drops moves from the budgets that no longer count.
 func (p *Planner) forget(now time.Time) {
+	p.churned = since(p.churned, now.Add(-time.Minute))
+	p.returned = since(p.returned, now.Add(-returnPace))
+}
+
+// since drops times up to a bound from a list in order.
+func since(times []time.Time, bound time.Time) []time.Time {
 	first := 0
-	for first < len(p.churned) && now.Sub(p.churned[first]) >= time.Minute {
+	for first < len(times) && !times[first].After(bound) {
 		first++
 	}
-	p.churned = slices.Delete(p.churned, 0, first)
+	return slices.Delete(times, 0, first)
 }
 
 // noteLeaving remembers since when servers leave.
@@ -134,6 +155,9 @@
 		}
 	}
 	p.leaving = since
+	maps.DeleteFunc(p.returning, func(incarnation uint64, _ bool) bool {
+		return !slices.ContainsFunc(servers, func(s Server) bool { return s.Incarnation == incarnation && !s.Leaving && !s.Lost })
+	})
 }
 
 // task is the work on one plan.
@@ -314,8 +338,17 @@
 	}
 }
 
-// churn takes one move from the churn budget and reports whether it was left.
-func (t *task) churn() bool {
+// churn takes one move for a reason from its budget and reports whether it was
+// left.
+func (t *task) churn(reason Reason) bool {
+	if reason == ReasonReturn && t.config.ReturnPerMinute > 0 {
+		share := t.config.ReturnPerMinute * returnPace.Minutes()
+		if len(t.planner.returned) >= max(1, int(share*float64(len(t.partitions)))) {
+			return false
+		}
+		t.planner.returned = append(t.planner.returned, t.now)
+		return true
+	}
 	budget := max(1, int(t.config.ChurnPerMinute*float64(len(t.partitions))))
 	if len(t.planner.churned) >= budget {
 		return false
@@ -335,7 +368,7 @@
 		if to < 0 || to == t.owners[i] || t.pool.full(to) {
 			continue
 		}
-		if !t.churn() {
+		if !t.churn(ReasonRebalance) {
 			return
 		}
 		t.move(i, to, ReasonRebalance, true)
--- a/core/placement/rows_test.go
+++ b/core/placement/rows_test.go
@@ -23,17 +23,21 @@
 	planner *placement.Planner
 	view    placement.View
 	now     time.Time
-	moved   int
 }
 
-func newFleet(t *testing.T, servers, zones int) *fleet {
+func newRangesPlanner(t *testing.T, cfg placement.Config) *placement.Planner {
 	t.Helper()
 	policy, err := placement.NewPolicy(placement.PolicyRanges, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return placement.NewPlanner(cfg, policy)
+}
+
+func newFleet(t *testing.T, servers, zones int) *fleet {
+	t.Helper()
 	f := &fleet{now: time.Unix(100, 0), view: placement.View{Upstream: "desk", LoadsUnknown: true}}
-	f.planner = placement.NewPlanner(placement.Config{BaseLoad: 0.005, MovesInFlight: 4096, MovesPerServer: 4096}, policy)
+	f.planner = newRangesPlanner(t, placement.Config{BaseLoad: 0.005, MovesInFlight: 4096, MovesPerServer: 4096, ChurnPerMinute: 1})
 	for i := range 4096 {
 		f.view.Partitions = append(f.view.Partitions, placement.Partition{Number: uint32(i)})
 	}
@@ -59,16 +63,22 @@
 	}
 }
 
+// step carries out one plan and reports whether it had moves.
+func (f *fleet) step() bool {
+	moves := f.planner.Plan(f.now, f.view)
+	for _, m := range moves {
+		f.view.Partitions[m.Partition].Owner = m.To
+		f.view.Partitions[m.Partition].Epoch++
+	}
+	return len(moves) > 0
+}
+
+// plan carries out plans, one a second, until one has no moves.
 func (f *fleet) plan() {
 	for range 40 {
-		moves := f.planner.Plan(f.now, f.view)
-		for _, m := range moves {
-			f.view.Partitions[m.Partition].Owner = m.To
-			f.view.Partitions[m.Partition].Epoch++
-		}
-		f.moved += len(moves)
+		moved := f.step()
 		f.now = f.now.Add(time.Second)
-		if len(moves) == 0 {
+		if !moved {
 			return
 		}
 	}
@@ -158,3 +168,45 @@
 		}
 	}
 }
+
+// TestReturnIsNotStarvedByEvening guards against a zone that is back and stays
+// empty because moves that evened out load had used up what may be moved in that
+// minute: three of eight servers had no key for 5 s, until another one left.
+func TestReturnIsNotStarvedByEvening(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(t, 8, 3)
+	f.planner = newRangesPlanner(t, placement.Config{BaseLoad: 0.005, MovesInFlight: 4096, MovesPerServer: 4096, ChurnPerMinute: 0.001, ReturnPerMinute: 1})
+	f.load(r)
+	f.zone("zone-1", true)
+	f.load(r)
+	f.step()
+	back := f.now
+	for i := range f.view.Servers {
+		f.view.Servers[i].Leaving = false
+	}
+	for f.now.Sub(back) < 25*time.Second {
+		f.step()
+		f.now = f.now.Add(time.Second)
+	}
+	load, total, weight, all := 0.0, 0.0, 0.0, 0.0
+	for _, p := range f.view.Partitions {
+		total += p.Load
+		if f.view.Servers[p.Owner-1].AvailabilityZone == "zone-1" {
+			load += p.Load
+		}
+	}
+	for _, s := range f.view.Servers {
+		all += s.Weight
+		if s.AvailabilityZone == "zone-1" {
+			weight += s.Weight
+		}
+	}
+	if fair := total * weight / all; load < fair/placement.DefaultStartAbove {
+		t.Errorf("25 s after its return the zone has %.0f requests/s of a fair %.0f", load, fair)
+	}
+	for server, n := range f.rows() {
+		if n > rowRoom {
+			t.Errorf("server %d has %d ranges", server, n)
+		}
+	}
+}
