--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -40,9 +40,13 @@
 	// ReturnPerMinute is set, 0 to 1.
 	ChurnPerMinute float64
 	// ReturnPerMinute is the share of partitions that may be moved within any
-	// minute to return servers to use, 0 to 1; a sixth of it within any 10 s.
-	// 0 means that these moves are taken from the churn budget.
+	// minute to return servers to use, 0 to 1. 0 means that these moves are taken
+	// from the churn budget.
 	ReturnPerMinute float64
+	// BudgetWindow is the time within which the part of both budgets that falls to
+	// it may be used up. Default a minute. Shorter ones keep some for what comes
+	// later in the minute, and pause keys in turn.
+	BudgetWindow time.Duration
 	// StartAbove and StopBelow are the ratios of the highest to the mean
 	// utilization at which evening out starts and stops. Their inverses apply
 	// to the lowest.
@@ -64,6 +68,7 @@
 		MovesInFlight:  cmp.Or(c.MovesInFlight, DefaultMovesInFlight),
 		MovesPerServer: cmp.Or(c.MovesPerServer, DefaultMovesPerServer),
 		ChurnPerMinute: cmp.Or(c.ChurnPerMinute, DefaultChurnPerMinute), ReturnPerMinute: c.ReturnPerMinute,
+		BudgetWindow: cmp.Or(c.BudgetWindow, time.Minute),
 		StartAbove: cmp.Or(c.StartAbove, DefaultStartAbove),
 		StopBelow:  cmp.Or(c.StopBelow, DefaultStopBelow),
 		ColdRate:   cmp.Or(c.ColdRate, DefaultColdRate),
@@ -79,7 +84,8 @@
 	config    Config
 	policy    Policy[Partition]
 	balancing bool
-	// churned has the times of moves that count against the churn budget.
+	// churned has the times of moves that count against the churn budget within
+	// its window.
 	churned []time.Time
 	// returned has the times of moves that count against the budget for returns.
 	returned []time.Time
@@ -122,15 +128,10 @@
 	return t.moves
 }
 
-// returnPace is the time within which a sixth of the moves of a minute that
-// return servers to use may begin: keys of a zone that is back are paused in
-// turn, not all at once.
-const returnPace = 10 * time.Second
-
 // forget drops moves from the budgets that no longer count.
 func (p *Planner) forget(now time.Time) {
-	p.churned = since(p.churned, now.Add(-time.Minute))
-	p.returned = since(p.returned, now.Add(-returnPace))
+	p.churned = since(p.churned, now.Add(-p.config.BudgetWindow))
+	p.returned = since(p.returned, now.Add(-p.config.BudgetWindow))
 }
 
 // since drops times up to a bound from a list in order.
@@ -341,19 +342,15 @@
 // churn takes one move for a reason from its budget and reports whether it was
 // left.
 func (t *task) churn(reason Reason) bool {
+	perMinute, used := t.config.ChurnPerMinute, &t.planner.churned
 	if reason == ReasonReturn && t.config.ReturnPerMinute > 0 {
-		share := t.config.ReturnPerMinute * returnPace.Minutes()
-		if len(t.planner.returned) >= max(1, int(share*float64(len(t.partitions)))) {
-			return false
-		}
-		t.planner.returned = append(t.planner.returned, t.now)
-		return true
+		perMinute, used = t.config.ReturnPerMinute, &t.planner.returned
 	}
-	budget := max(1, int(t.config.ChurnPerMinute*float64(len(t.partitions))))
-	if len(t.planner.churned) >= budget {
+	share := perMinute * t.config.BudgetWindow.Minutes()
+	if len(*used) >= max(1, int(share*float64(len(t.partitions)))) {
 		return false
 	}
-	t.planner.churned = append(t.planner.churned, t.now)
+	*used = append(*used, t.now)
 	return true
 }
 
