core/placement: ranges are divided while there is room for the rows

Cause: with ranges that always go to a neighbour, busy keys, which are neighbours, meet at one server. Partitions go to the server with the least load again, in runs as before, as long as it stays within 120 ranges; only beyond that to a neighbour. The tests of rows still hold.

--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -76,9 +76,10 @@
 // A row has at most 24 bytes, and 16 more with a handover, of the 4,000 bytes of
 // the answer to a beat.
 const (
-	// spreadRows is the bound for moves that could go to a neighbour: 110 rows
-	// leave room for 34 with handovers.
-	spreadRows = 110
+	// spreadRows is the bound for moves that could go to a neighbour: 120 rows
+	// leave room for 28 with handovers. Below it ranges are divided, because busy
+	// keys are often neighbours.
+	spreadRows = 120
 	// evenRows is the bound for moves that even out load: 150 rows leave room
 	// for 10 with handovers.
 	evenRows = 150
@@ -101,12 +102,9 @@
 
 func (*ranges) Mode() Mode { return ModeBalance }
 
-// Choose gives partitions that had an owner to the servers of their neighbours
-// while these have room, so that moves do not divide ranges further.
+// Choose gives partitions that had an owner to the server of a neighbour where
+// the others have no room for another range.
 func (r *ranges) Choose(item Partition, pool *Pool) int {
-	if item.Epoch > 0 {
-		return pool.beside(item)
-	}
 	at := -1
 	if r.incarnation != 0 && item.Number == r.last+1 && r.run < pool.runLength() {
 		at = pool.roomAt(r.incarnation, item.Load)
@@ -115,6 +113,9 @@
 	if at < 0 {
 		at, r.run = pool.Least(item.Load), 1
 	}
+	if item.Epoch > 0 && at >= 0 && !pool.rows.fits(item.Number, at, spreadRows) {
+		at, r.run = pool.beside(item, at), 1
+	}
 	r.last, r.incarnation = item.Number, 0
 	if at >= 0 {
 		r.incarnation = pool.entries[at].Incarnation
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -113,19 +113,19 @@
 	return -1
 }
 
-// beside returns the position of the server of a neighbour of a partition if it
-// has room, and otherwise of the one with the least utilization that has room
-// for another range. It returns -1 if no server may get the partition.
-func (p *Pool) beside(item Partition) int {
-	room, any := -1, -1
+// beside returns the position of the server of a neighbour of a partition: that
+// with the least utilization of those that have room, else of all, else the
+// given one.
+func (p *Pool) beside(item Partition, otherwise int) int {
+	room, best := -1, otherwise
 	cost := item.Load + p.config.BaseLoad
 	for _, at := range p.rows.neighbours(item.Number) {
 		if at < 0 || p.entries[at].place < 0 || !p.sustains(at, item.Load) {
 			continue
 		}
 		e := &p.entries[at]
-		if any < 0 || e.utilization() < p.entries[any].utilization() {
-			any = at
+		if best == otherwise || e.utilization() < p.entries[best].utilization() {
+			best = at
 		}
 		if (e.cost+cost)/e.Weight <= p.goal*neighbourSlack && (room < 0 || e.utilization() < p.entries[room].utilization()) {
 			room = at
@@ -134,11 +134,7 @@
 	if room >= 0 {
 		return room
 	}
-	least := p.Least(item.Load)
-	if least < 0 || any >= 0 && !p.rows.fits(item.Number, least, spreadRows) {
-		return any
-	}
-	return least
+	return best
 }
 
 // runLength returns the number of neighbours that are to be given to a server
