core/placement: idle servers keep their keys

Load is evened out once a server is above 60% of what it sustains, from its slots and its time for a request; servers that return or join get keys in any case. New: TestIdleServersKeepTheirKeys (without the check 25% load moves keys).

--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -192,7 +192,7 @@
 	o := l.loads[u.Name]
 	view := placement.View{Upstream: u.Name, LoadsUnknown: !o.known(now), Partitions: make([]placement.Partition, u.Partitions)}
 	byName := map[string]uint64{}
-	speeds := l.speedsOf(u.Name).Ratios(now)
+	speeds := l.speedsOf(u.Name).Known(now)
 	alive := map[uint64]bool{}
 	for n := range state.Nodes() {
 		if n.GetBackendServer().GetUpstream() != u.Name {
@@ -207,7 +207,8 @@
 			s.Weight = float64(u.Slots)
 		}
 		if speed, known := speeds[n.GetIncarnation()]; known {
-			s.Weight *= speed
+			s.Capacity = s.Weight / speed.Time.Seconds()
+			s.Weight *= speed.Ratio
 		}
 		s.Leaving = s.LeaveReason != ""
 		if s.LeaveReason == placement.ReasonZoneOut || !l.reports[s.Incarnation].draining() {
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -9,6 +9,10 @@
 	// returnBelow is the ratio to the mean utilization under which a server
 	// counts as returned to use rather than as unevenly loaded.
 	returnBelow = 0.5
+	// busyAbove is the share of the capacity above which load is evened out. A
+	// server with 6 slots lets about one in six requests wait there; below it, a
+	// move pauses its keys for longer than it saves.
+	busyAbove = 0.6
 	// hotAbove is the ratio to the mean cost of a partition above which the
 	// heaviest partition of a server stays where it is.
 	hotAbove = 2
@@ -39,7 +43,7 @@
 		return
 	}
 	b.mean = cost / weight
-	if high, low := b.spread(); high > t.config.StartAbove || low < 1/t.config.StartAbove {
+	if high, low := b.spread(); low < returnBelow || b.busy() && (high > t.config.StartAbove || low < 1/t.config.StartAbove) {
 		t.planner.balancing = true
 	}
 	for t.planner.balancing {
@@ -112,6 +116,14 @@
 	return high < b.config.StopBelow && low > 1/b.config.StopBelow
 }
 
+// busy reports whether a warm server has so much load that evening out helps.
+func (b *balance) busy() bool {
+	return slices.ContainsFunc(b.pool.warm, func(at int) bool {
+		e := &b.pool.entries[at]
+		return e.Capacity <= 0 || e.rate > busyAbove*e.Capacity
+	})
+}
+
 // spread returns the highest and lowest utilization of warm servers in
 // relation to the mean.
 func (b *balance) spread() (high, low float64) {
@@ -150,6 +162,9 @@
 		return false
 	}
 	reason := b.reason(to, low)
+	if reason == ReasonRebalance && !b.busy() {
+		return false
+	}
 	var run []int
 	if reason == ReasonReturn {
 		run = b.pickRun(from, to)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -10,7 +10,10 @@
 	AvailabilityZone string
 	// Weight is the server's share of load, usually its slots.
 	Weight float64
-	Cold   bool
+	// Capacity is the rate in requests per second that the server sustains, 0 if
+	// it is not known.
+	Capacity float64
+	Cold     bool
 	// Leaving servers are draining or in an availability zone taken out.
 	Leaving bool
 	// LeaveReason is the reason of moves away from a leaving server. Empty
--- a/core/placement/rows_test.go
+++ b/core/placement/rows_test.go
@@ -210,3 +210,32 @@
 		}
 	}
 }
+
+// TestIdleServersKeepTheirKeys guards against keys that are paused for nothing:
+// on a calm day of the users, moves that evened out load between servers at half
+// of their capacity refused more requests than they saved from waiting.
+func TestIdleServersKeepTheirKeys(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(t, 8, 3)
+	for i := range f.view.Servers {
+		f.view.Servers[i].Capacity = 400
+	}
+	f.load(r)
+	if f.step() {
+		t.Error("keys move between servers with 25% load on average")
+	}
+	for i := range f.view.Servers {
+		f.view.Servers[i].Capacity = 120
+	}
+	if f.plan(); f.unevenness() > placement.DefaultStartAbove {
+		t.Errorf("one of the busy servers has %.2f times the mean", f.unevenness())
+	}
+	f.view.Servers = append(f.view.Servers, placement.Server{Incarnation: 9, Name: "s09", Weight: 18, Capacity: 400})
+	for i := range f.view.Servers {
+		f.view.Servers[i].Capacity = 400
+	}
+	f.plan()
+	if f.rows()[9] == 0 {
+		t.Error("a server that joins gets no key while the others are idle")
+	}
+}
--- a/core/placement/speeds.go
+++ b/core/placement/speeds.go
@@ -69,9 +69,16 @@
 	maps.DeleteFunc(s.servers, func(incarnation uint64, _ *pace) bool { return !kept(incarnation) })
 }
 
-// Ratios returns the speed of each known server in relation to the mean of all,
-// 0.5 to 2.
-func (s *Speeds) Ratios(now time.Time) map[uint64]float64 {
+// Speed is how fast a server is.
+type Speed struct {
+	// Ratio to the mean of all servers, 0.5 to 2.
+	Ratio float64
+	// Time is the mean time for a request.
+	Time time.Duration
+}
+
+// Known returns the speed of each known server.
+func (s *Speeds) Known(now time.Time) map[uint64]Speed {
 	known := slices.Sorted(maps.Keys(s.servers))
 	requests, busy := 0.0, time.Duration(0)
 	for _, incarnation := range known {
@@ -80,15 +87,15 @@
 		requests += p.requests
 		busy += p.busy
 	}
-	ratios := make(map[uint64]float64, len(known))
+	speeds := make(map[uint64]Speed, len(known))
 	if requests <= 0 || busy <= 0 {
-		return ratios
+		return speeds
 	}
 	mean := busy.Seconds() / requests
 	for _, incarnation := range known {
 		p := s.servers[incarnation]
 		own := (p.busy.Seconds() + mean*speedPrior) / (p.requests + speedPrior)
-		ratios[incarnation] = min(max(mean/own, minSpeed), maxSpeed)
+		speeds[incarnation] = Speed{min(max(mean/own, minSpeed), maxSpeed), time.Duration(own * float64(time.Second))}
 	}
-	return ratios
+	return speeds
 }
--- a/core/placement/speeds_test.go
+++ b/core/placement/speeds_test.go
@@ -21,9 +21,9 @@
 			s.Observe(now, i, time.Duration(r.ExpFloat64()*float64(100*time.Millisecond)), 1)
 		}
 	}
-	for i, ratio := range s.Ratios(now) {
-		if ratio < 1/placement.DefaultStartAbove || ratio > placement.DefaultStartAbove {
-			t.Errorf("server %d counts as %.2f times as fast as the mean after 4 requests", i, ratio)
+	for i, speed := range s.Known(now) {
+		if ratio := speed.Ratio; ratio < 1/placement.DefaultStartAbove || ratio > placement.DefaultStartAbove {
+			t.Errorf("server %d counts as %.2f times as fast as the mean after 4 requests", i, speed.Ratio)
 		}
 	}
 }
@@ -46,17 +46,17 @@
 			}
 		}
 	}
-	ratios := s.Ratios(now)
-	for i, ratio := range ratios {
-		if want := 1.0; i != 3 && (ratio < want*0.9 || ratio > want*1.35) {
-			t.Errorf("server %d counts as %.2f times as fast as the mean", i, ratio)
+	speeds := s.Known(now)
+	for i, speed := range speeds {
+		if ratio, want := speed.Ratio, 1.0; i != 3 && (ratio < want*0.9 || ratio > want*1.35) {
+			t.Errorf("server %d counts as %.2f times as fast as the mean", i, speed.Ratio)
 		}
 	}
-	if ratio := ratios[3]; ratio > 0.65*ratios[2] {
-		t.Errorf("a server of half the speed counts as %.2f beside %.2f", ratio, ratios[2])
+	if ratio := speeds[3].Ratio; ratio > 0.65*speeds[2].Ratio {
+		t.Errorf("a server of half the speed counts as %.2f beside %.2f", ratio, speeds[2].Ratio)
 	}
 	s.Keep(func(incarnation uint64) bool { return incarnation != 3 })
-	if _, known := s.Ratios(now)[3]; known {
+	if _, known := s.Known(now)[3]; known {
 		t.Error("a server that is gone has a speed")
 	}
 }
