--- a/control/internal/leader/plan.go
+++ b/control/internal/leader/plan.go
@@ -127,7 +127,7 @@
 	for _, s := range view.Servers {
 		n := of(s.Incarnation)
 		l.config.Logger.Info().Str("upstream", view.Upstream).Str("backendServer", s.Name).Uint64("incarnation", s.Incarnation).
-			Float64("weight", s.Weight).Float64("requestsPerSecond", n.load).Int("partitions", n.partitions).
+			Float64("weight", s.Weight).Float64("capacity", s.Capacity).Float64("requestsPerSecond", n.load).Int("partitions", n.partitions).
 			Int("gets", n.gets).Int("gives", n.gives).Bool("cold", s.Cold).Bool("lost", s.Lost).
 			Str("leaves", string(s.LeaveReason)).Bool("loadsKnown", !view.LoadsUnknown).Msg("placement planned")
 	}
