core/admission: the wait of less urgent requests counts those that will pass them

Cause: the wait of a request was foreseen from those ahead of it in the queue. The wait is divided by the share of slots that does not go to higher classes.

--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -37,7 +37,9 @@
 	// seen has the time of the last nested call of each depth.
 	seen    [MaxDepth + 1]time.Time
 	started uint64
-	bootID  string
+	// shares has the recent share of each class in the requests that started.
+	shares [classes]float64
+	bootID string
 	cold    coldRate
 	// backlogSince is the time since which the queue has not been empty.
 	backlogSince time.Time
@@ -220,6 +222,7 @@
 	g.started++
 	g.depth[r.Depth]++
 	g.cold.take()
+	g.noteShare(classOf(r.Depth, r.Priority))
 	g.running[r.ID] = run{key: k, depth: r.Depth, number: g.started, alone: len(g.running) == 0}
 }
 
--- a/core/admission/load_test.go
+++ b/core/admission/load_test.go
@@ -180,3 +180,36 @@
 		t.Errorf("requests were refused after up to %v, after %v without", after.heldRefused, before.heldRefused)
 	}
 }
+
+// TestLowerClassIsNotHeldForNothing replays an overloaded server of which urgent
+// requests take more than half: whoever is less urgent and waits is passed by
+// those that come later. It guards against a wait that is foreseen from the
+// queue alone: of the answers to the less urgent kind of a day of the users, 4,858
+// of 13,344 came after their target, while as many others were refused that a
+// slot would have answered in time.
+func TestLowerClassIsNotHeldForNothing(t *testing.T) {
+	for _, slots := range []int{6, 18} {
+		s := base(slots, 1.6)
+		s.deadline, s.target, s.told = 80*time.Millisecond, 35*time.Millisecond, true
+		s.priority = func(r *rand.Rand) int {
+			if r.Float64() < 0.6/1.6 {
+				return 5
+			}
+			return 3
+		}
+		f := s.run(newGuarded(slots))
+		urgent, other := f.byPriority[5], f.byPriority[3]
+		t.Logf("%d slots: urgent %d of %d in time, %d on target; others %d of %d, %d on target; %v",
+			slots, urgent.good, urgent.offered, urgent.onTarget, other.good, other.offered, other.onTarget, f)
+		// The service time alone is above the target in 3% of the cases.
+		if other.onTarget < other.good*85/100 {
+			t.Errorf("%d slots: only %d of %d answers to the less urgent are on target", slots, other.onTarget, other.good)
+		}
+		if urgent.onTarget < urgent.offered*90/100 {
+			t.Errorf("%d slots: only %d of %d urgent requests are on target", slots, urgent.onTarget, urgent.offered)
+		}
+		if f.goodput < 0.93 {
+			t.Errorf("%d slots: goodput %.1f%% of capacity", slots, 100*f.goodput)
+		}
+	}
+}
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -92,6 +92,9 @@
 		ahead += g.queue.count[class]
 	}
 	wait := g.estimate.mean * float64(ahead+1) / float64(g.limiter.value())
+	if !newest {
+		wait /= 1 - min(g.shareAbove(class), maxShareAbove)
+	}
 	if k := g.queue.keys[r.Key]; k != nil && !newest && g.queue.length > k.queued {
 		// While other keys wait, this one gets no more than its share.
 		wait = max(wait, g.estimate.mean*float64(k.queued+1)/float64(g.keySlots()))
@@ -99,6 +102,34 @@
 	return time.Duration(wait)
 }
 
+const (
+	// shareWeight is the weight of one start in the shares of classes: a change of
+	// the mix is followed within some rounds of a server with 18 slots.
+	shareWeight = 1.0 / 64
+	// maxShareAbove bounds what the share of higher classes adds to a wait, which
+	// is then ten times as long.
+	maxShareAbove = 0.9
+)
+
+// noteShare notes the start of a request of a class.
+func (g *Guard) noteShare(class int) {
+	for c := range g.shares {
+		g.shares[c] -= shareWeight * g.shares[c]
+	}
+	g.shares[class] += shareWeight
+}
+
+// shareAbove returns the share of the classes above one in what starts. So much
+// of the slots that become free goes to requests that come later and pass those
+// that wait.
+func (g *Guard) shareAbove(class int) float64 {
+	share := 0.0
+	for _, s := range g.shares[class+1:] {
+		share += s
+	}
+	return share
+}
+
 // late reports whether a request that must wait is refused because its answer
 // would come after its target. Nested calls are not: all the work of the calls
 // above them would be lost.
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -119,6 +119,8 @@
 	// skip is the first part of the duration, which does not count.
 	skip time.Duration
 	key  func(*rand.Rand) uint64
+	// priority draws the class of a request. Nil means 0.
+	priority func(*rand.Rand) int
 	// sustains returns the number of requests that the server runs without
 	// shedding after it finished a number of requests. Nil means all.
 	sustains func(finished int) int
@@ -137,8 +139,13 @@
 	// shedInSecond is the most requests shed within one second.
 	shedInSecond int
 	byKey        map[uint64][2]int
+	byPriority   [admission.MaxPriority + 1]answered
 }
 
+// answered counts the requests of a class, those answered by their deadline, and
+// those of them that were on target.
+type answered struct{ offered, good, onTarget int }
+
 func (f figures) String() string {
 	return fmt.Sprintf("goodput %5.1f%%  late %6d  p50 %7.1f ms  p99 %7.1f ms",
 		100*f.goodput, f.late, f.p50.Seconds()*1e3, f.p99.Seconds()*1e3)
@@ -147,6 +154,7 @@
 type job struct {
 	id      uint64
 	key     uint64
+	class   int
 	arrived time.Time
 	started time.Time
 	work    time.Duration
@@ -247,14 +255,18 @@
 	if r.key != nil {
 		j.key = r.key(random)
 	}
+	if r.priority != nil {
+		j.class = r.priority(random)
+	}
 	r.all[j.id] = j
 	if r.counts(j) {
+		r.figures.byPriority[j.class].offered++
 		r.figures.offered++
 		counts := r.figures.byKey[j.key]
 		counts[0]++
 		r.figures.byKey[j.key] = counts
 	}
-	q := admission.Request{ID: j.id, Key: j.key, Deadline: r.now.Add(r.deadline)}
+	q := admission.Request{ID: j.id, Key: j.key, Priority: j.class, Deadline: r.now.Add(r.deadline)}
 	if r.told {
 		q.Target = r.now.Add(r.target)
 	}
@@ -291,8 +303,10 @@
 	case !r.counts(j):
 	case latency <= r.deadline:
 		r.figures.good++
+		r.figures.byPriority[j.class].good++
 		if r.target > 0 && latency <= r.target {
 			r.figures.onTarget++
+			r.figures.byPriority[j.class].onTarget++
 		}
 		r.latencies = append(r.latencies, latency)
 		counts := r.figures.byKey[j.key]
