--- a/core/admission/guard.go
+++ b/core/admission/guard.go
@@ -40,7 +40,7 @@
 	// shares has the recent share of each class in the requests that started.
 	shares [classes]float64
 	bootID string
-	cold    coldRate
+	cold   coldRate
 	// backlogSince is the time since which the queue has not been empty.
 	backlogSince time.Time
 	// pressed is set from the first request that was refused for its deadline
