wire/leader: one way to find the leader for the clients of bench and ctl

Both clients of operators had a queue of members, the leader's hint read from an error and the rule that each member is asked once: 3 functions twice, now one package.

--- a/bench/operator/client.go
+++ b/bench/operator/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -16,7 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
-	"github.com/jujubeknot/jujubeknot/wire/headers"
+	"github.com/jujubeknot/jujubeknot/wire/leader"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
@@ -84,24 +83,20 @@
 	return c.leader
 }
 
-// first returns the addresses with one at their head.
-func first(address string, addresses []string) []string {
-	others := slices.DeleteFunc(addresses, func(a string) bool { return a == address })
-	return append([]string{address}, others...)
-}
-
 // call calls members until one answers: the last leader first, and the one
 // that a member names next. Each is called once.
 func (c *Client) call(ctx context.Context, call func(context.Context, wirev1connect.OperatorClient) error) error {
-	queue := slices.Clone(c.config.Addresses())
-	if leader := c.Leader(); slices.Contains(queue, leader) {
-		queue = first(leader, queue)
+	members := c.config.Addresses()
+	queue := leader.NewQueue(members)
+	if latest := c.Leader(); slices.Contains(members, latest) {
+		queue.First(latest)
 	}
 	last := errors.New("no control member runs")
-	called := map[string]bool{}
-	for len(queue) > 0 && ctx.Err() == nil {
-		address := queue[0]
-		queue, called[address] = queue[1:], true
+	for ctx.Err() == nil {
+		address, ok := queue.Next()
+		if !ok {
+			break
+		}
 		limited, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
 		err := call(limited, wirev1connect.NewOperatorClient(c.config.HTTP, "http://"+address))
 		cancel()
@@ -112,27 +107,13 @@
 			return nil
 		}
 		last = fmt.Errorf("%s: %w", address, err)
-		if hint := leaderOf(err); hint != "" && !called[hint] {
-			queue = first(hint, queue)
+		if hint := leader.Named(err); hint.IsValid() {
+			queue.First(hint.String())
 		}
 	}
 	return last
 }
 
-// leaderOf returns the address that a member without the lead named, empty if
-// it named none.
-func leaderOf(err error) string {
-	var refused *connect.Error
-	if !errors.As(err, &refused) {
-		return ""
-	}
-	hint := refused.Meta().Get(headers.Leader)
-	if _, err := netip.ParseAddrPort(hint); err != nil {
-		return ""
-	}
-	return hint
-}
-
 // Status returns the leader's status.
 func (c *Client) Status(ctx context.Context) (*wirev1.StatusResponse, error) {
 	var status *wirev1.StatusResponse
--- a/ctl/internal/operator/client.go
+++ b/ctl/internal/operator/client.go
@@ -17,6 +17,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jujubeknot/jujubeknot/wire/leader"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
@@ -153,15 +154,15 @@
 	var last error
 	sent, busy := false, false
 	for pause := c.config.Pause; ; pause = min(2*pause, 8*c.config.Pause) {
-		queue := slices.Clone(c.config.Addresses)
-		if leader := c.leader.Load(); leader != nil {
-			queue = first(*leader, queue)
+		queue := leader.NewQueue(c.config.Addresses)
+		if latest := c.leader.Load(); latest != nil {
+			queue.First(*latest)
 		}
-		tried := map[netip.AddrPort]bool{}
-		for len(queue) > 0 && ctx.Err() == nil {
-			address := queue[0]
-			queue = queue[1:]
-			tried[address] = true
+		for ctx.Err() == nil {
+			address, ok := queue.Next()
+			if !ok {
+				break
+			}
 			response, connected, err := attempt(ctx, c, address, request, m)
 			if err == nil {
 				c.leader.Store(&address)
@@ -181,7 +182,9 @@
 					return nil, &UnknownError{cause: last}
 				}
 			}
-			queue = follow(f.leader, queue, tried)
+			if f.leader.IsValid() {
+				queue.First(f.leader)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -197,21 +200,6 @@
 	}
 }
 
-// follow returns the queue with the address that a member named as the
-// leader's at its head, unless it was asked in this round.
-func follow(hint netip.AddrPort, queue []netip.AddrPort, tried map[netip.AddrPort]bool) []netip.AddrPort {
-	if !hint.IsValid() || tried[hint] {
-		return queue
-	}
-	return first(hint, queue)
-}
-
-// first returns the queue with an address at its head.
-func first(address netip.AddrPort, queue []netip.AddrPort) []netip.AddrPort {
-	others := slices.DeleteFunc(queue, func(a netip.AddrPort) bool { return a == address })
-	return append([]netip.AddrPort{address}, others...)
-}
-
 // attempt calls one member. connected reports whether there was a connection
 // to send the request on.
 func attempt[Req, Res any](
--- a/ctl/internal/operator/failure.go
+++ b/ctl/internal/operator/failure.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/wire/headers"
+	"github.com/jujubeknot/jujubeknot/wire/leader"
 )
 
 // RefusedError means that control answered and changed nothing.
@@ -109,12 +110,8 @@
 	if !errors.As(err, &c) {
 		return failure{kind: failureLost}
 	}
-	if hint, ok := c.Meta()[headers.Leader]; ok {
-		leader, err := netip.ParseAddrPort(hint[0])
-		if err != nil {
-			leader = netip.AddrPort{}
-		}
-		return failure{notLeader: true, leader: leader}
+	if _, ok := c.Meta()[headers.Leader]; ok {
+		return failure{notLeader: true, leader: leader.Named(err)}
 	}
 	if c.Code() == connect.CodeUnimplemented {
 		// The address is not an operator listener.
