--- a/control/settings.go
+++ b/control/settings.go
@@ -60,10 +60,12 @@
 		Format string `ini:"format" default:"json" check:"oneof=json,console" help:"format of log lines"`
 	} `ini:"log"`
 	Placement struct {
-		Policy         string        `ini:"policy" default:"balanced" check:"oneof=balanced,random,roundRobin,hashing" help:"policy of upstreams whose rules name none"`
-		ChurnPerMinute float64       `ini:"churnPerMinute" default:"0.05" check:"min=0.001|max=1" help:"share of partitions that balancing may move in a minute"`
-		MovesInFlight  int           `ini:"movesInFlight" default:"128" check:"min=1|max=10000" help:"planned moves of one upstream at a time"`
-		MoveTimeout    time.Duration `ini:"moveTimeout" default:"2s" check:"min=10ms|max=1m" help:"time that a planned move waits for requests in flight"`
+		Policy          string        `ini:"policy" default:"balanced" check:"oneof=balanced,random,roundRobin,hashing" help:"policy of upstreams whose rules name none"`
+		ChurnPerMinute  float64       `ini:"churnPerMinute" default:"0.05" check:"min=0.001|max=1" help:"share of partitions that balancing may move in a minute"`
+		ReturnPerMinute float64       `ini:"returnPerMinute" default:"0" check:"min=0|max=1" help:"share of partitions that may be moved in a minute to servers that return; 0 takes them from churnPerMinute"`
+		BudgetWindow    time.Duration `ini:"budgetWindow" default:"1m" check:"min=1s|max=1h" help:"time within which the part of churnPerMinute and returnPerMinute that falls to it may be used up"`
+		MovesInFlight   int           `ini:"movesInFlight" default:"128" check:"min=1|max=10000" help:"planned moves of one upstream at a time"`
+		MoveTimeout     time.Duration `ini:"moveTimeout" default:"2s" check:"min=10ms|max=1m" help:"time that a planned move waits for requests in flight"`
 	} `ini:"placement"`
 }
 
@@ -107,8 +109,11 @@
 		Region: s.Control.Region, AvailabilityZone: s.Control.AvailabilityZone, Members: s.Control.Members,
 		MemberSecret: s.Control.MemberSecret, NodeSecret: s.Control.NodeSecret,
 		Peer: s.Listen.Peer, Operator: s.Listen.Operator,
-		Lease:       lease.Config{Duration: s.Lease.Duration, RenewInterval: s.Lease.RenewInterval, Margin: s.Lease.Margin},
-		Placement:   placement.Config{ChurnPerMinute: s.Placement.ChurnPerMinute, MovesInFlight: s.Placement.MovesInFlight},
+		Lease: lease.Config{Duration: s.Lease.Duration, RenewInterval: s.Lease.RenewInterval, Margin: s.Lease.Margin},
+		Placement: placement.Config{
+			ChurnPerMinute: s.Placement.ChurnPerMinute, ReturnPerMinute: s.Placement.ReturnPerMinute,
+			BudgetWindow: s.Placement.BudgetWindow, MovesInFlight: s.Placement.MovesInFlight,
+		},
 		Policy:      s.Placement.Policy,
 		MoveTimeout: s.Placement.MoveTimeout,
 	}
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -97,7 +97,7 @@
 	for _, i := range b.ownedBy(from) {
 		part := &b.partitions[i]
 		cost := b.cost(part)
-		if part.Load <= 0 || !b.free(i) || !b.pool.rows.fits(part.Number, to, evenRows) || part.PinnedTo != 0 && part.PinnedTo == part.Owner || f.utilization()-cost/f.Weight < t.utilization()+cost/t.Weight {
+		if part.Load <= 0 || !b.givable(i, from) || !b.pool.rows.fits(part.Number, to, evenRows) || f.utilization()-cost/f.Weight < t.utilization()+cost/t.Weight {
 			continue
 		}
 		if t.rate+part.Load <= b.config.ColdRate*t.Weight {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -100,7 +100,7 @@
 	return &Planner{config: config.WithDefaults(), policy: policy, leaving: map[uint64]time.Time{}, returning: map[uint64]bool{}}
 }
 
-// SetChurn changes the churn budget; moves of the last minute still count.
+// SetChurn changes the churn budget; moves within its window still count.
 func (p *Planner) SetChurn(perMinute float64) { p.config.ChurnPerMinute = perMinute }
 
 // Balancing reports whether the planner is evening out load.
@@ -130,12 +130,12 @@
 
 // forget drops moves from the budgets that no longer count.
 func (p *Planner) forget(now time.Time) {
-	p.churned = since(p.churned, now.Add(-p.config.BudgetWindow))
-	p.returned = since(p.returned, now.Add(-p.config.BudgetWindow))
+	p.churned = recent(p.churned, now.Add(-p.config.BudgetWindow))
+	p.returned = recent(p.returned, now.Add(-p.config.BudgetWindow))
 }
 
-// since drops times up to a bound from a list in order.
-func since(times []time.Time, bound time.Time) []time.Time {
+// recent drops times up to a bound from a list in order.
+func recent(times []time.Time, bound time.Time) []time.Time {
 	first := 0
 	for first < len(times) && !times[first].After(bound) {
 		first++
