node/internal/peer: a stop does not wait for connections of lost nodes

Cause: a stopping node closes its listener for other nodes and waits until each of them has said that no call follows. A node that was lost (no power, removed VM) never says it, and its connection stays open at the server, which does not ping: the stop lasted until its time was over, 3.2 s with the keys of that node without an owner in reach. Ruled out: requests that last so long (none was in flight at these nodes for over 1.1 s). A node that has not answered for the time of a ping and its timeout (750 ms) is taken for lost; calls under way are waited for as before. Fails first: TestShutdownDoesNotWaitForLostNodes (context deadline exceeded after 1 min).

--- a/node/internal/peer/framed_test.go
+++ b/node/internal/peer/framed_test.go
@@ -283,6 +283,44 @@
 	}
 }
 
+// TestShutdownDoesNotWaitForLostNodes guards against a stop that lasts until its
+// context ends because a node that was lost, such as one whose VM has no power,
+// never says that no call follows.
+func TestShutdownDoesNotWaitForLostNodes(t *testing.T) {
+	n := start(t, func(context.Context, *relay.Call) (*relay.Answer, *outcome.Refusal) {
+		return relay.KeptAnswer(200, nil, []byte("done")), nil
+	})
+	lost, err := net.Dial("tcp", n.node.GetPeerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lost.Close() }()
+	hello, err := peer.AppendMessage(nil, &wirev1.PeerHello{Incarnation: "1", Secret: "secret"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	opening := append([]byte(peer.Preface), frameOf(peer.FrameHello, 0, hello)...)
+	if _, err := lost.Write(append(opening, frameOf(peer.FrameCall, 1, framedCall(t, nil))...)); err != nil {
+		t.Fatal(err)
+	}
+	// The connection is known to the server once its call is answered.
+	if _, err := lost.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := n.server.Shutdown(ctx); err != nil {
+		t.Errorf("stop with a lost node: %v", err)
+	}
+}
+
+// frameOf returns a frame as it is sent.
+func frameOf(kind byte, stream uint32, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	b = binary.BigEndian.AppendUint32(append(b, kind), stream)
+	return append(b, payload...)
+}
+
 // TestOversizedFrameEndsTheConnection guards against memory that one length
 // field claims.
 func TestOversizedFrameEndsTheConnection(t *testing.T) {
--- a/node/internal/peer/framedserver.go
+++ b/node/internal/peer/framedserver.go
@@ -111,19 +111,24 @@
 		l.credits.Broadcast()
 		l.mu.Unlock()
 	case frameDone:
-		l.mu.Lock()
-		l.done = true
-		last := len(l.streams) == 0
-		l.mu.Unlock()
-		if last {
-			l.finish()
-		}
+		l.noMore()
 	default:
 		return errors.Errorf("unexpected %v frame", f.kind)
 	}
 	return nil
 }
 
+// noMore ends the connection once its calls have ended: none follows.
+func (l *serverLink) noMore() {
+	l.mu.Lock()
+	l.done = true
+	last := len(l.streams) == 0
+	l.mu.Unlock()
+	if last {
+		l.finish()
+	}
+}
+
 // begin checks the sender of a call and hands the call to a goroutine.
 func (l *serverLink) begin(f frame) {
 	if refusal := l.h.trust(l.incarnation, l.secret, l.nc.RemoteAddr().String()); refusal != nil {
--- a/node/internal/peer/listen.go
+++ b/node/internal/peer/listen.go
@@ -21,6 +21,10 @@
 // many open files.
 const acceptPause = 10 * time.Millisecond
 
+// goAwayTimeout is the time within which another node says that no call follows.
+// One that has not is taken for lost, as on a connection that is pinged.
+const goAwayTimeout = PingAfter + PingTimeout
+
 // Server serves framed connections and HTTP/2 on one listener. The first bytes
 // of a connection tell them apart.
 type Server struct {
@@ -144,11 +148,20 @@
 }
 
 // Shutdown tells the other nodes to send no more calls, and returns when the
-// calls that they have sent are answered or the context ends.
+// calls that they have sent are answered or the context ends. It does not wait
+// for nodes that are silent: a node that was lost would keep the keys of this one
+// without an owner until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	for _, l := range s.stop() {
+	links := s.stop()
+	for _, l := range links {
 		l.send(frameGoAway, 0)
 	}
+	silent := time.AfterFunc(goAwayTimeout, func() {
+		for _, l := range links {
+			l.noMore()
+		}
+	})
+	defer silent.Stop()
 	err := s.http.Shutdown(ctx)
 	ended := make(chan struct{})
 	go func() {
