control/leader: keys of a VM whose addresses another VM shows are free

Cause: the lease of a lost VM runs out after 5 s, or 5 s after the next election, although its address and that of its backend server belong to another VM by then. A node that registers with a backend server at the address of another VM's backend server, at that VM's own address, shows that both have ended: nothing else listens there. Ruled out: ending the lease when only the node's address is shown (the backend server of the lost VM could still hold keys), or without the setting that a node takes over. Fails first: TestAddressOfAnotherVM (ended false, want true).

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -139,9 +139,14 @@
 	if h := state.NodeByServer(request.GetNode().GetBackendServer().GetName()); h != nil && l.granter.Expired(now, h.GetIncarnation()) {
 		replaces = h.GetIncarnation()
 	}
-	if h := ended(state, request); h != nil {
-		replaces = h.GetIncarnation()
-		l.granter.Returned(replaces)
+	for _, n := range ended(state, request) {
+		if n.GetName() == request.GetNode().GetName() {
+			replaces = n.GetIncarnation()
+		} else {
+			l.config.Logger.Info().Uint64("incarnation", n.GetIncarnation()).Str("node", n.GetName()).Str("peer", n.GetPeerAddress()).
+				Str("shownBy", request.GetNode().GetName()).Msg("lease is over: another VM shows the node's addresses")
+		}
+		l.granter.Returned(n.GetIncarnation())
 	}
 	keeps := keepsPartitions(state.Node(replaces), request.GetNode())
 	l.mu.Unlock()
@@ -164,19 +169,29 @@
 	}
 }
 
-// ended returns the incarnation of an earlier process at a node's address that
-// is known to have ended, nil if there is none. While the new process does not
-// name a backend server, the one of the earlier process may still hold keys.
-func ended(state *cluster.State, request *wirev1.RegisterRequest) *wirev1.Node {
-	if !request.GetTakesOver() || request.GetNode().GetBackendServer() == nil {
+// ended returns the incarnations at a node's address whose processes are known to
+// have ended: those of the same VM, and those of another VM if the backend
+// server's address is taken too. While the new process does not name a backend
+// server, the one of the earlier process may still hold keys.
+func ended(state *cluster.State, request *wirev1.RegisterRequest) []*wirev1.Node {
+	node := request.GetNode()
+	if !request.GetTakesOver() || node.GetBackendServer() == nil {
 		return nil
 	}
+	var list []*wirev1.Node
 	for n := range state.Nodes() {
-		if n.GetPeerAddress() == request.GetNode().GetPeerAddress() && n.GetName() == request.GetNode().GetName() {
-			return n
+		if n.GetPeerAddress() == node.GetPeerAddress() && (n.GetName() == node.GetName() || serverTaken(n, node)) {
+			list = append(list, n)
 		}
 	}
-	return nil
+	return list
+}
+
+// serverTaken reports whether a node's backend server listens where another one
+// did, which has ended then.
+func serverTaken(earlier, node *wirev1.Node) bool {
+	a, b := earlier.GetBackendServer(), node.GetBackendServer()
+	return a.GetAddress() != "" && a.GetAddress() == b.GetAddress() && a.GetName() != b.GetName()
 }
 
 // keepsPartitions reports whether a registration replaces one of the same life
--- a/control/internal/leader/registration_test.go
+++ b/control/internal/leader/registration_test.go
@@ -205,3 +205,40 @@
 		t.Errorf("earlier move at %d, want %d", at, first.GetAssignment().GetSinceUnixMs())
 	}
 }
+
+// TestAddressOfAnotherVM guards against keys that stay without an owner for a
+// whole lease although another VM shows the addresses of the lost one and of its
+// backend server, and against a lease that is ended while either may still run.
+func TestAddressOfAnotherVM(t *testing.T) {
+	w := settled(t)
+	register := func(name, server, serverAddress string, takesOver bool) uint64 {
+		n := nodeOf(server, "a")
+		n.Name, n.PeerAddress, n.BackendServer.Address = name, "10.0.0.9:7000", serverAddress
+		if server == "" {
+			n.BackendServer = nil
+		}
+		r, err := w.current().leader.Register(context.Background(), &wirev1.RegisterRequest{
+			Node: n, RequestId: fmt.Sprint(name, w.index), TakesOver: takesOver,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.work(t)
+		return r.GetIncarnation()
+	}
+	lost := register("vm-lost", "s5", "10.0.0.9:8000", true)
+	for _, c := range []struct {
+		name, server, address string
+		takesOver, ended      bool
+	}{
+		{"vm-a", "", "", true, false},
+		{"vm-b", "s6", "10.0.0.9:8001", true, false},
+		{"vm-c", "s7", "10.0.0.9:8000", false, false},
+		{"vm-d", "s8", "10.0.0.9:8000", true, true},
+	} {
+		register(c.name, c.server, c.address, c.takesOver)
+		if ended := w.state.Node(lost) == nil; ended != c.ended {
+			t.Errorf("after %q with server %q at %q registered: ended %v, want %v", c.name, c.server, c.address, ended, c.ended)
+		}
+	}
+}
