node, control: a restarted node goes on with its backend server at once

Cause: a process that starts beside a running backend server knows it only from the next beat, up to one interval of 0.9 to 1.5 s later, so that each restart of a node left its keys without a node for as long. Change: control tells a registering node the backend server of the earlier process at its address; the node adopts it until a beat says otherwise. Not those that leave, are cold or have no partitions; calls end when a drain that the earlier process was told of would end, and its keys stay with the node as long as the earlier grants may last. Ruled out: adopting servers without keys, in whose place callers choose another (one that restarted with its VM is cold and says so only by its beat).

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -140,11 +140,13 @@
 		replaces = h.GetIncarnation()
 	}
 	for _, n := range ended(state, request) {
-		if n.GetName() == request.GetNode().GetName() {
-			replaces = n.GetIncarnation()
-		} else {
+		if n.GetName() != request.GetNode().GetName() {
 			l.config.Logger.Info().Uint64("incarnation", n.GetIncarnation()).Str("node", n.GetName()).Str("peer", n.GetPeerAddress()).
 				Str("shownBy", request.GetNode().GetName()).Msg("lease is over: another VM shows the node's addresses")
+		} else if !keepsPartitions(state.Node(replaces), request.GetNode()) {
+			// The process may have registered before it knew its backend server: the
+			// one that has the backend server's partitions goes before that.
+			replaces = n.GetIncarnation()
 		}
 		l.granter.Returned(n.GetIncarnation())
 	}
@@ -235,9 +237,38 @@
 		LeaseMs:         uint32(duration.Milliseconds()),
 		RenewIntervalMs: uint32(l.config.Lease.RenewInterval.Milliseconds()),
 		Members:         l.config.Log.Addresses(),
+		EarlierServer:   earlierServer(state, now, l.granter, request),
 	}, nil
 }
 
+// earlierServer returns the backend server of the process that a new one takes
+// over from, nil if the new one names its own or the earlier one cannot go on. A
+// cold one is left out: only its own beat says for how long. So is one without
+// partitions, in whose place callers choose another.
+func earlierServer(state *cluster.State, now time.Time, granter *lease.Granter, request *wirev1.RegisterRequest) *wirev1.BackendServer {
+	node := request.GetNode()
+	if !request.GetTakesOver() || node.GetBackendServer() != nil {
+		return nil
+	}
+	for n := range state.Nodes() {
+		if n.GetBackendServer() != nil && n.GetName() == node.GetName() && n.GetPeerAddress() == node.GetPeerAddress() &&
+			!n.GetDraining() && !n.GetCold() && !granter.Expired(now, n.GetIncarnation()) && owns(state, n) {
+			return n.GetBackendServer()
+		}
+	}
+	return nil
+}
+
+// owns reports whether a node owns partitions.
+func owns(state *cluster.State, n *wirev1.Node) bool {
+	for a := range state.Assignments(n.GetBackendServer().GetUpstream()) {
+		if a.GetOwner() == n.GetIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
 // Renew answers a renewal after a quorum round that began after it arrived.
 func (l *Leader) Renew(ctx context.Context, request *wirev1.RenewRequest) (*wirev1.RenewResponse, error) {
 	if err := l.config.Log.Confirm(ctx); err != nil {
--- a/control/internal/leader/registration_test.go
+++ b/control/internal/leader/registration_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -242,3 +243,88 @@
 		}
 	}
 }
+
+// TestEarlierServer guards against a node that waits for the next beat of a backend
+// server that has served on while its process was restarted, and against one that
+// takes over a backend server which leaves, is cold, has no partitions or belongs to
+// another VM.
+func TestEarlierServer(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		draining, cold bool
+		over, idle     bool
+		vm             string
+		names, without bool
+		want           string
+	}{
+		{name: "restart", want: "s5"},
+		{name: "draining", draining: true},
+		{name: "cold", cold: true},
+		{name: "lease over", over: true},
+		{name: "no partitions", idle: true},
+		{name: "another VM", vm: "vm-b"},
+		{name: "names its own", names: true},
+		{name: "does not take over", without: true},
+	} {
+		w := settled(t)
+		earlier := nodeOf("s5", "a")
+		earlier.Name, earlier.PeerAddress, earlier.Draining, earlier.Cold = "vm-a", "10.0.0.9:7000", c.draining, c.cold
+		l := w.current().leader
+		r, err := l.Register(context.Background(), &wirev1.RegisterRequest{Node: earlier, RequestId: "earlier", TakesOver: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !c.idle {
+			w.give(3, r.GetIncarnation())
+		}
+		if c.over {
+			w.now += lease.Config{}.Whole()
+		}
+		next := nodeOf("s6", "a")
+		next.Name, next.PeerAddress = cmp.Or(c.vm, "vm-a"), "10.0.0.9:7000"
+		if !c.names {
+			next.BackendServer = nil
+		}
+		r, err = l.Register(context.Background(), &wirev1.RegisterRequest{Node: next, RequestId: "next", TakesOver: !c.without})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := r.GetEarlierServer().GetName(); got != c.want {
+			t.Errorf("%s: earlier server %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// give assigns a partition to a node.
+func (w *world) give(partition uint32, incarnation uint64) {
+	w.apply(&wirev1.Command{Kind: &wirev1.Command_Assign{Assign: &wirev1.Assign{Changes: []*wirev1.AssignChange{{
+		Upstream: "desk", Partition: partition, ExpectedEpoch: w.state.Assignment("desk", partition).GetEpoch(), Owner: incarnation, Planned: true,
+	}}}}})
+}
+
+// TestServerAfterItsNode guards against a restarted node that waits for the end of
+// the earlier process's lease because it registered before it knew its backend
+// server.
+func TestServerAfterItsNode(t *testing.T) {
+	w := settled(t)
+	register := func(server string, previous uint64) uint64 {
+		n := nodeOf("s5", "a")
+		n.Name, n.PeerAddress = "vm-a", "10.0.0.9:7000"
+		if server == "" {
+			n.BackendServer = nil
+		}
+		r, err := w.current().leader.Register(context.Background(), &wirev1.RegisterRequest{
+			Node: n, RequestId: fmt.Sprint(server, w.index), Previous: previous, TakesOver: true,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.GetIncarnation()
+	}
+	earlier := register("s5", 0)
+	w.give(3, earlier)
+	last := register("s5", register("", 0))
+	if owner := w.state.Assignment("desk", 3).GetOwner(); owner != last {
+		t.Errorf("owner of the earlier process's partition: %d, want %d", owner, last)
+	}
+}
--- a/node/internal/backend/beat.go
+++ b/node/internal/backend/beat.go
@@ -17,6 +17,10 @@
 // an ended backend server from one whose listener is restarting.
 const refusedAgain = 30 * time.Millisecond
 
+// restartTime is the least time in which a process ends and another one follows
+// it. What the backend server told the earlier one is older by it.
+const restartTime = 300 * time.Millisecond
+
 // ErrForeignBeat is returned for a beat that is not one of the backend server
 // beside this node, or cannot be one of any.
 var ErrForeignBeat = errors.New("the beat is not one of the backend server beside this node")
@@ -41,6 +45,7 @@
 	}
 	changed := s.lost || !proto.Equal(old, next)
 	s.announced, s.alive, s.lost, s.started, s.sequence = next, now, false, b.Started, b.Sequence
+	s.adopted = adoption{}
 	left := s.noteLeaving(now, b.Leaving, same)
 	s.mu.Unlock()
 	if b.ColdFor > 0 {
@@ -63,6 +68,36 @@
 	return true, nil
 }
 
+// Adopt takes the backend server of an earlier process of the node for the one
+// that serves here, until a beat says otherwise: its keys would have no node
+// until its next beat. Holds is when it holds no keys any more unless a beat
+// comes. It does nothing once a beat has come.
+//
+// The earlier process may have been told that the backend server leaves, so that
+// calls end without a beat when a drain would end.
+func (s *Server) Adopt(b *wirev1.BackendServer, holds time.Time) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	if s.announced != nil {
+		s.mu.Unlock()
+		return
+	}
+	s.announced, s.alive = proto.CloneOf(b), now
+	s.adopted = adoption{since: now, holds: holds}
+	s.mu.Unlock()
+	s.log.Info().Str("name", b.GetName()).Str("upstream", b.GetUpstream()).Str("address", b.GetAddress()).Str("life", b.GetBootId()).
+		Msg("backend server of the earlier process goes on")
+	s.apply(true)
+	s.guard.backendStarted(b.GetBootId())
+	s.cfg.Changed()
+}
+
+// adoption is what is known of a backend server that has not beaten yet. The zero
+// value is that of one that has.
+type adoption struct {
+	since, holds time.Time
+}
+
 // noteLeaving reports whether the backend server has begun to leave. Leaving
 // ends only with another life. The lock is held.
 func (s *Server) noteLeaving(now time.Time, leaving, same bool) bool {
@@ -105,8 +140,8 @@
 	}
 }
 
-// drained reports whether a backend server that leaves or was taken out of
-// service must get nothing any more.
+// drained reports whether a backend server that leaves, may leave or was taken out
+// of service must get nothing any more.
 func (s *Server) drained() bool {
 	if s.cfg.Dialect == nil {
 		return false
@@ -115,6 +150,7 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	return s.leaving && now.Sub(s.leavingSince) >= s.cfg.Dialect.DrainLimit ||
+		!s.adopted.since.IsZero() && now.Sub(s.adopted.since) >= s.cfg.Dialect.DrainLimit-restartTime ||
 		!s.outSince.IsZero() && now.Sub(s.outSince) >= s.cfg.Dialect.OutLimit
 }
 
@@ -124,7 +160,7 @@
 	now, holds := s.cfg.Clock.Now(), s.cfg.HoldsUntil()
 	s.mu.Lock()
 	silent := now.Sub(s.alive)
-	gone := s.announced != nil && !s.lost && silent >= s.cfg.Dialect.LostAfter && now.After(holds)
+	gone := s.announced != nil && !s.lost && silent >= s.cfg.Dialect.LostAfter && now.After(holds) && now.After(s.adopted.holds)
 	s.lost = s.lost || gone
 	s.mu.Unlock()
 	if gone {
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -93,6 +93,8 @@
 	leavingSince time.Time
 	// outSince is when the rules took it out of service, zero if they did not.
 	outSince time.Time
+	// adopted is set while no beat has come since the node's process started.
+	adopted adoption
 	// started and sequence are those of the latest beat.
 	started  time.Time
 	sequence uint64
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -170,7 +170,12 @@
 			s.group.setMembers(response.Msg.GetMembers(), lease.MembersHash(response.Msg.GetMembers()))
 			s.cfg.Log.Info().Uint64("incarnation", response.Msg.GetIncarnation()).Uint64("previous", previous).
 				Str("backendServer", node.GetBackendServer().GetName()).Msg("registered")
-			return s.begin(node, response.Msg)
+			i := s.begin(node, response.Msg)
+			if b := response.Msg.GetEarlierServer(); b != nil {
+				// No lease of the earlier process ends later than one that begins now.
+				s.cfg.Backend.Adopt(b, s.cfg.Clock.Now().Add(time.Duration(response.Msg.GetLeaseMs())*time.Millisecond))
+			}
+			return i
 		}
 		if ctx.Err() != nil {
 			return nil
--- a/node/internal/owner/grants.go
+++ b/node/internal/owner/grants.go
@@ -17,6 +17,15 @@
 // of the same partitions. The lock is held.
 func (s *Server) openGrants(self uint64, fresh []*partition) {
 	if s.cfg.ByBeat {
+		for _, p := range fresh {
+			// A token of before this registration: the backend server was granted the
+			// partition by an earlier process and may hold it yet. It refuses what it
+			// does not hold.
+			if p.fence > 0 && p.fence < self {
+				p.opened = true
+				close(p.granted)
+			}
+		}
 		return
 	}
 	byUpstream := map[string][]lease.GrantedPartition{}
