control/leader, node: reports of an ended backend server take no keys from its successor

Cause: a node's process that has just started knows no beat, so that one which was on its way for long can be its first. Control took the backend server in it for the successor of the registered one, counted that lease as returned, and gave the keys to others while the later backend server held them. Change: a backend server tells when its life began; control refuses a registration with an earlier life than the one registered for the VM, as long as that one may hold keys, and a node that has adopted a backend server passes over earlier beats. Fails first: TestEarlierLifeIsRefused (owner 10, want 7), TestEarlierBeatAfterAdoption.

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -45,6 +45,20 @@
 	return fmt.Sprintf("nameTaken: backend server name %q is held by incarnation %d at %s", e.Server, e.Holder, e.Address)
 }
 
+// EarlierLifeError is returned to a node that shows an earlier life of its backend
+// server than the registered one: a report that was on its way for long.
+type EarlierLifeError struct {
+	// Server is the backend server that is registered for the VM.
+	Server string
+	// Holder is its incarnation.
+	Holder uint64
+}
+
+// Error names the later one.
+func (e *EarlierLifeError) Error() string {
+	return fmt.Sprintf("earlierLife: the backend server %q of incarnation %d on this VM started later", e.Server, e.Holder)
+}
+
 // report is what a node said in its latest renewal.
 type report struct {
 	at      time.Time
@@ -130,6 +144,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.checkLife(state, now, request); err != nil {
+		l.mu.Unlock()
+		l.config.Logger.Warn().Err(err).Str("node", request.GetNode().GetName()).
+			Str("server", request.GetNode().GetBackendServer().GetName()).Msg("node not registered")
+		return nil, err
+	}
 	replaces := uint64(0)
 	if p := state.Node(request.GetPrevious()); p != nil && p.GetName() == request.GetNode().GetName() {
 		// The node itself says that it gave the lease of this incarnation up.
@@ -171,6 +191,24 @@
 	}
 }
 
+// checkLife refuses a node whose backend server started before the one that an
+// earlier process of the VM registered, as long as that one may hold keys. The lock
+// is held.
+func (l *Leader) checkLife(state *cluster.State, now time.Time, request *wirev1.RegisterRequest) error {
+	node := request.GetNode()
+	started := node.GetBackendServer().GetStartedUnixMs()
+	if !request.GetTakesOver() || started == 0 {
+		return nil
+	}
+	for n := range state.Nodes() {
+		if n.GetName() == node.GetName() && n.GetPeerAddress() == node.GetPeerAddress() &&
+			n.GetBackendServer().GetStartedUnixMs() > started && !l.granter.Expired(now, n.GetIncarnation()) {
+			return &EarlierLifeError{n.GetBackendServer().GetName(), n.GetIncarnation()}
+		}
+	}
+	return nil
+}
+
 // ended returns the incarnations at a node's address whose processes are known to
 // have ended: those of the same VM, and those of another VM if the backend
 // server's address is taken too. While the new process does not name a backend
--- a/control/internal/leader/registration_test.go
+++ b/control/internal/leader/registration_test.go
@@ -328,3 +328,36 @@
 		t.Errorf("owner of the earlier process's partition: %d, want %d", owner, last)
 	}
 }
+
+// TestEarlierLifeIsRefused guards against a report of a backend server that has
+// ended, which reaches a restarted node before one of its successor: the keys that
+// the successor holds would be given to others.
+func TestEarlierLifeIsRefused(t *testing.T) {
+	w := settled(t)
+	l := w.current().leader
+	register := func(server string, started int64) (uint64, error) {
+		n := nodeOf(server, "a")
+		n.Name, n.PeerAddress, n.BackendServer.StartedUnixMs = "vm-a", "10.0.0.9:7000", started
+		r, err := l.Register(context.Background(), &wirev1.RegisterRequest{Node: n, RequestId: fmt.Sprint(server, started, w.now), TakesOver: true})
+		return r.GetIncarnation(), err
+	}
+	holder, err := register("s5", 2000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.give(3, holder)
+	for _, server := range []string{"s5", "s6"} {
+		var earlier *leader.EarlierLifeError
+		if _, err := register(server, 1000); !errors.As(err, &earlier) || earlier.Server != "s5" || earlier.Holder != holder {
+			t.Errorf("an earlier %q: %v", server, err)
+		}
+	}
+	w.work(t)
+	if owner := w.state.Assignment("desk", 3).GetOwner(); owner != holder {
+		t.Errorf("owner %d, want %d", owner, holder)
+	}
+	w.now += lease.Config{}.Whole()
+	if _, err := register("s6", 1000); err != nil {
+		t.Errorf("once nothing is held any more: %v", err)
+	}
+}
--- a/control/internal/rpc/rpc.go
+++ b/control/internal/rpc/rpc.go
@@ -40,6 +40,7 @@
 func Error(err error) error {
 	var notLeader *replica.NotLeaderError
 	var taken *leader.NameTakenError
+	var earlier *leader.EarlierLifeError
 	var invalid *leader.InvalidError
 	switch {
 	case err == nil:
@@ -52,6 +53,8 @@
 		e := connect.NewError(connect.CodeAlreadyExists, taken)
 		e.Meta().Set(MetaHolder, taken.Address)
 		return e
+	case errors.As(err, &earlier):
+		return connect.NewError(connect.CodeAlreadyExists, earlier)
 	case errors.As(err, &invalid):
 		return connect.NewError(connect.CodeInvalidArgument, invalid)
 	case errors.Is(err, leader.ErrRegisterAnew):
--- a/node/internal/backend/adopt_test.go
+++ b/node/internal/backend/adopt_test.go
@@ -94,3 +94,29 @@
 	stop()
 	<-ended
 }
+
+// TestEarlierBeatAfterAdoption guards against a beat of an ended backend server that
+// takes the place of the adopted one, which started later.
+func TestEarlierBeatAfterAdoption(t *testing.T) {
+	s := backend.New(backend.Config{
+		Clock: &stillClock{}, Dialect: &dialect.Dialect{DrainLimit: 2 * time.Second, OutLimit: time.Minute, LostAfter: time.Second},
+		HoldsUntil: func() time.Time { return time.Time{} }, HealthInterval: time.Millisecond,
+	})
+	next := dialect.Beat{Name: "i-2", Upstream: "desk", Address: "127.0.0.1:1", Started: time.Unix(900, 0), Sequence: 1, Slots: 4}
+	s.Adopt(&wirev1.BackendServer{
+		Name: next.Name, Upstream: "desk", Address: next.Address, BootId: next.Life(), Slots: 4, StartedUnixMs: next.Started.UnixMilli(),
+	}, time.Time{})
+	earlier := next
+	earlier.Name, earlier.Started, earlier.Sequence = "i-1", next.Started.Add(-time.Second), 70
+	for _, c := range []struct {
+		beat dialect.Beat
+		want bool
+	}{{earlier, false}, {next, true}, {earlier, false}} {
+		if current, err := s.Beat(c.beat); current != c.want || err != nil {
+			t.Errorf("beat of %s: current %v, %v; want %v", c.beat.Name, current, err, c.want)
+		}
+	}
+	if got := s.Announced().GetName(); got != next.Name {
+		t.Errorf("announced %q, want %q", got, next.Name)
+	}
+}
--- a/node/internal/backend/beat.go
+++ b/node/internal/backend/beat.go
@@ -34,6 +34,7 @@
 	life := b.Life()
 	next := &wirev1.BackendServer{
 		Name: b.Name, Upstream: b.Upstream, Address: b.Address, BootId: life, Slots: uint32(b.Slots), ChecksFences: true,
+		StartedUnixMs: b.Started.UnixMilli(),
 	}
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
@@ -82,7 +83,7 @@
 		s.mu.Unlock()
 		return
 	}
-	s.announced, s.alive = proto.CloneOf(b), now
+	s.announced, s.alive, s.started = proto.CloneOf(b), now, time.UnixMilli(b.GetStartedUnixMs())
 	s.adopted = adoption{since: now, holds: holds}
 	s.mu.Unlock()
 	s.log.Info().Str("name", b.GetName()).Str("upstream", b.GetUpstream()).Str("address", b.GetAddress()).Str("life", b.GetBootId()).
