node: nothing is sent for callers who have gone

Cause: a request whose connection had ended by the time it was routed was still sent to its owner, and from there on an open connection to the backend server; the cancellation followed at once. A node without processor time reads the request and the end of its connection together, half a second after both came. Ruled out: calls that wait on their way between nodes. Change: the entry node and the node beside the backend server look at the call's context right before they send. Fails first: TestGoneCallerIsNotSentOn (sent), TestCancelledBeforeItIsSent (got first second third).

--- a/node/internal/backend/cancel_test.go
+++ b/node/internal/backend/cancel_test.go
@@ -92,3 +92,50 @@
 		t.Errorf("the second request was refused: %+v", r)
 	}
 }
+
+// TestCancelledBeforeItIsSent guards against calls that reach a backend server on an
+// open connection although their callers have left: a busy node reads the request
+// and the end of its connection at the same time.
+func TestCancelledBeforeItIsSent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		arrived := make(chan string, 4)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/v1/") {
+				arrived <- r.Header.Get(headers.RequestID)
+			}
+			_, _ = io.WriteString(w, `{"bootId":"boot"}`)
+		}))
+		ctx, stop := context.WithCancel(context.Background())
+		s := startServer(ctx, t, server.Listener.Addr())
+		gone, leave := context.WithCancel(ctx)
+		leave()
+		for _, c := range []struct {
+			ctx  context.Context
+			id   string
+			runs bool
+		}{{ctx, "first", true}, {gone, "second", false}, {ctx, "third", true}} {
+			call := &relay.Call{ID: c.id, Sending: c.id, Idempotent: idempotent, Method: "GET", URI: "/", Host: "h", Deadline: boottime.Clock{}.Now().Add(time.Hour), Body: &relay.Body{}}
+			a, refusal := s.Do(c.ctx, call, backend.Gate{Before: func() (backend.Term, *outcome.Refusal) { return backend.Term{}, nil }})
+			if a != nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+			}
+			switch {
+			case c.runs && refusal != nil:
+				t.Errorf("%s call: %+v", c.id, refusal)
+			case !c.runs && (refusal == nil || refusal.Outcome != outcome.OutcomeNotRun || refusal.Reason != outcome.ReasonCancelled):
+				t.Errorf("%s call: %+v, want notRun for cancelled", c.id, refusal)
+			}
+		}
+		server.Close()
+		stop()
+		close(arrived)
+		var got []string
+		for id := range arrived {
+			got = append(got, id)
+		}
+		if fmt.Sprint(got) != "[first third]" {
+			t.Errorf("idempotent %v: the backend server got %v", idempotent, got)
+		}
+	}
+}
--- a/node/internal/backend/do.go
+++ b/node/internal/backend/do.go
@@ -122,6 +122,10 @@
 		a.end(admission.ResultCancelled, true)
 		return nil, relay.NotRun(outcome.ReasonDeadline)
 	}
+	if ctx.Err() != nil {
+		a.end(admission.ResultCancelled, true)
+		return nil, relay.NotRun(outcome.ReasonCancelled)
+	}
 	if !a.call.Idempotent {
 		// The answer of a request that must not run twice is wanted even if the
 		// connection that it came on is lost: it is kept for resends.
--- a/node/internal/caller/pressure_test.go
+++ b/node/internal/caller/pressure_test.go
@@ -84,3 +84,32 @@
 		t.Errorf("%d in flight, want %d", inFlight, limit-1)
 	}
 }
+
+// TestGoneCallerIsNotSentOn guards against requests that are sent to other nodes
+// although the connection that they came on has ended by the time they are routed.
+func TestGoneCallerIsNotSentOn(t *testing.T) {
+	table, err := routing.New().With(&wirev1.Update{
+		Index: 1, Rules: &wirev1.RulesRevision{Revision: 1, Text: "upstream u keyed partitions=1 # a: b\nupstream v unkeyed # a: b\nroute /u/ to u key=segment:2 # a: b\nroute /v/ to v # a: b\n"},
+		Nodes: []*wirev1.Node{
+			{Incarnation: 7, Name: "vm-7", PeerAddress: "127.0.0.1:7", BackendServer: &wirev1.BackendServer{Name: "s7", Upstream: "u", Address: "127.0.0.1:70"}},
+			{Incarnation: 8, Name: "vm-8", PeerAddress: "127.0.0.1:8", BackendServer: &wirev1.BackendServer{Name: "s8", Upstream: "v", Address: "127.0.0.1:80"}},
+		},
+		Assignments: []*wirev1.Assignment{{Upstream: "u", Partition: 0, Epoch: 1, Owner: 7}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := caller.New(caller.Config{
+		Log: zerolog.Nop(), Clock: boottime.Clock{}, View: view.New(table), Owner: nowhere{t}, Remote: remote{nowhere{t}},
+		Metrics: metrics.New(), WithoutLease: true,
+	})
+	for _, path := range []string{"/u/k", "/v/k"} {
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil).WithContext(ctx))
+		if !strings.Contains(w.Body.String(), `"cancelled"`) || w.Header().Get(headers.Outcome) != "notRun" {
+			t.Errorf("%s: %d %v %s", path, w.Code, w.Header(), w.Body)
+		}
+	}
+}
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -246,8 +246,12 @@
 	return &c
 }
 
-// send runs a call at the node of its owner, which may be this one.
+// send runs a call at the node of its owner, which may be this one, unless its
+// caller has gone.
 func (q *request) send(ctx context.Context, c *relay.Call, to *wirev1.Node, self uint64) (*relay.Answer, *outcome.Refusal) {
+	if ctx.Err() != nil {
+		return nil, relay.NotRun(outcome.ReasonCancelled)
+	}
 	if to.GetIncarnation() == self {
 		q.h.cfg.Metrics.Attempts.Add("local", 1)
 		return q.h.cfg.Owner.Do(ctx, c)
