control/leader: a resent registration keeps its lease

Cause: a node sends its registration again when the answer does not come within a second. The leader took the incarnation that the first sending had made for one of an earlier process at the same address, counted its lease as returned and gave its keys to others, while the backend server held them by grants of the process before. Also: the lease of a process whose partitions are kept was counted as returned before the new registration was committed, so that a plan in between could give them away. And a backend server that started again while its node registered without it met nameTaken for half a second. Fails first: TestResentRegistrationKeepsItsLease (the lease of this incarnation is over), TestServerAfterItsNode with another life (nameTaken).

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -150,27 +150,10 @@
 			Str("server", request.GetNode().GetBackendServer().GetName()).Msg("node not registered")
 		return nil, err
 	}
-	replaces := uint64(0)
-	if p := state.Node(request.GetPrevious()); p != nil && p.GetName() == request.GetNode().GetName() {
-		// The node itself says that it gave the lease of this incarnation up.
-		replaces = p.GetIncarnation()
-		l.granter.Returned(replaces)
-	}
-	if h := state.NodeByServer(request.GetNode().GetBackendServer().GetName()); h != nil && l.granter.Expired(now, h.GetIncarnation()) {
-		replaces = h.GetIncarnation()
-	}
-	for _, n := range ended(state, request) {
-		if n.GetName() != request.GetNode().GetName() {
-			l.config.Logger.Info().Uint64("incarnation", n.GetIncarnation()).Str("node", n.GetName()).Str("peer", n.GetPeerAddress()).
-				Str("shownBy", request.GetNode().GetName()).Msg("lease is over: another VM shows the node's addresses")
-		} else if !keepsPartitions(state.Node(replaces), request.GetNode()) {
-			// The process may have registered before it knew its backend server: the
-			// one that has the backend server's partitions goes before that.
-			replaces = n.GetIncarnation()
-		}
-		l.granter.Returned(n.GetIncarnation())
+	replaces, keeps := uint64(0), false
+	if !registeredBy(state, request.GetRequestId()) {
+		replaces, keeps = l.succeed(state, now, request)
 	}
-	keeps := keepsPartitions(state.Node(replaces), request.GetNode())
 	l.mu.Unlock()
 	id := request.GetRequestId()
 	for {
@@ -187,7 +170,76 @@
 		// The answer to an earlier sending was lost and its incarnation is
 		// over. The node repeats the request until it gets an answer, so it
 		// needs another incarnation, which later repetitions find in turn.
-		id = fmt.Sprintf("%s#%d", id, result.Index)
+		id = anotherID(id, result.Index)
+	}
+}
+
+// anotherID returns the request id by which a registration is repeated whose
+// incarnation was removed since.
+func anotherID(id string, incarnation uint64) string { return fmt.Sprintf("%s#%d", id, incarnation) }
+
+// registeredBy reports whether a request has made an incarnation that is
+// registered: it is sent again because its answer was lost.
+func registeredBy(state *cluster.State, id string) bool {
+	for {
+		incarnation, known := state.Registration(id)
+		switch {
+		case !known:
+			return false
+		case state.Node(incarnation) != nil:
+			return true
+		}
+		id = anotherID(id, incarnation)
+	}
+}
+
+// succeed returns which incarnation a registration replaces, and whether it keeps
+// the partitions of that one. The leases of others that have ended are over; that
+// of one whose partitions are kept is not, because they would be given to others
+// until the registration is committed. The lock is held.
+func (l *Leader) succeed(state *cluster.State, now time.Time, request *wirev1.RegisterRequest) (replaces uint64, keeps bool) {
+	node := request.GetNode()
+	over := ended(state, request)
+	if p := state.Node(request.GetPrevious()); p != nil && p.GetName() == node.GetName() {
+		// The node itself says that it gave the lease of this incarnation up.
+		replaces = p.GetIncarnation()
+		over = append(over, p)
+	}
+	if h := state.NodeByServer(node.GetBackendServer().GetName()); h != nil && l.granter.Expired(now, h.GetIncarnation()) {
+		replaces = h.GetIncarnation()
+	}
+	for _, n := range over {
+		if n.GetName() == node.GetName() && claim(n, node) >= claim(state.Node(replaces), node) {
+			replaces = n.GetIncarnation()
+		}
+	}
+	keeps = keepsPartitions(state.Node(replaces), node)
+	for _, n := range over {
+		if keeps && n.GetIncarnation() == replaces {
+			continue
+		}
+		if n.GetName() != node.GetName() {
+			l.config.Logger.Info().Uint64("incarnation", n.GetIncarnation()).Str("node", n.GetName()).Str("peer", n.GetPeerAddress()).
+				Str("shownBy", node.GetName()).Msg("lease is over: another VM shows the node's addresses")
+		}
+		l.granter.Returned(n.GetIncarnation())
+	}
+	return replaces, keeps
+}
+
+// claim orders the incarnations that a registration could replace. A process may
+// have registered before it knew its backend server: the incarnation that has the
+// backend server's partitions, or its name, goes before that one.
+func claim(replaced, node *wirev1.Node) int {
+	switch {
+	case replaced == nil:
+		return 0
+	case keepsPartitions(replaced, node):
+		return 3
+	case replaced.GetBackendServer().GetName() == node.GetBackendServer().GetName():
+		return 2
+	default:
+		return 1
 	}
 }
 
--- a/control/internal/leader/registration_test.go
+++ b/control/internal/leader/registration_test.go
@@ -307,9 +307,10 @@
 // server.
 func TestServerAfterItsNode(t *testing.T) {
 	w := settled(t)
+	life := "a life"
 	register := func(server string, previous uint64) uint64 {
 		n := nodeOf("s5", "a")
-		n.Name, n.PeerAddress = "vm-a", "10.0.0.9:7000"
+		n.Name, n.PeerAddress, n.BackendServer.BootId = "vm-a", "10.0.0.9:7000", life
 		if server == "" {
 			n.BackendServer = nil
 		}
@@ -327,6 +328,10 @@
 	if owner := w.state.Assignment("desk", 3).GetOwner(); owner != last {
 		t.Errorf("owner of the earlier process's partition: %d, want %d", owner, last)
 	}
+	life = "another life"
+	if next := register("s5", register("", 0)); w.state.NodeByServer("s5").GetIncarnation() != next {
+		t.Errorf("the backend server's node is %v, want %d", w.state.NodeByServer("s5"), next)
+	}
 }
 
 // TestEarlierLifeIsRefused guards against a report of a backend server that has
@@ -361,3 +366,32 @@
 		t.Errorf("once nothing is held any more: %v", err)
 	}
 }
+
+// TestResentRegistrationKeepsItsLease guards against a registration whose answer was
+// lost and which is taken for that of a later process when it is sent again: the
+// keys of the registered one would be given to others.
+func TestResentRegistrationKeepsItsLease(t *testing.T) {
+	w := settled(t)
+	register := func(id string) uint64 {
+		n := nodeOf("s5", "a")
+		n.Name, n.PeerAddress = "vm-a", "10.0.0.9:7000"
+		r, err := w.current().leader.Register(context.Background(), &wirev1.RegisterRequest{Node: n, RequestId: id, TakesOver: true})
+		if err != nil {
+			t.Fatalf("registration %s: %v", id, err)
+		}
+		return r.GetIncarnation()
+	}
+	earlier := register("first")
+	w.give(3, earlier)
+	again := register("first")
+	w.run(t, 100*time.Millisecond)
+	if owner := w.state.Assignment("desk", 3).GetOwner(); again != earlier || owner != earlier {
+		t.Errorf("resent: incarnation %d and owner %d, want %d", again, owner, earlier)
+	}
+	next := register("second")
+	again = register("second")
+	w.run(t, 100*time.Millisecond)
+	if owner := w.state.Assignment("desk", 3).GetOwner(); again != next || owner != next {
+		t.Errorf("resent by the next process: incarnation %d and owner %d, want %d", again, owner, next)
+	}
+}
--- a/core/cluster/lookup.go
+++ b/core/cluster/lookup.go
@@ -31,6 +31,20 @@
 	return nil
 }
 
+// Registration returns the incarnation that a registration with a request id made,
+// false if none is known. It may no longer be registered.
+func (s *State) Registration(requestID string) (incarnation uint64, known bool) {
+	if requestID == "" {
+		return 0, false
+	}
+	for _, r := range s.recent {
+		if r.GetRequestId() == requestID {
+			return r.GetIndex(), true
+		}
+	}
+	return 0, false
+}
+
 // Nodes yields the registered nodes by rising incarnation.
 func (s *State) Nodes() iter.Seq[*wirev1.Node] {
 	return slices.Values(s.nodes)
--- a/core/cluster/nodes.go
+++ b/core/cluster/nodes.go
@@ -17,12 +17,8 @@
 
 // registerNode adds a node whose incarnation is the log index.
 func (s *State) registerNode(command *wirev1.RegisterNode) Result {
-	if id := command.GetRequestId(); id != "" {
-		for _, r := range s.recent {
-			if r.GetRequestId() == id {
-				return Result{Code: CodeUnchanged, Index: r.GetIndex()}
-			}
-		}
+	if incarnation, known := s.Registration(command.GetRequestId()); known {
+		return Result{Code: CodeUnchanged, Index: incarnation}
 	}
 	if message := checkRegistration(command); message != "" {
 		return invalid("%s", message)
