node/owner: keys that a restarted node keeps are granted above earlier tokens

Cause: neighbours are granted in one row with the highest of their fencing tokens. A process that starts later knows the tokens of the assignments and those that beats tell of; where the hold has run out before its first beat, no beat tells of the higher token, and the backend server refuses a row with a lower one for as long as the partition stays. Change: what is not held is granted with the index of the node's registration, which is above each assignment that it keeps and below each later one.

--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -157,6 +157,10 @@
 		}
 		if !p.held {
 			fresh++
+			// An earlier process may have granted it in one row with others, by a
+			// higher token that no beat tells of once the hold is over. The
+			// registration is later than that, and before each later assignment.
+			p.fence = max(p.fence, identity.Incarnation)
 		}
 		granted = append(granted, p)
 	}
