--- a/node/internal/owner/beats.go
+++ b/node/internal/owner/beats.go
@@ -1,17 +1,12 @@
 package owner
 
 import (
-	"cmp"
 	"context"
 	"slices"
-	"sort"
-	"strconv"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/keyspace"
-	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/node/dialect"
-	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 )
 
 const (
@@ -201,98 +196,6 @@
 	}
 }
 
-// raise notes the fencing tokens that partitions are granted with.
-func raise(list []*partition, grants []dialect.Grant, count uint32) {
-	at := 0
-	for _, p := range list {
-		first, _ := keyspace.NumberRange(p.id.Partition, count)
-		for grants[at].Last < first {
-			at++
-		}
-		p.fence = grants[at].Fence
-	}
-}
-
-// size returns the bytes that grants take as rows of numbers and a quoted token.
-func size(grants []dialect.Grant) int {
-	const punctuation = len(`[,,,""],`)
-	total := 0
-	for _, g := range grants {
-		total += punctuation + len(strconv.Itoa(int(g.First))) + len(strconv.Itoa(int(g.Last))) +
-			len(strconv.FormatUint(g.Fence, 10)) + len(g.Handover)
-	}
-	return total
-}
-
-// fit returns the grants of as many partitions as a limit allows: an answer over
-// its bound would cost the backend server all. Where not all fit, partitions
-// that are not held yet go without their handovers first, those with the least
-// calls before others, since rows without handovers are shorter and can be
-// joined: keys without their state are served slowly, keys that are left out are
-// not served at all. Partitions are left out in the same order.
-func fit(list []*partition, count uint32, limit int) ([]*partition, []dialect.Grant) {
-	grants := grantsOf(list, count)
-	if size(grants) <= limit {
-		return list, grants
-	}
-	var fresh []*partition
-	for _, p := range list {
-		if !p.held && p.handover != "" {
-			fresh = append(fresh, p)
-		}
-	}
-	slices.SortStableFunc(fresh, func(a, b *partition) int { return cmp.Compare(b.count, a.count) })
-	handovers := make([]string, len(fresh))
-	for i, p := range fresh {
-		handovers[i] = p.handover
-	}
-	// The bytes grow with the number of handovers.
-	with := sort.Search(len(fresh)+1, func(n int) bool {
-		for i, p := range fresh {
-			p.handover = ""
-			if i < n {
-				p.handover = handovers[i]
-			}
-		}
-		return size(grantsOf(list, count)) > limit
-	})
-	for i, p := range fresh {
-		p.handover = ""
-		if i < with-1 {
-			p.handover = handovers[i]
-		}
-	}
-	if grants = grantsOf(list, count); size(grants) <= limit {
-		return list, grants
-	}
-	return cut(list, count, limit)
-}
-
-// cut leaves out partitions until the grants of the others are within a limit.
-// Those that the backend server holds stay longest, then those with the most
-// calls.
-func cut(list []*partition, count uint32, limit int) ([]*partition, []dialect.Grant) {
-	list = slices.Clone(list)
-	slices.SortStableFunc(list, func(a, b *partition) int {
-		switch {
-		case a.held != b.held && a.held:
-			return -1
-		case a.held != b.held:
-			return 1
-		default:
-			return cmp.Compare(b.count, a.count)
-		}
-	})
-	most := sort.Search(len(list)+1, func(n int) bool { return size(grantsOf(slices.Clone(list[:min(n, len(list))]), count)) > limit }) - 1
-	for ; most > 0; most-- {
-		kept := slices.Clone(list[:most])
-		if grants := grantsOf(kept, count); size(grants) <= limit {
-			return kept, grants
-		}
-	}
-	return nil, nil
-}
-
 // HoldsUntil returns when all that the backend server was told to hold is over
 // unless another beat comes.
 func (s *Server) HoldsUntil() time.Time {
@@ -301,80 +204,6 @@
 	return s.holdUntil
 }
 
-// grantOf returns the channel that is closed once the backend server knows that
-// it holds a partition.
-func (s *Server) grantOf(p *partition) <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return p.granted
-}
-
-// waitShare is the part of the time left, in percent, for which a call waits for
-// its keys to be granted. Its caller can still come back afterwards.
-const waitShare = 40
-
-// grantWait returns how long a call may wait for its keys to be granted, 0 if
-// the next beat will come too late for it, and the time until that beat.
-func (s *Server) grantWait(c *relay.Call) (wait, next time.Duration) {
-	now := s.cfg.Clock.Now()
-	wait = c.Deadline.Sub(now)
-	if !s.cfg.ByBeat {
-		return wait, 0
-	}
-	wait = wait * waitShare / 100
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next = s.lastBeat.Add(s.cfg.BeatInterval).Sub(now)
-	if s.waiting > 0 {
-		// A beat waits for its answer.
-		next = 0
-	}
-	if next > wait {
-		return 0, next
-	}
-	return wait, max(next, settleTime)
-}
-
-// awaitGrant keeps calls for a partition that the backend server says it does
-// not hold from being sent until it has been granted again.
-func (s *Server) awaitGrant(p *partition) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cfg.ByBeat && p.opened {
-		p.granted, p.opened = make(chan struct{}), false
-	}
-}
-
-// open lets the calls of granted partitions go on.
-func (s *Server) open(granted []*partition) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range granted {
-		if !p.opened {
-			p.opened = true
-			close(p.granted)
-		}
-	}
-}
-
-// grantsOf joins neighbouring partitions without different handovers, because
-// the answer to a beat is bounded. They get the highest of their fencing tokens:
-// it is below that of each later assignment, because tokens are indexes of the
-// log. What was granted once never gets a lower one.
-func grantsOf(list []*partition, count uint32) []dialect.Grant {
-	slices.SortFunc(list, func(a, b *partition) int { return cmp.Compare(a.id.Partition, b.id.Partition) })
-	var grants []dialect.Grant
-	for _, p := range list {
-		first, last := keyspace.NumberRange(p.id.Partition, count)
-		if n := len(grants); n > 0 && grants[n-1].Handover == p.handover && grants[n-1].Last+1 == first {
-			grants[n-1].Last, grants[n-1].Fence = last, max(grants[n-1].Fence, p.fence)
-			continue
-		}
-		grants = append(grants, dialect.Grant{Holding: dialect.Holding{First: first, Last: last, Fence: p.fence}, Handover: p.handover})
-	}
-	return grants
-}
-
 // noteReleased ends the releases whose keys the backend server does not hold
 // any more. The lock is held.
 func (s *Server) noteReleased(b dialect.Beat) {
@@ -435,8 +264,3 @@
 		done(Release{Partition: report, Records: records})
 	})
 }
-
-// grant returns the partition as the project's own grants name it.
-func (p *partition) grant() lease.GrantedPartition {
-	return lease.GrantedPartition{Partition: p.id.Partition, Epoch: p.epoch}
-}
