node: rates of links in Mbit/s, converted in one place

Config.LinkMbps takes the setting as it is. No behaviour changes, nothing measured; tests of node and vet of all modules pass.

--- a/node/cmd/jujubeknot-node/settings.go
+++ b/node/cmd/jujubeknot-node/settings.go
@@ -13,8 +13,6 @@
 	"github.com/jujubeknot/jujubeknot/node"
 )
 
-// bytesPerMegabit is for rates in Mbit/s.
-const bytesPerMegabit = 1e6 / 8
 
 // fileSettings is the settings file.
 type fileSettings struct {
@@ -76,7 +74,7 @@
 	}
 	cfg := node.Config{
 		Name: s.Node.Name, Region: s.Node.Region, AvailabilityZone: s.Node.AvailabilityZone,
-		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret, LinkRate: s.Node.LinkMbps * bytesPerMegabit,
+		ControlMembers: s.Node.ControlMembers, NodeSecret: s.Node.NodeSecret, LinkMbps: s.Node.LinkMbps,
 		Callers: s.Listen.Callers, Peer: s.Listen.Peer, Backend: s.Listen.Backend, Operator: s.Listen.Operator,
 		HealthInterval: s.Backend.HealthInterval, ConnectTimeout: s.Backend.ConnectTimeout, DrainTimeout: s.Stop.DrainTimeout,
 		CallerMaxConnections: s.Callers.MaxConnections, CallerIdleTimeout: s.Callers.IdleTimeout,
--- a/node/config.go
+++ b/node/config.go
@@ -56,9 +56,9 @@
 	// ConnectTimeout bounds a new connection to the backend server. Default
 	// 500 ms.
 	ConnectTimeout time.Duration
-	// LinkRate is that of the VM's link in bytes/s. Bodies of calls are received
+	// LinkMbps is the rate of the VM's link in Mbit/s. Bodies of calls are received
 	// no faster. Default 0, which means that it is not known.
-	LinkRate float64
+	LinkMbps float64
 	// CallerHeaderTimeout bounds the time for the header of a caller's request.
 	// Default 5 s.
 	CallerHeaderTimeout time.Duration
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 // drainPoll is the time between two looks at what keeps a node from stopping.
 const drainPoll = 20 * time.Millisecond
 
+// bytesPerMegabit turns a rate in Mbit/s into one in bytes/s.
+const bytesPerMegabit = 1e6 / 8
+
 // Addresses are where a node listens.
 type Addresses struct {
 	Callers, Peer, Backend, Operator net.Addr
@@ -148,7 +151,7 @@
 	clock, log := boottime.Clock{}, n.cfg.Log
 	n.started = clock.Now()
 	n.backend = backend.New(backend.Config{
-		Clock: clock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout, LinkRate: n.cfg.LinkRate,
+		Clock: clock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout, LinkRate: n.cfg.LinkMbps * bytesPerMegabit,
 		Changed: func() { n.session.BackendChanged() },
 		Dialect: n.cfg.Dialect, HoldsUntil: func() time.Time { return n.owner.HoldsUntil() },
 	})
