--- a/node/cmd/jujubeknot-node/settings.go
+++ b/node/cmd/jujubeknot-node/settings.go
@@ -13,7 +13,6 @@
 	"github.com/jujubeknot/jujubeknot/node"
 )
 
-
 // fileSettings is the settings file.
 type fileSettings struct {
 	Node struct {
