control: renewals say for how long newer rules are in force; members that wait name the leader

Change: RenewResponse.superseded_ms. TestNodeBehindRules: 500 and 1,001 ms after a change. Change: they keep that answer, with the leader's address for operators, and send callers there. Fails first: TestWaitingMemberNamesTheLeader (operators are sent to "").

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -111,7 +111,8 @@
 		return nil, err
 	}
 	defer l.mu.Unlock()
-	response := &wirev1.RenewResponse{Sequence: request.GetSequence()}
+	superseded := l.superseded(request.GetRulesRevision(), now)
+	response := &wirev1.RenewResponse{Sequence: request.GetSequence(), SupersededMs: uint32(superseded.Milliseconds())}
 	if addresses := l.config.Log.Addresses(); lease.MembersHash(addresses) != request.GetMembersHash() {
 		response.Members, response.MembersHash = addresses, lease.MembersHash(addresses)
 	}
@@ -122,7 +123,7 @@
 	}
 	l.note(node, request, now)
 	l.takeReleased(state, now, request.GetIncarnation(), request.GetReleased(), nil, false)
-	if l.behind(request.GetRulesRevision(), now) {
+	if superseded > rulesGrace {
 		if l.awaitsSnapshot(request.GetIncarnation(), now) {
 			// The node has no lease without the rules, but it is not removed for a
 			// queue at the leader: another registration would make that longer.
@@ -170,16 +171,17 @@
 		a.GetConnections() == b.GetConnections() && a.GetChecksFences() == b.GetChecksFences()
 }
 
-// behind reports whether a node has not applied a revision that has been
-// accepted for longer than the grace. A revision that was accepted before
-// this term counts from the start of the term.
-func (l *Leader) behind(revision uint64, now time.Time) bool {
+// superseded returns for how long a rules revision has had a later one, 0 if
+// there is none. A revision that was accepted before this term counts from the
+// start of the term.
+func (l *Leader) superseded(revision uint64, now time.Time) time.Duration {
+	longest := time.Duration(0)
 	for accepted, since := range l.revisions {
-		if accepted > revision && now.Sub(since) > rulesGrace {
-			return true
+		if accepted > revision {
+			longest = max(longest, now.Sub(since))
 		}
 	}
-	return false
+	return longest
 }
 
 // Deregister removes a node that has given its lease up.
--- a/control/internal/leader/registration_test.go
+++ b/control/internal/leader/registration_test.go
@@ -30,8 +30,12 @@
 	if r := renew(); r.GetLeaseMs() == 0 || r.GetBehind() {
 		t.Errorf("renewal right after the change: %v", r)
 	}
-	w.now += time.Second + time.Millisecond
-	if r := renew(); r.GetLeaseMs() != 0 || !r.GetBehind() || r.GetLost() {
+	w.now += time.Second / 2
+	if r := renew(); r.GetSupersededMs() != 500 || r.GetLeaseMs() == 0 {
+		t.Errorf("renewal 500 ms after the change: %v", r)
+	}
+	w.now += time.Second/2 + time.Millisecond
+	if r := renew(); r.GetLeaseMs() != 0 || !r.GetBehind() || r.GetLost() || r.GetSupersededMs() != 1001 {
 		t.Errorf("renewal over 1 s after the change: %v", r)
 	}
 }
--- a/control/internal/replica/join.go
+++ b/control/internal/replica/join.go
@@ -91,7 +91,10 @@
 		return nil, errors.New("a member needs an id and an address to join")
 	}
 	leadership := r.Leadership()
-	response := &wirev1.JoinResponse{Leader: leadership.Address, Members: r.Addresses()}
+	response := &wirev1.JoinResponse{Leader: leadership.Address, LeaderOperator: leadership.Operator, Members: r.Addresses()}
+	if leadership.Leading {
+		response.LeaderOperator = r.config.Operator
+	}
 	known := findMember(r.membership.Load(), m.GetId())
 	response.Joined = known.GetAddress() == m.GetAddress()
 	if leadership.Leading && !response.Joined {
@@ -100,11 +103,13 @@
 	return response, nil
 }
 
-// join asks the group to add this member until its own log says that it has.
+// join asks the group to add this member until its own log says that it has. A
+// group that is full never does: the member then knows who leads by asking.
 func (r *Replica) join(ctx context.Context) {
 	self := &wirev1.Member{Id: r.config.MemberID, Address: r.config.Address, AvailabilityZone: r.config.AvailabilityZone}
 	known := slices.Clone(r.config.Formation.Seeds)
 	for ctx.Err() == nil && findMember(r.membership.Load(), self.GetId()) == nil {
+		var named *wirev1.JoinResponse
 		for _, address := range known {
 			if address == self.GetAddress() {
 				continue
@@ -119,13 +124,27 @@
 					known = append(known, more)
 				}
 			}
+			if response.GetLeader() != "" {
+				named = response
+			}
 			if response.GetLeader() == address {
 				break
 			}
 		}
+		r.hearsay(named)
 		select {
 		case <-ctx.Done():
 		case <-time.After(joinRetry):
 		}
 	}
 }
+
+// hearsay notes the leader that others named, nil for none, so that operators and
+// nodes who ask this member are sent there. What the own log says goes first.
+func (r *Replica) hearsay(named *wirev1.JoinResponse) {
+	before := r.leadership.Load()
+	if before.Leader != 0 || before.Leading {
+		return
+	}
+	r.leadership.CompareAndSwap(before, &Leadership{Term: before.Term, Address: named.GetLeader(), Operator: named.GetLeaderOperator()})
+}
--- /dev/null
+++ b/control/internal/replica/join_test.go
@@ -0,0 +1,66 @@
+package replica_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubeknot/jujubeknot/control/internal/disk"
+	"github.com/jujubeknot/jujubeknot/control/internal/replica"
+	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
+)
+
+// fullGroup is a transport to a group that has no room for another member.
+type fullGroup struct {
+	*wire
+	leader atomic.Pointer[wirev1.JoinResponse]
+}
+
+func (f *fullGroup) Join(context.Context, string, *wirev1.JoinRequest) (*wirev1.JoinResponse, error) {
+	if response := f.leader.Load(); response != nil {
+		return response, nil
+	}
+	return nil, errors.New("unreachable")
+}
+
+// TestWaitingMemberNamesTheLeader guards against operators and nodes that are
+// told "no leader known" by members for which the group has no room: with 11
+// control VMs and 7 members, each third try.
+func TestWaitingMemberNamesTheLeader(t *testing.T) {
+	files, err := disk.Folder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := &fullGroup{wire: &wire{network: &network{sent: map[wirev1.RaftMessage_Kind]int{}}, address: "m9"}}
+	group.leader.Store(&wirev1.JoinResponse{Leader: "10.0.0.1:7000", LeaderOperator: "10.0.0.1:8000", Members: []string{"10.0.0.1:7000"}})
+	r, err := replica.New(replica.Config{
+		GroupID: "test", Address: "m9", Files: files, Clock: systemClock{}, Logger: zerolog.Nop(), Transport: group,
+		Formation: &replica.Formation{Seeds: []string{"10.0.0.2:7000"}, Voters: 5},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	await := func(what, want string) {
+		t.Helper()
+		for range 1000 {
+			if r.Leadership().Operator == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatalf("%s: operators are sent to %q, want %q", what, r.Leadership().Operator, want)
+	}
+	await("the leader is named", "10.0.0.1:8000")
+	group.leader.Store(&wirev1.JoinResponse{Leader: "10.0.0.3:7000", LeaderOperator: "10.0.0.3:8000"})
+	await("another one leads", "10.0.0.3:8000")
+	group.leader.Store(nil)
+	await("nobody is reached", "")
+}
