node/controlclient, node/peer: a node that control cannot reach takes rules from other nodes

Owners and nodes stay as they are: the request ids of planned moves come with them, and from control alone. New: GET /jujubeknot/rules/REVISION between nodes. Fails first: TestRulesOfOtherNodes (never came). TestOldRulesAreNotUsed goes on without the setting. Ruled out: taking the whole table (a node that is back would not get the request ids of moves that it passed over). Also: accepted rules end the pause of a stream after an update, up to 500 ms; fails first: TestRulesDoNotWaitForThePause.

--- a/control/internal/leader/leader.go
+++ b/control/internal/leader/leader.go
@@ -218,6 +218,10 @@
 	}
 	l.rules = parsedRules{revision: revision, set: set}
 	l.dirty = true
+	// Rules do not wait for the pause after an earlier update.
+	for _, s := range l.sinks {
+		s.wake()
+	}
 }
 
 // Rules returns the rules that are in effect here and their revision.
--- a/control/internal/leader/leader_test.go
+++ b/control/internal/leader/leader_test.go
@@ -112,7 +112,7 @@
 	}
 	// One record at four streams.
 	if got := n.sink.Pause(); got != 4*(250*time.Microsecond+100*time.Nanosecond) {
-		t.Errorf("a stream of four pauses for %v after an update, want 400.4 µs", got)
+		t.Errorf("a stream of four pauses for %v after an update, want 1.0004 ms", got)
 	}
 	for i := range 100 {
 		w.apply(&wirev1.Command{Kind: &wirev1.Command_RegisterNode{RegisterNode: &wirev1.RegisterNode{Node: nodeOf(fmt.Sprint("new", i), "a")}}})
@@ -122,7 +122,7 @@
 		t.Errorf("update after the pause: %d nodes, %v; want all 100 in one", len(u.GetNodes()), err)
 	}
 	if got := n.sink.Pause(); got != 4*(250*time.Microsecond+100*100*time.Nanosecond) {
-		t.Errorf("a stream of four pauses for %v after 100 records, want 440 µs", got)
+		t.Errorf("a stream of four pauses for %v after 100 records, want 1.04 ms", got)
 	}
 	w.applyRules(t, deskRules+"zone a out # t: test\n")
 	w.lead()
@@ -281,6 +281,24 @@
 	return ""
 }
 
+// TestRulesDoNotWaitForThePause guards against accepted rules that reach nodes up
+// to 500 ms late because an update was sent before them.
+func TestRulesDoNotWaitForThePause(t *testing.T) {
+	w := settled(t)
+	n := w.nodes[0]
+	select {
+	case <-n.sink.Kicked():
+	default:
+	}
+	w.applyRules(t, deskRules+"option holdTimeout=50ms # t: test\n")
+	w.current().leader.Rules()
+	select {
+	case <-n.sink.Kicked():
+	default:
+		t.Error("the stream waits for its pause")
+	}
+}
+
 // TestUpdatesOnAPartOfACore guards against a leader with little processor time
 // that spends all of it on updates while many partitions move, so that accepted
 // rules reach nodes seconds later.
--- a/control/internal/leader/watch.go
+++ b/control/internal/leader/watch.go
@@ -364,6 +364,11 @@
 		return
 	}
 	s.orders = append(s.orders, order)
+	s.wake()
+}
+
+// wake makes the stream send before its pause is over.
+func (s *Sink) wake() {
 	select {
 	case s.kick <- struct{}{}:
 	default:
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -58,8 +58,10 @@
 	index    uint64
 	revision uint64
 	rules    rules.Set
-	nodes    map[uint64]*wirev1.Node
-	owners   map[string]*assignments
+	// source is what rules was read from.
+	source *wirev1.RulesRevision
+	nodes  map[uint64]*wirev1.Node
+	owners map[string]*assignments
 
 	// Derived from the fields above.
 	upstreams    map[string]*rules.Upstream
@@ -203,7 +205,7 @@
 	if err := faults.Err(); err != nil {
 		return false, fmt.Errorf("rules revision %d: %w", r.GetRevision(), err)
 	}
-	t.revision, t.rules = r.GetRevision(), set
+	t.revision, t.rules, t.source = r.GetRevision(), set, r
 	t.deriveRules()
 	return true, nil
 }
@@ -251,6 +253,25 @@
 // Revision returns the revision of the rules in force, 0 for none.
 func (t *Table) Revision() uint64 { return t.revision }
 
+// RulesAfter returns the rules in force as control sent them if they are newer
+// than a revision, nil otherwise. The result must not be changed.
+func (t *Table) RulesAfter(revision uint64) *wirev1.RulesRevision {
+	if t.revision <= revision {
+		return nil
+	}
+	return t.source
+}
+
+// PeerAddresses returns the addresses of all nodes for other nodes, in order.
+func (t *Table) PeerAddresses() []string {
+	addresses := make([]string, 0, len(t.nodes))
+	for _, n := range t.nodes {
+		addresses = append(addresses, n.GetPeerAddress())
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
 // Rules returns the rules in force. The result must not be changed.
 func (t *Table) Rules() *rules.Set { return &t.rules }
 
@@ -263,9 +284,6 @@
 // Node returns the node of an incarnation, or nil if it is not registered.
 func (t *Table) Node(incarnation uint64) *wirev1.Node { return t.nodes[incarnation] }
 
-// NodeCount returns the number of registered nodes.
-func (t *Table) NodeCount() int { return len(t.nodes) }
-
 // Nodes returns the number of registered nodes.
 func (t *Table) Nodes() int { return len(t.nodes) }
 
--- a/node/config.go
+++ b/node/config.go
@@ -104,6 +104,9 @@
 	// older than this, and says no more that there is no route once control has
 	// been silent for that long. Default 0, which means no bound.
 	RulesGrace time.Duration
+	// RulesFromPeers makes a node that control has not answered for RulesGrace ask
+	// other nodes for newer rules.
+	RulesFromPeers bool
 	// BeatInterval is the usual time between two beats of the backend server,
 	// with a dialect.
 	BeatInterval time.Duration
@@ -139,3 +142,12 @@
 	}
 	return c
 }
+
+// askAfter returns after how much silence of control other nodes are asked, 0 for
+// never.
+func (c Config) askAfter() time.Duration {
+	if !c.RulesFromPeers {
+		return 0
+	}
+	return c.RulesGrace
+}
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -47,7 +47,7 @@
 		case <-i.s.kick:
 			return
 		case <-i.together:
-			if pause := rand.N(togetherLimit(i.s.cfg.View.Table().NodeCount())); pause < time.Until(due) {
+			if pause := rand.N(togetherLimit(i.s.cfg.View.Table().Nodes())); pause < time.Until(due) {
 				timer.Reset(pause)
 			}
 		}
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -43,7 +43,8 @@
 	refusedPause = 500 * time.Millisecond
 )
 
-// Config has the parts and settings of a Session. All are required.
+// Config has the parts and settings of a Session. All are required but for those
+// that say so.
 type Config struct {
 	Clock clock.Clock
 	Log   zerolog.Logger
@@ -70,6 +71,10 @@
 	// returning its lease: the backend server goes on, and the next process takes
 	// over.
 	StopsAtOnce bool
+	// Peers are asked for newer rules once control has been silent for AskAfter. 0
+	// means never; Peers may then be nil.
+	Peers    Peers
+	AskAfter time.Duration
 	// Registered is called with each new incarnation before it is used.
 	Registered func(incarnation uint64)
 }
@@ -82,6 +87,10 @@
 	backendChanged chan struct{}
 	kick           chan struct{}
 	stopping       atomic.Bool
+	// current is the registration in use, nil for none.
+	current atomic.Pointer[incarnation]
+	// tables is held while the table of the view is replaced.
+	tables sync.Mutex
 }
 
 // New returns a session that is not registered. It panics without members.
@@ -127,6 +136,13 @@
 // lease.
 func (s *Session) Run(ctx context.Context) {
 	defer s.group.close()
+	if s.cfg.AskAfter > 0 {
+		asking, stop := context.WithCancel(ctx)
+		loops := tasks.New(1)
+		loops.Go(asking, "rules of other nodes", tasks.Quiet(s.rulesLoop))
+		// The loop returns no error.
+		defer func() { stop(); _ = loops.Wait() }()
+	}
 	var previous uint64
 	losses := 0
 	for ctx.Err() == nil {
@@ -241,6 +257,7 @@
 		i.interval = lease.DefaultRenewInterval
 	}
 	s.cfg.Registered(i.number)
+	s.current.Store(i)
 	s.cfg.Owner.BeginTerm()
 	s.cfg.View.SetIdentity(view.Identity{Incarnation: i.number, Secret: i.secret})
 	return i
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/core/outcome"
+	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
 	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
@@ -72,36 +73,56 @@
 	for _, m := range u.GetMovedRequests() {
 		s.cfg.Owner.Import(m.GetUpstream(), m.GetPartition(), m.GetEpoch(), recordsOf(m))
 	}
+	if !s.replaceTable(ctx, u) {
+		return
+	}
+	for _, r := range u.GetReleases() {
+		s.cfg.Owner.Release(context.WithoutCancel(ctx), r, func(r owner.Release) {
+			select {
+			case i.reports <- r:
+			case <-i.ended:
+			}
+		})
+	}
+}
+
+// replaceTable puts an update in force and reports whether it is not an old one.
+func (s *Session) replaceTable(ctx context.Context, u *wirev1.Update) bool {
+	s.tables.Lock()
+	defer s.tables.Unlock()
 	old := s.cfg.View.Table()
 	if u.GetIndex() < old.Index() {
 		s.cfg.Log.Error().Uint64("index", u.GetIndex()).Uint64("inForce", old.Index()).
 			Msg("control sent an older state than the one in force; it is ignored")
-		return
+		return false
 	}
 	t, err := old.With(u)
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Msg("rules cannot be read; the earlier revision stays in force")
 	}
-	now := s.cfg.Clock.Now()
-	s.cfg.View.SetTable(now, t)
-	s.cfg.View.Heard(now)
-	if self := t.Node(i.number); self != nil {
-		s.cfg.Backend.SetOut(t.Leaving(self))
-	}
-	s.cfg.Owner.TableChanged(context.WithoutCancel(ctx), t)
+	s.cfg.View.Heard(s.cfg.Clock.Now())
 	if t.Revision() != old.Revision() {
 		s.cfg.Log.Info().Uint64("rulesRevision", t.Revision()).Uint64("index", t.Index()).Msg("rules in force")
+	}
+	s.putInForce(ctx, t)
+	return true
+}
+
+// putInForce makes a table that of the node. The lock of tables is held.
+func (s *Session) putInForce(ctx context.Context, t *routing.Table) {
+	changed := t.Revision() != s.cfg.View.Table().Revision()
+	s.cfg.View.SetTable(s.cfg.Clock.Now(), t)
+	i := s.current.Load()
+	if i != nil {
+		if self := t.Node(i.number); self != nil {
+			s.cfg.Backend.SetOut(t.Leaving(self))
+		}
+	}
+	s.cfg.Owner.TableChanged(context.WithoutCancel(ctx), t)
+	if changed && i != nil {
 		i.configure()
 		wake(i.together)
 	}
-	for _, r := range u.GetReleases() {
-		s.cfg.Owner.Release(context.WithoutCancel(ctx), r, func(r owner.Release) {
-			select {
-			case i.reports <- r:
-			case <-i.ended:
-			}
-		})
-	}
 }
 
 // configure applies the rules of the backend server's upstream to its guard
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -170,6 +171,10 @@
 		h.settle(w, r)
 		return
 	}
+	if revision, ok := strings.CutPrefix(r.URL.Path, rulesPath); ok && !call {
+		h.rules(w, revision)
+		return
+	}
 	c, refusal := h.call(w, r)
 	if refusal != nil {
 		relay.WriteRefusal(w, refusal)
--- a/node/internal/view/view.go
+++ b/node/internal/view/view.go
@@ -95,8 +95,15 @@
 	return now.Sub(s.since)
 }
 
-// Heard notes that control has confirmed what the node knows.
-func (v *View) Heard(now time.Time) { v.heard.Store(now.UnixNano()) }
+// Heard notes that control confirmed at a time what the node knows.
+func (v *View) Heard(at time.Time) {
+	for {
+		before := v.heard.Load()
+		if at.UnixNano() <= before || v.heard.CompareAndSwap(before, at.UnixNano()) {
+			return
+		}
+	}
+}
 
 // Silence returns the time since control confirmed what the node knows.
 func (v *View) Silence(now time.Time) time.Duration {
--- a/node/node.go
+++ b/node/node.go
@@ -167,6 +167,7 @@
 		},
 		View: n.view, Owner: n.owner, Backend: n.backend, Registered: n.peer.Registered,
 		PeerSecret: n.cfg.PeerSecret, TakesOver: n.cfg.TakesOver, ByBeat: n.cfg.Dialect != nil, StopsAtOnce: n.cfg.TakesOver,
+		Peers: n.peers, AskAfter: n.cfg.askAfter(),
 	})
 	callers := caller.New(caller.Config{
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
--- a/node/oldrules_test.go
+++ b/node/oldrules_test.go
@@ -31,6 +31,10 @@
 func (c *fakeControl) incarnationOf(name string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.incarnationLocked(name)
+}
+
+func (c *fakeControl) incarnationLocked(name string) uint64 {
 	for number, n := range c.nodes {
 		if n.GetName() == name {
 			return number
@@ -95,3 +99,26 @@
 	c.mu.Unlock()
 	eventually(t, "the new rules are used", func() bool { return send("GET", n.url+"/added/k", nil, nil).status == 200 })
 }
+
+// TestRulesOfOtherNodes guards against refusals at a node that control cannot
+// reach while it reaches other nodes, which have the rules that it lacks.
+func TestRulesOfOtherNodes(t *testing.T) {
+	c := newControl(t, testRules+"option holdTimeout=50ms # test: short\n")
+	c.leaseMs = 60_000
+	graced := func(c *node.Config) {
+		c.RulesGrace, c.WithoutLease, c.RulesFromPeers = 500*time.Millisecond, true, true
+	}
+	server := newBackend(t, "server1", "applications")
+	owner, entry := startNode(t, c, "owner", server, graced), startNode(t, c, "entry", nil, graced)
+	for _, n := range []*runningNode{owner, entry} {
+		eventually(t, "node serves", func() bool { return send("GET", n.url+"/applications/k", nil, nil).status == 200 })
+	}
+	c.changeRules(2, testRules+"route /added to applications key=segment:2 # test: added\n", c.incarnationOf("entry"))
+	eventually(t, "the rules came from the owner's node", func() bool { return send("GET", entry.url+"/added/k", nil, nil).status == 200 })
+	// The next change comes as well, and what is dropped by it is denied.
+	c.mu.Lock()
+	c.withhold(3, testRules+"route /added2 to applications key=segment:2 # test: added\n", c.incarnationLocked("entry"))
+	c.mu.Unlock()
+	eventually(t, "the next rules came", func() bool { return send("GET", entry.url+"/added2/k", nil, nil).status == 200 })
+	eventually(t, "a dropped route is denied", func() bool { return send("GET", entry.url+"/added/k", nil, nil).status == 404 })
+}
