node, control: SIGHUP does not end the programs

SIGHUP had its default effect. Ruled out: the lock round the table of the commit on rules from other nodes (the node ends within the millisecond of the signal). Change: a node reads its settings again and follows its control members, faulty settings change nothing; a control member logs the signal.

--- a/control/cmd/jujubeknot-control/main.go
+++ b/control/cmd/jujubeknot-control/main.go
@@ -7,10 +7,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/control"
 )
@@ -68,6 +70,13 @@
 		return fail(exitSettings, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	var noting sync.WaitGroup
+	noting.Go(func() { noteHangups(ctx, hangups, config.Logger) })
+	defer noting.Wait()
+	defer stop()
 	// A second signal has its default effect and ends the process at once.
 	context.AfterFunc(ctx, stop)
 	member, err := control.New(config)
@@ -80,6 +89,19 @@
 	return 0
 }
 
+// noteHangups logs hang-ups until the context ends. Their default effect would end
+// the process.
+func noteHangups(ctx context.Context, hangups <-chan os.Signal, log zerolog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			log.Info().Msg("SIGHUP changes nothing: settings of a control member are read at its start")
+		}
+	}
+}
+
 func fail(status int, err error) int {
 	fmt.Fprintln(os.Stderr, "jujubeknot-control:", err)
 	return status
--- a/node/cmd/jujubeknot-node/main.go
+++ b/node/cmd/jujubeknot-node/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -69,7 +70,7 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(node.MemoryLimit)
 	}
-	return serve(cfg, log, stdout, stderr)
+	return serve(o.Config, cfg, log, stdout, stderr)
 }
 
 func printed(_ int, err error) int {
@@ -92,8 +93,8 @@
 }
 
 // serve runs the node until SIGTERM or an interrupt. The first one drains, the
-// second one ends at once.
-func serve(cfg node.Config, log logSettings, stdout, stderr io.Writer) int {
+// second one ends at once. SIGHUP reads the file of the settings again.
+func serve(file string, cfg node.Config, log logSettings, stdout, stderr io.Writer) int {
 	lines := loglines.New(stdout)
 	cfg.Log = log.logger(lines)
 	flushing, stopFlushing := context.WithCancel(context.Background())
@@ -101,6 +102,10 @@
 	flusher.Go(func() { lines.Run(flushing) })
 	defer flusher.Wait()
 	defer stopFlushing()
+	// Before the node listens, so that a hang-up never ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 
 	n, err := node.New(cfg)
 	if err != nil {
@@ -118,6 +123,10 @@
 		_ = lines.Flush()
 		os.Exit(exitKilled)
 	}()
+	var reloader sync.WaitGroup
+	reloader.Go(func() { reload(ctx, hangups, file, n.SetControlMembers, cfg.Log) })
+	defer reloader.Wait()
+	defer cancel()
 	a := n.Addresses()
 	cfg.Log.Info().Str("callers", a.Callers.String()).Str("peer", a.Peer.String()).Str("backend", a.Backend.String()).
 		Str("operator", a.Operator.String()).Msg("listening")
@@ -130,6 +139,24 @@
 	return exitOK
 }
 
+// reload reads the settings again after each hang-up until the context ends, and
+// follows a change of the control members. The other settings need a restart.
+// Faulty settings are logged and change nothing.
+func reload(ctx context.Context, hangups <-chan os.Signal, file string, follow func([]netip.AddrPort), log zerolog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		cfg, _, err := load(file)
+		log.Info().Err(err).Msg("settings read again")
+		if err == nil {
+			follow(cfg.ControlMembers)
+		}
+	}
+}
+
 // logger returns the logger that the settings ask for.
 func (l logSettings) logger(out io.Writer) zerolog.Logger {
 	if l.Format == "console" {
