--- a/node/internal/controlclient/peerrules.go
+++ b/node/internal/controlclient/peerrules.go
@@ -47,8 +47,8 @@
 			s.cfg.Log.Debug().Err(err).Str("peer", address).Msg("no rules from another node")
 			continue
 		}
-		if answer.GetRules() != nil {
-			s.adoptRules(ctx, answer.GetRules(), address)
+		if r := answer.GetRules(); r != nil && !s.adoptRules(ctx, r, address) {
+			continue
 		}
 		if silence := time.Duration(answer.GetSilenceMs()) * time.Millisecond; silence < s.cfg.AskAfter {
 			s.cfg.View.Heard(asked.Add(-silence))
@@ -57,20 +57,22 @@
 	}
 }
 
-// adoptRules puts rules in force that another node has. Nodes and owners stay as
-// they are: request ids come with them, and only from control.
-func (s *Session) adoptRules(ctx context.Context, r *wirev1.RulesRevision, from string) {
+// adoptRules puts rules in force that another node has, and reports whether those
+// or later ones are. Nodes and owners stay as they are: request ids come with
+// them, and only from control.
+func (s *Session) adoptRules(ctx context.Context, r *wirev1.RulesRevision, from string) bool {
 	s.tables.Lock()
 	defer s.tables.Unlock()
 	old := s.cfg.View.Table()
 	t, err := old.With(&wirev1.Update{Index: old.Index(), Rules: r})
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Str("peer", from).Msg("rules of another node cannot be read; the earlier revision stays in force")
-		return
+		return false
 	}
 	if t.Revision() == old.Revision() {
-		return
+		return true
 	}
 	s.cfg.Log.Info().Uint64("rulesRevision", t.Revision()).Uint64("index", t.Index()).Str("peer", from).Msg("rules in force")
 	s.putInForce(ctx, t)
+	return true
 }
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -35,8 +35,9 @@
 
 // awaitRenewal returns when the next renewal is due.
 func (i *incarnation) awaitRenewal(ctx context.Context) {
-	due := time.Now().Add(i.interval - minRenewPause)
-	timer := time.NewTimer(time.Until(due))
+	now := i.s.cfg.Clock.Now
+	due := now().Add(i.interval - minRenewPause)
+	timer := time.NewTimer(due.Sub(now()))
 	defer timer.Stop()
 	for {
 		select {
@@ -47,7 +48,7 @@
 		case <-i.s.kick:
 			return
 		case <-i.together:
-			if pause := rand.N(togetherLimit(i.s.cfg.View.Table().Nodes())); pause < time.Until(due) {
+			if pause := rand.N(togetherLimit(i.s.cfg.View.Table().Nodes())); pause < due.Sub(now()) {
 				timer.Reset(pause)
 			}
 		}
