--- a/node/cmd/jujubeknot-node/hangup_test.go
+++ b/node/cmd/jujubeknot-node/hangup_test.go
@@ -1,41 +1,27 @@
 package main
 
 import (
-	"bytes"
 	"io"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
-)
-
-// lockedBuffer is what a program has written so far.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
 
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
+)
 
-func (l *lockedBuffer) await(t *testing.T, text string, times int) {
+// await waits until a program has written a text a number of times.
+func await(t *testing.T, out *testkit.Buffer, text string, times int) {
 	t.Helper()
 	for range 3000 {
-		l.mu.Lock()
-		found := strings.Count(l.b.String(), text)
-		l.mu.Unlock()
-		if found >= times {
+		if strings.Count(out.String(), text) >= times {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatalf("%q was not written %d times:\n%s", text, times, l.b.String())
+	t.Fatalf("%q was not written %d times:\n%s", text, times, out)
 }
 
 // TestHangUpDoesNotEndTheNode guards against a SIGHUP, as service managers send it
@@ -62,25 +48,25 @@
 drainTimeout = 0s
 `
 	write(valid)
-	var out lockedBuffer
+	out := &testkit.Buffer{}
 	code := make(chan int, 1)
-	go func() { code <- run([]string{"--config", file}, &out, io.Discard) }()
-	out.await(t, `"message":"listening"`, 1)
+	go func() { code <- run([]string{"--config", file}, out, io.Discard) }()
+	await(t, out, `"message":"listening"`, 1)
 	hangUp := func() {
 		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
 	}
 	hangUp()
-	out.await(t, `"message":"settings read again"`, 1)
+	await(t, out, `"message":"settings read again"`, 1)
 	write("[node\n")
 	hangUp()
-	out.await(t, `"message":"settings read again"`, 2)
-	out.await(t, `"error":"`+file, 1)
+	await(t, out, `"message":"settings read again"`, 2)
+	await(t, out, `"error":"`+file, 1)
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	if got := <-code; got != exitOK {
-		t.Errorf("exit code %d:\n%s", got, out.b.String())
+		t.Errorf("exit code %d:\n%s", got, out)
 	}
 }
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/jujubeknot/jujubeknot/core/lease"
 	"github.com/jujubeknot/jujubeknot/node"
 	"github.com/jujubeknot/jujubeknot/wire/headers"
+	"github.com/jujubeknot/jujubeknot/wire/testkit"
 )
 
 const testRules = `upstream applications keyed partitions=16 slots=6 connections=20 # test: keyed
@@ -200,31 +201,14 @@
 	url  string
 	stop context.CancelFunc
 	done chan error
-	log  *syncBuffer
-}
-
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
+	log  *testkit.Buffer
 }
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // startNode starts a node beside a backend server, which may be nil.
 func startNode(t testing.TB, c *fakeControl, name string, b *backendServer, change func(*node.Config)) *runningNode {
-	log := &syncBuffer{}
+	log := &testkit.Buffer{}
 	cfg := node.Config{
 		Name: name, AvailabilityZone: "zone1", ControlMembers: []netip.AddrPort{c.address}, NodeSecret: nodeSecret,
 		Callers: loopback, Peer: loopback, Backend: loopback, Operator: loopback,
