core/admission: replays of a server whose speed changes and of immediate repetitions

Load patterns: a VM that others use as well (one of five steps of 25 ms three times slower, callers a fifth above what it sustains), and a third of the callers repeating a refusal three times at once (1.5 times the capacity). No program changes.

--- a/core/admission/load_test.go
+++ b/core/admission/load_test.go
@@ -213,3 +213,72 @@
 		}
 	}
 }
+
+// TestChangingSpeed replays a server that shares its VM: in one of five steps of
+// 25 ms it runs three times slower, and callers ask for a fifth more than it
+// sustains. It guards against a limit or a foreseen wait that follows single
+// steps, which idles a server that is fast again or answers late.
+func TestChangingSpeed(t *testing.T) {
+	for _, slots := range []int{6, 18} {
+		s := base(slots, 1)
+		s.deadline, s.target, s.told = 120*time.Millisecond, 50*time.Millisecond, true
+		random := rand.New(rand.NewPCG(11, 2))
+		slow := make([]bool, s.duration/paceStep+1)
+		speed := 0.0
+		for i := range slow {
+			slow[i] = random.Float64() < 0.2
+			speed += paceOf(slow[i]) / float64(len(slow))
+		}
+		s.pace = func(step int64) float64 { return paceOf(slow[min(step, int64(len(slow)-1))]) }
+		s.load = 1.2 * speed
+		f := s.run(&guarded{Guard: admission.New(admission.Config{Slots: slots, ToldCold: true})})
+		queue := s.run(&fifo{slots: slots, bound: 4 * slots})
+		t.Logf("%d slots: %d on target of %d answered, %v; first come, first served: %d of %d, %v",
+			slots, f.onTarget, f.good, f, queue.onTarget, queue.good, queue)
+		if f.goodput < 0.9*speed {
+			t.Errorf("%d slots: goodput %.1f%%, the server bears %.1f%%", slots, 100*f.goodput, 100*speed)
+		}
+		if f.onTarget < f.good*8/10 {
+			t.Errorf("%d slots: only %d of %d answers are on target", slots, f.onTarget, f.good)
+		}
+		if f.onTarget <= queue.onTarget {
+			t.Errorf("%d slots: %d on target, a plain queue has %d", slots, f.onTarget, queue.onTarget)
+		}
+	}
+}
+
+// paceOf is the speed of a server on a VM that others use as well.
+func paceOf(slow bool) float64 {
+	if slow {
+		return 1.0 / 3
+	}
+	return 1
+}
+
+// TestImmediateRetries replays callers of whom a third repeats a refused request
+// three times at once, at 1.5 times the capacity. It guards against repetitions
+// that cost slots or fill the queue: at least 90% of the goodput without them must
+// remain, and whoever is refused hears it at once.
+func TestImmediateRetries(t *testing.T) {
+	for _, slots := range []int{6, 18} {
+		s := base(slots, 1.5)
+		s.target, s.told = 50*time.Millisecond, true
+		patient := s.run(newGuarded(slots))
+		s.again = func(r *rand.Rand) int {
+			if r.Float64() < 1.0/3 {
+				return 3
+			}
+			return 0
+		}
+		f := s.run(newGuarded(slots))
+		t.Logf("%d slots: %d answered, %d on target, %v; without repetitions %d, %d, %v",
+			slots, f.good, f.onTarget, f, patient.good, patient.onTarget, patient)
+		if f.goodput < 0.9*patient.goodput || f.onTarget < patient.onTarget*9/10 {
+			t.Errorf("%d slots: goodput %.1f%% with %d on target, without repetitions %.1f%% with %d",
+				slots, 100*f.goodput, f.onTarget, 100*patient.goodput, patient.onTarget)
+		}
+		if f.heldRefused > 0 {
+			t.Errorf("%d slots: a request was refused after %v", slots, f.heldRefused)
+		}
+	}
+}
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -23,6 +23,8 @@
 type guarded struct {
 	*admission.Guard
 	refused int
+	// latest is the verdict of the latest offer.
+	latest admission.Verdict
 	// onRefuse gets the id of each request that was refused after it waited.
 	onRefuse func(id uint64)
 }
@@ -43,7 +45,8 @@
 }
 
 func (g *guarded) offer(now time.Time, r admission.Request) []uint64 {
-	switch g.Offer(now, r).Verdict {
+	g.latest = g.Offer(now, r).Verdict
+	switch g.latest {
 	case admission.VerdictAdmit:
 		return []uint64{r.ID}
 	case admission.VerdictRefuse:
@@ -124,8 +127,17 @@
 	// sustains returns the number of requests that the server runs without
 	// shedding after it finished a number of requests. Nil means all.
 	sustains func(finished int) int
+	// pace is the speed of the server in each paceStep, 1 for the usual one. Nil
+	// means 1.
+	pace func(step int64) float64
+	// again draws how often a caller repeats a refused request at once. Nil means
+	// never.
+	again func(*rand.Rand) int
 }
 
+// paceStep is the time for which the pace of a simulated server stays the same.
+const paceStep = 25 * time.Millisecond
+
 // figures are the results of a simulation.
 type figures struct {
 	offered, good, late, shed int
@@ -198,7 +210,10 @@
 	for {
 		finish, running := r.nextFinish()
 		wake := p.next()
+		change := r.nextChange()
 		switch {
+		case s.pace != nil && change.Before(arrival) && (!running || change.Before(finish)) && (wake.IsZero() || change.Before(wake)):
+			r.advance(change)
 		case running && !finish.After(arrival) && (wake.IsZero() || !finish.After(wake)):
 			r.advance(finish)
 			r.finishOne()
@@ -231,9 +246,18 @@
 }
 
 func (r *simRun) speed() float64 {
-	return min(1, float64(r.slots)/float64(max(len(r.running), 1)))
+	speed := min(1, float64(r.slots)/float64(max(len(r.running), 1)))
+	if r.pace != nil {
+		speed *= r.pace(r.step())
+	}
+	return speed
 }
 
+func (r *simRun) step() int64 { return r.now.UnixNano() / int64(paceStep) }
+
+// nextChange returns when the pace may change next.
+func (r *simRun) nextChange() time.Time { return time.Unix(0, (r.step()+1)*int64(paceStep)) }
+
 func (r *simRun) nextFinish() (time.Time, bool) {
 	if len(r.running) == 0 {
 		return time.Time{}, false
@@ -271,6 +295,20 @@
 		q.Target = r.now.Add(r.target)
 	}
 	r.start(r.policy.offer(r.now, q))
+	if r.again != nil {
+		r.repeat(q, j, r.again(random))
+	}
+}
+
+// repeat offers a request that is refused again, up to a number of times.
+func (r *simRun) repeat(q admission.Request, j *job, times int) {
+	for g := r.policy.(*guarded); times > 0 && g.latest == admission.VerdictRefuse; times-- {
+		r.ids++
+		next := *j
+		next.id, q.ID = r.ids, r.ids
+		r.all[next.id] = &next
+		r.start(r.policy.offer(r.now, q))
+	}
 }
 
 func (r *simRun) start(ids []uint64) {
