node: a stopping node waits until control has its report of released partitions

TestResendsRunOnce failed now and then with resendUndecided. Two causes, both from logs: - A stop ended once all partitions were released at the node, before control had the report of them. The report was cancelled ("report of releases failed: context canceled"), the lease returned, and the move became unplanned: the next owner got neither request ids nor handovers. The node now waits until the table shows the new owners, within the drain timeout as before. Tests now end their nodes and wait for them.

--- a/node/control_test.go
+++ b/node/control_test.go
@@ -43,6 +43,8 @@
 	// arrives, which closes nextRenewal.
 	delayRenewals bool
 	nextRenewal   chan struct{}
+	// failReports is the number of the next reports of releases that get an error.
+	failReports int
 	// renewals is the number of renewals received.
 	renewals int
 	// keyed has the number of partitions of each keyed upstream.
@@ -234,6 +236,10 @@
 func (c *fakeControl) Released(_ context.Context, r *connect.Request[wirev1.ReleasedRequest]) (*connect.Response[wirev1.ReleasedResponse], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.failReports > 0 {
+		c.failReports--
+		return nil, connect.NewError(connect.CodeUnavailable, nil)
+	}
 	u := &wirev1.Update{MovedRequests: r.Msg.GetMovedRequests()}
 	for _, p := range r.Msg.GetPartitions() {
 		c.reports = append(c.reports, p)
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -205,7 +205,9 @@
 	url  string
 	stop context.CancelFunc
 	done chan error
-	log  *testkit.Buffer
+	// ended is closed after done has the result.
+	ended chan struct{}
+	log   *testkit.Buffer
 }
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -226,14 +228,23 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &runningNode{Node: n, url: "http://" + n.Addresses().Callers.String(), stop: cancel, done: make(chan error, 1), log: log}
-	go func() { r.done <- n.Run(ctx) }()
+	r := &runningNode{
+		Node: n, url: "http://" + n.Addresses().Callers.String(), stop: cancel,
+		done: make(chan error, 1), ended: make(chan struct{}), log: log,
+	}
+	go func() {
+		r.done <- n.Run(ctx)
+		close(r.ended)
+	}()
 	if b != nil {
 		b.announce(ctx, t, n.Addresses().Backend, b.address)
 	}
 	t.Cleanup(func() {
+		// A node that outlived its test would renew its lease at the control double of
+		// a later test, which may get the same port and the same incarnations.
+		n.Kill()
+		<-r.ended
 		cancel()
-		n.Close()
 		if t.Failed() && testing.Verbose() {
 			lines := log.String()
 			t.Logf("end of the log of %s:\n%s", name, lines[max(0, len(lines)-4000):])
--- a/node/moves_test.go
+++ b/node/moves_test.go
@@ -111,6 +111,34 @@
 	}
 }
 
+// TestStopWaitsForReportOfReleases guards against a stopping node that returns its lease
+// before control has its report of the released partitions. The move is then
+// unplanned: the next owner does not get the request ids, and refuses resends.
+func TestStopWaitsForReportOfReleases(t *testing.T) {
+	c := startCluster(t, "applications", "applications")
+	header := func(id string) map[string]string {
+		return map[string]string{idHeader: id, headers.IdempotencyKey: "key of " + id}
+	}
+	first := map[string]string{}
+	for i := range 16 {
+		id := fmt.Sprint("report", i)
+		first[id] = send("POST", c.nodes[1].url+"/applications/"+id, header(id), nil).body
+	}
+	c.control.mu.Lock()
+	c.control.failReports = 2
+	c.control.mu.Unlock()
+	c.nodes[0].stop()
+	<-c.nodes[0].done
+	for id, body := range first {
+		if a := send("POST", c.nodes[1].url+"/applications/"+id, header(id), nil); a.status != 200 || a.body != body {
+			t.Errorf("%s: status %d body %q error %v, want 200 and the first response %q", id, a.status, a.body, a.err, body)
+		}
+		if n := c.servers[0].runCount(id) + c.servers[1].runCount(id); n != 1 {
+			t.Errorf("%s ran %d times, want 1", id, n)
+		}
+	}
+}
+
 // TestResendAfterLossIsUndecided guards against the outcome notRun, or a second run,
 // for a resent request whose first run was known only to an owner that is lost.
 func TestResendAfterLossIsUndecided(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -336,8 +336,10 @@
 }
 
 // waitForMoves waits until control has moved all partitions away and publishes
-// this node as leaving, so that other nodes no longer select it. It waits for
-// at most Config.DrainTimeout.
+// this node as leaving, so that other nodes no longer select it. A partition
+// that is released counts until control has assigned it: if the lease were
+// returned before control has the report, the request ids and the handover would
+// be lost. It waits for at most Config.DrainTimeout.
 func (n *Node) waitForMoves() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
@@ -346,7 +348,8 @@
 	for {
 		t := n.view.Table()
 		self := t.Node(n.view.Identity().Incarnation)
-		if self == nil || n.owner.Partitions() == 0 && t.Leaving(self) {
+		moved := n.owner.Partitions() == 0 && len(n.owner.Released(t)) == 0
+		if self == nil || moved && t.Leaving(self) {
 			return
 		}
 		select {
