control: tests keep the ports of their members

TestAcceptedRulesSurviveRestarts failed once with "address already in use": a free port was closed and opened again, and another process got it in between. A bound socket now keeps it.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -8,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,14 +41,53 @@
 	stopped  bool
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+// reserveAddress returns an address that only explicit binds can use until the test
+// ends. A bound socket that does not listen keeps the port from processes that
+// ask for any free one, also while a member restarts.
+func reserveAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		t.Fatal(err)
+	}
+	loopback := [4]byte{127, 0, 0, 1}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: loopback}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(loopback), uint16(bound.(*syscall.SockaddrInet4).Port))
+}
+
+// TestReservedAddress guards against a test double of another process that gets the
+// port of a member while that member restarts.
+func TestReservedAddress(t *testing.T) {
+	reserved := reserveAddress(t)
+	for range 2 {
+		l, err := net.Listen("tcp", reserved.String())
+		if err != nil {
+			t.Fatalf("listening at the reserved address: %v", err)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if l, err := (&net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+		})
+		return cmp.Or(failure, err)
+	}}).Listen(context.Background(), "tcp", reserved.String()); err == nil {
+		_ = l.Close()
+		t.Error("the port is free for sockets without SO_REUSEADDR")
+	}
 }
 
 // bearerTransport adds itself as bearer token to each request.
@@ -62,13 +103,13 @@
 	t.Helper()
 	var initial []settings.Member
 	for i := range count {
-		initial = append(initial, settings.Member{ID: uint64(i + 1), Address: freeAddress(t)})
+		initial = append(initial, settings.Member{ID: uint64(i + 1), Address: reserveAddress(t)})
 	}
 	var group []*member
 	for i := range count {
 		m := &member{config: control.Config{
 			Name: fmt.Sprint("c", i+1), MemberID: uint64(i + 1), GroupID: "g", DataFolder: t.TempDir(), InitialMembers: initial,
-			MemberSecret: memberSecret, NodeSecret: nodeSecret, Peer: initial[i].Address, Operator: freeAddress(t), Logger: zerolog.Nop(),
+			MemberSecret: memberSecret, NodeSecret: nodeSecret, Peer: initial[i].Address, Operator: reserveAddress(t), Logger: zerolog.Nop(),
 		}}
 		m.start(t)
 		group = append(group, m)
