--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -83,6 +83,9 @@
 	// key. WrongServer is true if the responding server is not the backend
 	// server that the call was sent to. Both imply that the call did not run.
 	NotHeld, WrongServer bool
+	// Invalid is true if the response lacks what each response of a backend server
+	// to this call has. Nothing is known about the run of the call then.
+	Invalid bool
 	// RetryAfter is 0 if the header has no such time.
 	RetryAfter time.Duration
 	// IdleTimeout is the time after which the backend server closes an idle
--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -160,13 +160,23 @@
 		return nil, a.fail(ctx, errMismatchedID)
 	}
 	if isShed(x.response) {
-		_, err := relay.Copy(io.Discard, io.LimitReader(x.response.Body, relay.MaxBufferedBytes), nil)
-		a.finish(admission.ResultShed, err == nil)
+		a.finish(admission.ResultShed, discardBody(x.response.Body) == nil)
 		return nil, a.retryAfter(relay.NotRun(outcome.ReasonShed))
 	}
 	return a.answer(ctx)
 }
 
+// discardBody reads a body of up to relay.MaxBufferedBytes to its end. It returns
+// an error if the body is longer: the connection must then not be used again,
+// because the rest would be taken for the next response.
+func discardBody(body io.Reader) error {
+	n, err := relay.Copy(io.Discard, io.LimitReader(body, relay.MaxBufferedBytes+1), nil)
+	if err == nil && n > relay.MaxBufferedBytes {
+		return errBodyTooLong
+	}
+	return err
+}
+
 // isShed reports whether the backend server reports that it did not run the
 // request.
 func isShed(r *http.Response) bool {
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -25,6 +25,8 @@
 
 var (
 	errHeaderTooLarge = errors.New("response header over 256 KiB")
+	errBodyTooLong    = errors.New("body of a response that is not relayed is over 64 KiB")
+	errInvalid        = errors.New("response that the backend server cannot have sent for this request")
 	errFraming        = errors.New("response without length or chunks")
 	errExtraBytes     = errors.New("bytes after the response")
 	errMismatchedID   = errors.New("response carries the id of another request")
--- a/node/internal/backend/dialect.go
+++ b/node/internal/backend/dialect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/admission"
@@ -46,19 +45,22 @@
 		if mismatched >= maxMismatched || x.response.Close {
 			return nil, a.fail(ctx, errMismatchedID)
 		}
-		if _, err := relay.Copy(io.Discard, io.LimitReader(x.response.Body, relay.MaxBufferedBytes), nil); err != nil {
+		if err := discardBody(x.response.Body); err != nil {
 			return nil, a.fail(ctx, err)
 		}
 		if err := x.readResponse(); err != nil {
 			return nil, a.fail(ctx, err)
 		}
 	}
+	if read.Invalid {
+		return nil, a.fail(ctx, errInvalid)
+	}
 	a.s.recordDialectResponse()
 	a.s.pool.limitIdle(read.IdleTimeout)
 	if !read.NotRun && !read.NotHeld && !read.WrongServer {
 		return a.answer(ctx)
 	}
-	_, err := relay.Copy(io.Discard, io.LimitReader(x.response.Body, relay.MaxBufferedBytes), nil)
+	err := discardBody(x.response.Body)
 	refusal, kind := relay.NotRun(outcome.ReasonShed), admission.ResultShed
 	switch {
 	case read.WrongServer:
--- a/node/raw_test.go
+++ b/node/raw_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // rawServer is a backend server for which a test writes each response as raw bytes.
@@ -261,3 +263,100 @@
 		}
 	}
 }
+
+// TestUnreadRestOfRefusalIsNotAnAnswer guards against an answer that belongs to another
+// request: a long refusal whose unread rest is taken for the next response on its
+// connection.
+func TestUnreadRestOfRefusalIsNotAnAnswer(t *testing.T) {
+	const filler = 64 << 10
+	rest := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	var mu sync.Mutex
+	pending := map[net.Conn]bool{}
+	_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		late := pending[c]
+		delete(pending, c)
+		if r.Header.Get(idHeader) == "refused" {
+			pending[c] = true
+		}
+		mu.Unlock()
+		if late {
+			// The rest of the refusal arrives once the connection is in use again.
+			_, err := io.WriteString(c, rest)
+			return err == nil
+		}
+		if r.Header.Get(idHeader) == "refused" {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nJujubeknot-Outcome: notRun\r\nContent-Length: %d\r\n\r\n%s",
+				filler+len(rest), strings.Repeat("x", filler))
+			return err == nil
+		}
+		return fine(c, r.Header.Get(idHeader))
+	})
+	for i := range 4 {
+		send("POST", nodes[0].url+"/applications/k", map[string]string{idHeader: "refused", "Jujubeknot-Deadline": "300"}, nil)
+		id := fmt.Sprint("next", i)
+		if a := send("POST", nodes[0].url+"/applications/k", map[string]string{idHeader: id}, nil); a.body != id {
+			t.Fatalf("%s got %q (status %d)", id, a.body, a.status)
+		}
+	}
+}
+
+// TestEndlessResponsesAreBounded guards against a backend server that sends bytes
+// without end in place of a response: the request must end by its deadline, not look
+// complete, and keep no memory, slot or connection.
+func TestEndlessResponsesAreBounded(t *testing.T) {
+	filler := strings.Repeat("x", 32<<10)
+	begin := map[string]string{
+		"noLineEnd": "HTTP/1.1 200 OK\r\nX: ",
+		"noHeadEnd": "HTTP/1.1 200 OK\r\n",
+		"notHTTP":   "\x00\x01\x02",
+		"continue":  "HTTP/1.1 100 Continue\r\n\r\n",
+		"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"trailer":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		"unframed":  "HTTP/1.1 200 OK\r\n\r\n",
+		"refusal":   "HTTP/1.1 503 Service Unavailable\r\nJujubeknot-Outcome: notRun\r\nTransfer-Encoding: chunked\r\n\r\n",
+	}
+	repeated := map[string]string{
+		"noHeadEnd": strings.Repeat("X-Y: z\r\n", 4<<10), "continue": strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<10),
+		"chunks": "8000\r\n" + filler + "\r\n", "trailer": strings.Repeat("T: x\r\n", 4<<10), "refusal": "8000\r\n" + filler + "\r\n",
+	}
+	ended := make(chan struct{}, 64)
+	_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		kind := r.Header.Get("X-Endless")
+		if kind == "" {
+			return fine(c, "ok")
+		}
+		defer func() { ended <- struct{}{} }()
+		piece := repeated[kind]
+		if piece == "" {
+			piece = filler
+		}
+		_, err := io.WriteString(c, begin[kind])
+		for err == nil {
+			_, err = io.WriteString(c, piece)
+		}
+		return false
+	})
+	for kind := range begin {
+		for i, n := range nodes {
+			a := send("POST", n.url+"/applications/k", map[string]string{"X-Endless": kind, "Jujubeknot-Deadline": "200"}, nil)
+			if a.err == nil && (a.status < 500 || a.refusal.Outcome == "notRun" && kind != "refusal") {
+				t.Errorf("%s, hop %d: status %d outcome %q with %d bytes, want an error or unknown", kind, i+1, a.status, a.refusal.Outcome, len(a.body))
+			}
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				t.Fatalf("%s, hop %d: the connection to the backend server is still open", kind, i+1)
+			}
+		}
+	}
+	for _, n := range nodes {
+		eventually(t, "requests pass again", func() bool { return send("GET", n.url+"/applications/k", nil, nil).body == "ok" })
+	}
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	if memory.HeapInuse > 128<<20 {
+		t.Errorf("%d bytes of heap in use after the endless responses, want at most 128 MiB", memory.HeapInuse)
+	}
+}
