node: a stopping node admits only calls whose deadline lies within its stop

A stopping node whose backend server goes on took calls of other nodes until the end of its stop, also those that could last longer. They are refused as "stopping" now, not run, and sent to another server or held. TestStoppingNodeAdmitsOnlyWhatItCanComplete: both hops ran the call before (status 200 after being accepted with 4 s at 3 s before the end); now neither does, and a call that ends within the stop still runs.

--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,6 +45,8 @@
 	cfg        Config
 	requests   *requests
 	background sync.WaitGroup
+	// stopEnd is the end of the stop of this node, zero while it is not stopping.
+	stopEnd atomic.Pointer[time.Time]
 
 	mu         sync.Mutex
 	lease      *leaseContext
@@ -88,6 +91,10 @@
 // passed to the other methods must have ended before.
 func (s *Server) Wait() { s.background.Wait() }
 
+// StopAt makes the server refuse calls whose deadline is after end, the time at
+// which a stop of this node aborts the calls that are still running.
+func (s *Server) StopAt(end time.Time) { s.stopEnd.Store(&end) }
+
 // Partitions returns the number of partitions that the node owns and has not
 // released.
 func (s *Server) Partitions() int {
@@ -158,6 +165,9 @@
 // server has been granted its keys.
 func (r *execution) admit(ctx context.Context) *outcome.Refusal {
 	s, c := r.s, r.call
+	if end := s.stopEnd.Load(); end != nil && c.Deadline.After(*end) {
+		return relay.NotRun(outcome.ReasonStopping)
+	}
 	if !c.Keyed {
 		return s.admitUnkeyed(c)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -302,6 +302,9 @@
 func (n *Node) drain() {
 	n.draining.Store(true)
 	startTime := boottime.Clock{}.Now()
+	if n.cfg.StopTimeout > 0 {
+		n.owner.StopAt(startTime.Add(n.cfg.StopTimeout))
+	}
 	if n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil {
 		// The backend server keeps running, and the next node process on this VM
 		// takes over. Callers would find the port closed until that process listens,
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,8 +1,10 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,3 +42,34 @@
 		t.Errorf("status %d body %q error %v, want 200 and stored", a.status, a.body, a.err)
 	}
 }
+
+// TestStoppingNodeAdmitsOnlyWhatItCanComplete guards against calls that a stopping
+// node accepts although they may run beyond the end of its stop, and then cuts off.
+func TestStoppingNodeAdmitsOnlyWhatItCanComplete(t *testing.T) {
+	const stopTimeout = 3 * time.Second
+	c := newControl(t, testRules)
+	server := newBackend(t, "server1", "applications")
+	owner := startNode(t, c, "owner", server, func(cfg *node.Config) {
+		cfg.TakesOver, cfg.DrainNotice, cfg.StopTimeout = true, stopTimeout/2, stopTimeout
+	})
+	entry := startNode(t, c, "entry", nil, nil)
+	for _, n := range []*runningNode{owner, entry} {
+		eventually(t, "node serves", func() bool { return n.Ready() && send("GET", n.url+"/applications/k", nil, nil).status == 200 })
+	}
+	owner.stop()
+	eventually(t, "the owner stops", func() bool { return !owner.Ready() })
+	if a := send("POST", entry.url+"/applications/k", map[string]string{idHeader: "short", "Jujubeknot-Deadline": "500"}, nil); a.status != 200 {
+		t.Errorf("a call that ends within the stop: status %d refusal %+v, want 200", a.status, a.refusal)
+	}
+	var group sync.WaitGroup
+	for i, n := range []*runningNode{owner, entry} {
+		group.Go(func() {
+			long := fmt.Sprint("long", i)
+			a := send("POST", n.url+"/applications/k", map[string]string{idHeader: long, "Jujubeknot-Deadline": "4000"}, nil)
+			if a.refusal.Outcome != "notRun" || server.runCount(long) != 0 {
+				t.Errorf("hop %d: status %d refusal %+v, %d runs; want notRun and no run", i+1, a.status, a.refusal, server.runCount(long))
+			}
+		})
+	}
+	group.Wait()
+}
