admission: nested calls are recognised and go before their parent's priority; service times by kind

Whether a request ends in time was judged by the median of all requests, so that a call that had to wait at all was refused, and its parent failed after its own work. - core/admission: the service time of a request is estimated by its kind (route). A nested call is not refused for its own target; it is of its route's priority or goes just before the requests of its parent's priority, whichever is higher. - A call is nested if the id of its parent is that of a request that the backend server beside the entry node runs. On the platform the parent's id is the part of the attempt id before the last dot. TestNestedCallsAreRecognisedByTheirParent runs it through nodes: unknown parents and parents at other nodes do not count.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -30,6 +30,8 @@
 	config    Config
 	limiter   limiter
 	latency   latencyEstimate
+	// latencyByKind has the service times of the kinds of requests.
+	latencyByKind map[uint32]*latencyEstimate
 	rateLimit tokenBucket
 	queue     *queue
 	// waiting and running hold the requests by id.
@@ -60,6 +62,7 @@
 type runningRequest struct {
 	key         *key
 	depth       int
+	kind        uint32
 	startNumber uint64
 	alone       bool
 }
@@ -73,6 +76,8 @@
 		queue:   newQueue(),
 		waiting: make(map[uint64]*waiter),
 		running: make(map[uint64]runningRequest),
+
+		latencyByKind: make(map[uint32]*latencyEstimate),
 	}
 	c.limiter.slots, c.limiter.reportsColdStart = c.config.Slots, c.config.ReportsColdStart
 	c.limiter.reset(0)
@@ -151,7 +156,7 @@
 		c.backlogSince = now
 		c.deadlinesMissed = false
 	}
-	c.waiting[r.ID] = c.queue.push(r)
+	c.waiting[r.ID] = c.queue.push(r, c.expectedService(r.Kind))
 	return Decision{Verdict: VerdictQueue}
 }
 
@@ -163,12 +168,12 @@
 // makeQueueRoom makes room in the queue for a request that cannot start now. If
 // it reports false, the request is refused with the returned decision.
 func (c *Controller) makeQueueRoom(now time.Time, r Request) (Decision, bool) {
-	class := classOf(r.Depth, r.Priority)
+	class := classOf(r)
 	wait := c.expectedWait(now, r, class)
 	if !c.mayWait(now, r.Depth) {
 		return c.refuseBusy(wait), false
 	}
-	if !r.Deadline.IsZero() && now.Add(wait+c.medianLatency()).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+c.expectedService(r.Kind)).After(r.Deadline) {
 		c.deadlinesMissed = true
 		return refuse(outcome.ReasonDeadline, wait), false
 	}
@@ -232,8 +237,8 @@
 	c.started++
 	c.runningByDepth[r.Depth]++
 	c.coldStart.take()
-	c.recordStart(classOf(r.Depth, r.Priority))
-	c.running[r.ID] = runningRequest{key: k, depth: r.Depth, startNumber: c.started, alone: len(c.running) == 0}
+	c.recordStart(classOf(r))
+	c.running[r.ID] = runningRequest{key: k, depth: r.Depth, kind: r.Kind, startNumber: c.started, alone: len(c.running) == 0}
 }
 
 // Done records the end of an admitted request and returns decisions about
@@ -252,6 +257,7 @@
 	r.key.inFlight--
 	if result.Kind == ResultOK || result.Kind == ResultTimeout {
 		c.latency.add(result.Latency)
+		c.recordKind(r.kind, result.Latency)
 	}
 	if result.Kind == ResultRefused {
 		c.backoffUntil = now.Add(c.config.RefusedBackoff)
@@ -285,7 +291,7 @@
 		c.backoffUntil = time.Time{}
 	}
 	for {
-		w := c.queue.expired(now, c.medianLatency())
+		w := c.queue.expired(now)
 		if w == nil {
 			break
 		}
@@ -317,8 +323,7 @@
 			if c.queue.countByDepth[depth] == 0 || !c.mayStart(now, depth) {
 				continue
 			}
-			for p := MaxPriority; p >= 0; p-- {
-				class := classOf(depth, p)
+			for class := (depth+1)*ranks - 1; class >= depth*ranks; class-- {
 				if c.queue.countByClass[class] == 0 {
 					continue
 				}
@@ -355,7 +360,7 @@
 		}
 	}
 	if w, ok := c.queue.deadlines.top(); ok {
-		earlier(w.request.Deadline.Add(-c.medianLatency()))
+		earlier(w.latestStart)
 	}
 	return next
 }
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -18,6 +18,13 @@
 // Requests with a target time do not need this. The queue accepts only as many
 // as are expected to be answered by their target, refuses the others at once,
 // and serves the oldest first. No waiting request is dropped for a newer one.
+//
+// # Kinds of requests
+//
+// Requests of different routes may differ in work by a factor of ten. Whether a
+// request ends in time is therefore estimated from the service times of its own
+// kind. How long it waits depends on the requests ahead of it, and is estimated
+// from all of them.
 package admission
 
 import (
@@ -131,9 +138,19 @@
 	// Key is the hash of the request's key. 0 means that the request has no key
 	// and is not subject to Config.KeyShare.
 	Key uint64
+	// Kind is the same for requests of similar work, such as those of one route.
+	// 0 means that the kind is not known.
+	Kind uint32
 	// Priority is 0 (shed first) to MaxPriority. Other values are clamped to
 	// this range.
 	Priority int
+	// Nested is true for a call that a backend server makes while it runs a
+	// request of priority ParentPriority, if the priority decides about the call
+	// and not Depth. The call goes before requests of ParentPriority and below,
+	// and its Target does not decide whether it is refused: what it is worth
+	// depends on the request that waits for it.
+	Nested         bool
+	ParentPriority int
 	// Depth is the number of calls that enclose this one, 0 to MaxDepth.
 	Depth int
 	// Deadline is the time after which the response is useless. The zero time
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -3,21 +3,33 @@
 import "time"
 
 const (
-	priorities = MaxPriority + 1
-	classes    = (MaxDepth + 1) * priorities
+	// ranks is the number of ranks within a depth: one for each priority, and
+	// above it one for the nested calls of requests of this priority.
+	ranks   = 2 * (MaxPriority + 1)
+	classes = (MaxDepth + 1) * ranks
 )
 
 // classOf returns the class of a request; higher classes are served first. The
 // order is by depth, because work that was already admitted elsewhere depends
-// on nested calls, then by priority.
-func classOf(depth, priority int) int {
-	return depth*priorities + min(max(priority, 0), MaxPriority)
+// on nested calls, then by priority. A nested call is of its own priority or
+// goes before the requests of its parent's priority, whichever is higher.
+func classOf(r Request) int {
+	rank := 2 * clampPriority(r.Priority)
+	if r.Nested {
+		rank = max(rank, 2*clampPriority(r.ParentPriority)+1)
+	}
+	return r.Depth*ranks + rank
 }
 
+func clampPriority(priority int) int { return min(max(priority, 0), MaxPriority) }
+
 // waiter is a request in the queue.
 type waiter struct {
 	request  Request
 	class    int
+	// latestStart is the time after which the request is not expected to end by
+	// its deadline.
+	latestStart time.Time
 	subqueue *subqueue
 	previous *waiter
 	next     *waiter
@@ -109,10 +121,10 @@
 	}
 	q.deadlines = indexedHeap[*waiter]{
 		less: func(a, b *waiter) bool {
-			if a.request.Deadline.Equal(b.request.Deadline) {
+			if a.latestStart.Equal(b.latestStart) {
 				return a.sequence < b.sequence
 			}
-			return a.request.Deadline.Before(b.request.Deadline)
+			return a.latestStart.Before(b.latestStart)
 		},
 		moved: func(w *waiter, i int) { w.deadlineIndex = i },
 	}
@@ -157,9 +169,10 @@
 	return q.uncapped[s.class]
 }
 
-func (q *queue) push(r Request) *waiter {
+// push adds a request that is expected to run for the given time.
+func (q *queue) push(r Request, service time.Duration) *waiter {
 	k := q.findOrAddKey(r.Key)
-	w := &waiter{request: r, class: classOf(r.Depth, r.Priority), sequence: q.sequence, deadlineIndex: -1}
+	w := &waiter{request: r, class: classOf(r), latestStart: r.Deadline.Add(-service), sequence: q.sequence, deadlineIndex: -1}
 	q.sequence++
 	q.length++
 	if r.Target.IsZero() {
@@ -370,11 +383,11 @@
 	return n
 }
 
-// expired returns a waiter that can no longer end by its deadline if its
-// service takes the given time, nil for none.
-func (q *queue) expired(now time.Time, service time.Duration) *waiter {
+// expired returns a waiter that is no longer expected to end by its deadline,
+// nil for none.
+func (q *queue) expired(now time.Time) *waiter {
 	w, ok := q.deadlines.top()
-	if !ok || w.request.Deadline.Add(-service).After(now) {
+	if !ok || w.latestStart.After(now) {
 		return nil
 	}
 	return w
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -68,7 +68,37 @@
 	return max(int(c.config.KeyShare*float64(c.config.MaxQueued)), 1)
 }
 
-func (c *Controller) medianLatency() time.Duration {
+const (
+	// minKindSamples is the number of service times from which on the median of a
+	// kind is used in place of that of all requests.
+	minKindSamples = 8
+	// maxKinds bounds the kinds whose service times are recorded. The rules of a
+	// deployment have some dozens of routes to one upstream.
+	maxKinds = 1024
+)
+
+// recordKind adds the service time of a request of a kind.
+func (c *Controller) recordKind(kind uint32, latency time.Duration) {
+	if kind == 0 {
+		return
+	}
+	e := c.latencyByKind[kind]
+	if e == nil {
+		if len(c.latencyByKind) >= maxKinds {
+			clear(c.latencyByKind)
+		}
+		e = &latencyEstimate{}
+		c.latencyByKind[kind] = e
+	}
+	e.add(latency)
+}
+
+// expectedService returns the time for which a request of a kind is expected to
+// run.
+func (c *Controller) expectedService(kind uint32) time.Duration {
+	if e := c.latencyByKind[kind]; e != nil && e.samples >= minKindSamples {
+		return time.Duration(e.median)
+	}
 	return time.Duration(c.latency.median)
 }
 
@@ -141,10 +171,10 @@
 // response is expected after its target. Nested calls are exempt, because
 // refusing them would waste all the work of the calls that enclose them.
 func (c *Controller) missesTarget(now time.Time, r Request, wait time.Duration) bool {
-	if r.Target.IsZero() || r.Depth > 0 {
+	if r.Target.IsZero() || r.Depth > 0 || r.Nested {
 		return false
 	}
-	room := max(r.Target.Sub(now)-c.medianLatency(), 0)
+	room := max(r.Target.Sub(now)-c.expectedService(r.Kind), 0)
 	return float64(wait) > maxTargetWaitShare*float64(room)
 }
 
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -310,7 +310,11 @@
 }
 
 func startCluster(t testing.TB, upstreams ...string) *cluster {
-	c := &cluster{control: newControl(t, testRules)}
+	return startClusterWithRules(t, testRules, upstreams...)
+}
+
+func startClusterWithRules(t testing.TB, rules string, upstreams ...string) *cluster {
+	c := &cluster{control: newControl(t, rules)}
 	c.control.expected = len(upstreams)
 	for i, u := range upstreams {
 		b := newBackend(t, fmt.Sprintf("server%d", i+1), u)
--- a/node/internal/backend/admission.go
+++ b/node/internal/backend/admission.go
@@ -39,7 +39,7 @@
 	a.lastID++
 	id := a.lastID
 	decision := a.controller.Offer(a.clock.Now(), admission.Request{
-		ID: id, Key: c.KeyHash, Priority: c.Priority, Depth: c.Depth, Deadline: c.Deadline, Target: c.TargetTime,
+		ID: id, Key: c.KeyHash, Kind: c.Kind, Priority: c.Priority, Nested: c.Nested, ParentPriority: c.ParentPriority, Depth: c.Depth, Deadline: c.Deadline, Target: c.TargetTime,
 	})
 	var decided chan admission.Decision
 	if decision.Verdict == admission.VerdictQueue {
--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -141,6 +141,7 @@
 	x.watch(ctx)
 	x.watch(a.permit.Context)
 	x.c.written = 0
+	a.s.running.add(a.s.receivedID(a.call), a.call.Urgency())
 	if err := x.writeRequest(a.call, a.fields(remaining)); err != nil {
 		if x.c.written == 0 {
 			a.finish(admission.ResultRefused, false)
@@ -291,6 +292,7 @@
 // releaseConn returns the connection to the pool, which closes it unless it may
 // be reused.
 func (a *attempt) releaseConn(complete bool) {
+	a.s.running.remove(a.s.receivedID(a.call))
 	x := &a.x
 	early := x.finishBody()
 	intact := x.stopWatching()
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -76,6 +76,7 @@
 	bodies    *bodyReceiver
 	pool      pool
 	client    *http.Client
+	running   runningCalls
 	// refusedUntil is the end of the back-off after a refused connection, as
 	// Unix time in nanoseconds by Config.Clock.
 	refusedUntil atomic.Int64
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/core/clock"
+	"github.com/jujubeknot/jujubeknot/core/keyspace"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
@@ -93,6 +94,10 @@
 	// The depth of a call is read only if the call comes from such an address or a
 	// loopback address. Nil means loopback addresses only.
 	IsBackendServer func(netip.Addr) bool
+	// ParentUrgency returns the urgency of the call that the backend server runs
+	// under a request id, and false if there is none. Nil means that nested calls
+	// are known by their depth only.
+	ParentUrgency func(requestID string) (int, bool)
 	// HeaderTimeout and BodyTimeout are described at DefaultHeaderTimeout.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
@@ -126,6 +131,9 @@
 	if cfg.Pressure == nil {
 		cfg.Pressure = pressure.New()
 	}
+	if cfg.ParentUrgency == nil {
+		cfg.ParentUrgency = func(string) (int, bool) { return 0, false }
+	}
 	if cfg.IsBackendServer == nil {
 		cfg.IsBackendServer = func(netip.Addr) bool { return false }
 	}
@@ -242,14 +250,14 @@
 	}
 	c := &q.call
 	c.Upstream, c.Keyed, c.KeyHash = q.upstream.Name, q.upstream.Keyed, d.KeyHash
-	c.Priority = q.route.Priority
+	c.Priority, c.Kind = q.route.Priority, kindOf(q.route)
 	c.Method, c.URI, c.Host, c.Header = r.Method, uri, r.Host, relay.EndToEnd(r.Header)
 	c.Idempotent = q.idempotent()
 	if refusal := q.readCallerHeaders(t); refusal != nil {
 		return refusal
 	}
 	maxInFlight := int64(q.h.cfg.MaxInFlight)
-	if q.inFlight > maxInFlight && (c.Depth == 0 || q.inFlight > 2*maxInFlight) || q.h.cfg.Pressure.Overloaded(c.Depth) {
+	if q.inFlight > maxInFlight && (c.NestingDepth() == 0 || q.inFlight > 2*maxInFlight) || q.h.cfg.Pressure.Overloaded(c.NestingDepth()) {
 		refusal := relay.NotRun(outcome.ReasonProcessorBusy)
 		refusal.RetryAfter = overloadRetryAfter
 		return refusal
@@ -296,8 +304,13 @@
 		!strings.ContainsAny(uri, "#\\")
 }
 
+// kindOf returns the kind of the calls of a route.
+func kindOf(r *rules.Route) uint32 {
+	return uint32(keyspace.Hash(r.Host) ^ keyspace.Hash(r.Prefix))
+}
+
 // readCallerHeaders reads the headers that callers may set: deadline, depth,
-// attempt and idempotency key.
+// parent, attempt and idempotency key.
 func (q *request) readCallerHeaders(t *routing.Table) *outcome.Refusal {
 	c, get := &q.call, q.r.Header.Get
 	timeout := q.route.Timeout
@@ -331,6 +344,9 @@
 			return relay.NotRun(outcome.ReasonDepth)
 		}
 	}
+	if id := get(headers.ParentID); id != "" && q.nested() {
+		c.ParentPriority, c.Nested = q.h.cfg.ParentUrgency(id)
+	}
 	if keys := q.r.Header[headers.IdempotencyKey]; len(keys) > 0 && !c.Idempotent {
 		if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxIdempotencyKeyBytes {
 			return relay.NotRun(outcome.ReasonBadRequest)
--- a/node/internal/peer/call_test.go
+++ b/node/internal/peer/call_test.go
@@ -49,6 +49,28 @@
 	})
 }
 
+// TestClassReachesOwner guards against the kind or the parent of a call that is lost
+// between nodes, in frames or over HTTP/2, and against a call that is refused or
+// taken for a nested one because its class cannot be read.
+func TestClassReachesOwner(t *testing.T) {
+	for _, want := range []relay.Call{{}, {Kind: 7}, {Kind: 0xffffffff, Nested: true, ParentPriority: 9}, {Nested: true}} {
+		var framed, header relay.Call
+		peer.SetClassFromFrame(&framed, &want)
+		peer.SetClassFromHeader(&header, &want)
+		for name, got := range map[string]relay.Call{"frame": framed, "HTTP/2": header} {
+			if got.Kind != want.Kind || got.Nested != want.Nested || got.ParentPriority != want.ParentPriority {
+				t.Errorf("%s: got kind %d, nested %v %d, want %d, %v %d", name, got.Kind, got.Nested, got.ParentPriority, want.Kind, want.Nested, want.ParentPriority)
+			}
+		}
+	}
+	for _, value := range []string{"", "x", "-1", "100000000", "7 ", "7 10", "7 -1", "7 99999999999999999999", "7 1 2", " 3"} {
+		c := relay.Call{}
+		if peer.SetClass(&c, value); c.Nested || c.Kind != 0 {
+			t.Errorf("%q: kind %d, nested %v; want neither", value, c.Kind, c.Nested)
+		}
+	}
+}
+
 // FuzzDecodeCall guards against panics, and against calls that are accepted without
 // an id, so that they could not be settled, or with times out of range.
 func FuzzDecodeCall(f *testing.F) {
--- a/node/internal/peer/export_test.go
+++ b/node/internal/peer/export_test.go
@@ -1,5 +1,12 @@
 package peer
 
+import (
+	"net/http"
+
+	"github.com/jujubeknot/jujubeknot/node/internal/relay"
+	"github.com/jujubeknot/jujubeknot/wire/headers"
+)
+
 // Exported for tests of the frame decoders.
 var (
 	DecodeFramedCall   = decodeCall
@@ -19,3 +26,16 @@
 	FrameCall     = byte(frameCall)
 	FrameRefusal  = byte(frameRefusal)
 )
+
+// SetClass exports setClass for tests.
+var SetClass = setClass
+
+// SetClassFromFrame sets the class of a call from the call frame of another one.
+func SetClassFromFrame(c, sent *relay.Call) {
+	setClassFromFields(c, append(fieldsFromHeader(http.Header{"A": {"b"}}), classField(sent)))
+}
+
+// SetClassFromHeader sets the class of a call from the header of another one.
+func SetClassFromHeader(c, sent *relay.Call) {
+	setClassFromHeader(c, http.Header{headers.PeerClass: {encodeClass(sent)}})
+}
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -226,7 +226,7 @@
 	if h.decidedByOldRules(c) {
 		return nil, relay.NotRun(outcome.ReasonOldRules)
 	}
-	if h.Pressure.Overloaded(c.Depth) {
+	if h.Pressure.Overloaded(c.NestingDepth()) {
 		r := relay.NotRun(outcome.ReasonProcessorBusy)
 		r.RetryAfter = overloadRetryAfter
 		return nil, r
@@ -265,6 +265,7 @@
 		return nil, relay.NotRun(outcome.ReasonBadRequest)
 	}
 	c.Method, c.URI, c.Host, c.Header = r.Method, r.URL.RequestURI(), r.Host, relay.EndToEnd(r.Header)
+	setClassFromHeader(c, r.Header)
 	c.Body = requestBody(w, r)
 	return c, nil
 }
--- a/node/internal/peer/streamed.go
+++ b/node/internal/peer/streamed.go
@@ -90,13 +90,14 @@
 		return nil, fmt.Errorf("parse path of call: %w", err)
 	}
 	u.Scheme, u.Host = "http", to.GetPeerAddress()
-	h := make(http.Header, len(c.Header)+4)
+	h := make(http.Header, len(c.Header)+5)
 	for name, values := range c.Header {
 		h[name] = values
 	}
 	q := (&http.Request{Method: c.Method, URL: u, Host: c.Host, Header: h, ProtoMajor: 2}).WithContext(ctx)
 	p.setCredentials(h)
 	h[headers.PeerCall] = []string{EncodeCall(c, remaining)}
+	h[headers.PeerClass] = []string{encodeClass(c)}
 	attachBody(q, c.Body)
 	return q, nil
 }
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -31,8 +31,14 @@
 	Epoch     uint64
 	// KeyHash is the hash of the key, 0 if the request has none.
 	KeyHash    uint64
-	Priority   int
-	Depth      int
+	// Kind is the same for calls of one route, 0 if unknown.
+	Kind     uint32
+	Priority int
+	// Nested is true if the backend server beside the entry node makes the call
+	// while it runs a call of priority ParentPriority.
+	Nested         bool
+	ParentPriority int
+	Depth          int
 	Idempotent bool
 	// IDFromCaller is true if ID comes from the caller's Idempotency-Key, so
 	// that earlier attempts may exist.
@@ -55,6 +61,24 @@
 	Body   *Body
 }
 
+// NestingDepth returns the depth that limits for nested calls apply to. It is 1
+// or more for a nested call that states no depth.
+func (c *Call) NestingDepth() int {
+	if c.Nested {
+		return max(c.Depth, 1)
+	}
+	return c.Depth
+}
+
+// Urgency returns the higher one of the priorities of the call and of the call
+// that it is made for.
+func (c *Call) Urgency() int {
+	if c.Nested {
+		return max(c.Priority, c.ParentPriority)
+	}
+	return c.Priority
+}
+
 // BackendRequestID returns the request id that is sent to the backend server.
 // Attempts of an idempotent request have different ids, because one attempt may
 // be cancelled while another runs.
--- a/node/moves_test.go
+++ b/node/moves_test.go
@@ -266,6 +266,64 @@
 	}
 }
 
+// TestNestedCallsAreRecognisedByTheirParent guards against calls that are taken for
+// nested ones without a running parent, and against nested calls that wait behind the
+// requests of their parent's priority. A caller can state the id of any request.
+func TestNestedCallsAreRecognisedByTheirParent(t *testing.T) {
+	rules := strings.ReplaceAll(testRules, "route /documents to documents timeout=10s", "route /documents to documents timeout=10s target=200ms priority=1")
+	rules = strings.ReplaceAll(rules, "documents unkeyed slots=6", "documents unkeyed slots=1")
+	rules = strings.ReplaceAll(rules, "key=segment:2 timeout=10s", "key=segment:2 timeout=10s priority=3")
+	c := startClusterWithRules(t, rules, "applications", "documents")
+	release, parentReached := make(chan struct{}), make(chan string, 1)
+	var mu sync.Mutex
+	var order []string
+	c.servers[0].setHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "parent" {
+			parentReached <- r.Header.Get(headers.RequestID)
+			<-release
+		}
+	})
+	c.servers[1].setHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "first" {
+			<-release
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, r.Header.Get(idHeader))
+	})
+	var group sync.WaitGroup
+	post := func(n *runningNode, path, id, parent string) {
+		group.Go(func() {
+			a := send("POST", n.url+path, map[string]string{idHeader: id, headers.ParentID: parent}, nil)
+			if a.status != 200 {
+				t.Errorf("%s: status %d refusal %+v, want 200", id, a.status, a.refusal)
+			}
+		})
+	}
+	queued := func(want float64) func() bool {
+		return func() bool { return vars(t, c.nodes[1])["backend"].(map[string]any)["queued"].(float64) == want }
+	}
+	post(c.nodes[0], "/applications/k", "parent", "")
+	parent := <-parentReached
+	post(c.nodes[0], "/documents/a", "first", "")
+	eventually(t, "the slot is taken", func() bool { return c.servers[1].runCount("first") == 1 })
+	// Neither an unknown parent nor one that runs beside another node counts.
+	post(c.nodes[0], "/documents/b", "unknownParent", "none")
+	eventually(t, "one waits", queued(1))
+	post(c.nodes[1], "/documents/c", "otherNode", parent)
+	eventually(t, "two wait", queued(2))
+	post(c.nodes[0], "/documents/d", "nested", parent)
+	eventually(t, "three wait", queued(3))
+	close(release)
+	group.Wait()
+	if got, want := strings.Join(order, " "), "first nested unknownParent otherNode"; got != want {
+		t.Errorf("order %q, want %q", got, want)
+	}
+	if a := send("POST", c.nodes[0].url+"/documents/e", map[string]string{idHeader: "late", headers.ParentID: parent}, nil); a.status != 200 {
+		t.Errorf("after the end of the parent: status %d, want 200", a.status)
+	}
+}
+
 // TestDrainedServerIsNotified guards against a backend server that the rules take out
 // of service and that is not notified, or is notified while it still owns partitions.
 func TestDrainedServerIsNotified(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -175,7 +175,7 @@
 	callers := caller.New(caller.Config{
 		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		Dialect: n.cfg.Dialect, WithoutLease: n.cfg.WithoutLease, RulesGrace: n.cfg.RulesGrace,
-		AvailabilityZone: n.cfg.AvailabilityZone, IsBackendServer: n.backend.IsAddress,
+		AvailabilityZone: n.cfg.AvailabilityZone, IsBackendServer: n.backend.IsAddress, ParentUrgency: n.backend.Urgency,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
 		MaxConnections: n.cfg.CallerMaxConnections, IdleTimeout: n.cfg.CallerIdleTimeout,
 	})
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -15,6 +15,9 @@
 	// Depth is the nesting depth of the call: 0 for a call from outside, 1 for
 	// a call that a backend server makes while it handles a call of depth 0.
 	Depth = "Jujubeknot-Depth"
+	// ParentID is the request id that the backend server received with the
+	// request for which it makes a call.
+	ParentID = "Jujubeknot-Parent-Id"
 	// Outcome is set on a refusal. It is notRun or unknown.
 	Outcome = "Jujubeknot-Outcome"
 	// RetryAfterMs is the value of Retry-After in milliseconds.
@@ -43,6 +46,9 @@
 	// It is a single header because its value differs for each request. Several
 	// headers would each take an entry in the header tables of HTTP/2.
 	PeerCall = "Jujubeknot-Peer-Call"
+	// PeerClass holds the kind of the call and the priority of the call that it
+	// is made for. Nodes of versions without it ignore it.
+	PeerClass = "Jujubeknot-Peer-Class"
 )
 
 // Headers between control members.
