--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -27,13 +27,13 @@
 // Cancel, Expire or BackendStarted. Until then NextExpire is not later than the
 // current time.
 type Controller struct {
-	config    Config
-	limiter   limiter
-	latency   latencyEstimate
+	config  Config
+	limiter limiter
+	latency latencyEstimate
 	// latencyByKind has the service times of the kinds of requests.
 	latencyByKind map[uint32]*latencyEstimate
-	rateLimit tokenBucket
-	queue     *queue
+	rateLimit     tokenBucket
+	queue         *queue
 	// waiting and running hold the requests by id.
 	waiting        map[uint64]*waiter
 	running        map[uint64]runningRequest
--- a/core/admission/kinds_test.go
+++ b/core/admission/kinds_test.go
@@ -158,8 +158,11 @@
 	now := time.Unix(0, 0)
 	c.Offer(now, admission.Request{ID: 1})
 	for _, r := range []admission.Request{
-		{ID: 2, Priority: 7}, {ID: 3, Priority: 8}, {ID: 4, Priority: 3, Nested: true, ParentPriority: 7},
-		{ID: 5, Priority: 8, Nested: true, ParentPriority: 7}, {ID: 6, Priority: 2, Nested: true, ParentPriority: 8},
+		{ID: 2, Priority: 7},
+		{ID: 3, Priority: 8},
+		{ID: 4, Priority: 3, Nested: true, ParentPriority: 7},
+		{ID: 5, Priority: 8, Nested: true, ParentPriority: 7},
+		{ID: 6, Priority: 2, Nested: true, ParentPriority: 8},
 	} {
 		r.Target = now.Add(time.Hour)
 		if d := c.Offer(now, r); d.Verdict != admission.VerdictQueue {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -25,15 +25,15 @@
 
 // waiter is a request in the queue.
 type waiter struct {
-	request  Request
-	class    int
+	request Request
+	class   int
 	// latestStart is the time after which the request is not expected to end by
 	// its deadline.
 	latestStart time.Time
-	subqueue *subqueue
-	previous *waiter
-	next     *waiter
-	sequence uint64
+	subqueue    *subqueue
+	previous    *waiter
+	next        *waiter
+	sequence    uint64
 	// deadlineIndex is the index in queue.deadlines, -1 without a deadline.
 	deadlineIndex int
 }
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -30,7 +30,7 @@
 	Partition uint32
 	Epoch     uint64
 	// KeyHash is the hash of the key, 0 if the request has none.
-	KeyHash    uint64
+	KeyHash uint64
 	// Kind is the same for calls of one route, 0 if unknown.
 	Kind     uint32
 	Priority int
@@ -39,7 +39,7 @@
 	Nested         bool
 	ParentPriority int
 	Depth          int
-	Idempotent bool
+	Idempotent     bool
 	// IDFromCaller is true if ID comes from the caller's Idempotency-Key, so
 	// that earlier attempts may exist.
 	IDFromCaller bool
