admission: bodies wait for the link within their share of the time to the target

The wait was also estimated from the rate of the link alone, though answers and calls share it. A body that must wait is refused if the wait is over 0.4 of the time to its target less the time that its request runs; the rate is measured from the bodies that arrived while others waited.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -156,7 +156,7 @@
 		c.backlogSince = now
 		c.deadlinesMissed = false
 	}
-	c.waiting[r.ID] = c.queue.push(r, c.expectedService(r.Kind))
+	c.waiting[r.ID] = c.queue.push(r, c.ExpectedService(r.Kind))
 	return Decision{Verdict: VerdictQueue}
 }
 
@@ -173,7 +173,7 @@
 	if !c.mayWait(now, r.Depth) {
 		return c.refuseBusy(wait), false
 	}
-	if !r.Deadline.IsZero() && now.Add(wait+c.expectedService(r.Kind)).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+c.ExpectedService(r.Kind)).After(r.Deadline) {
 		c.deadlinesMissed = true
 		return refuse(outcome.ReasonDeadline, wait), false
 	}
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -93,9 +93,9 @@
 	e.add(latency)
 }
 
-// expectedService returns the time for which a request of a kind is expected to
-// run.
-func (c *Controller) expectedService(kind uint32) time.Duration {
+// ExpectedService returns the time for which a request of a kind is expected to
+// run, 0 if no request has ended yet.
+func (c *Controller) ExpectedService(kind uint32) time.Duration {
 	if e := c.latencyByKind[kind]; e != nil && e.samples >= minKindSamples {
 		return time.Duration(e.median)
 	}
@@ -174,7 +174,7 @@
 	if r.Target.IsZero() || r.Depth > 0 || r.Nested {
 		return false
 	}
-	room := max(r.Target.Sub(now)-c.expectedService(r.Kind), 0)
+	room := max(r.Target.Sub(now)-c.ExpectedService(r.Kind), 0)
 	return float64(wait) > maxTargetWaitShare*float64(room)
 }
 
--- a/node/internal/backend/admission.go
+++ b/node/internal/backend/admission.go
@@ -127,6 +127,13 @@
 	return a.controller.ServiceTime()
 }
 
+// expectedService returns the time for which a call of a kind is expected to run.
+func (a *admissionController) expectedService(kind uint32) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.ExpectedService(kind)
+}
+
 // counts returns the concurrency limit, the calls in flight and in the queue,
 // and whether the backend server is in cold start.
 func (a *admissionController) counts() (limit, inFlight, queued int, cold bool) {
--- a/node/internal/backend/body.go
+++ b/node/internal/backend/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/jujubeknot/jujubeknot/core/admission"
 	"github.com/jujubeknot/jujubeknot/core/clock"
@@ -46,8 +47,9 @@
 	return &bodyReceiver{clock: c, limiter: admission.NewBodyLimiter(bytesPerSecond), waiting: map[uint64]chan struct{}{}}
 }
 
-// receive reads up to maxBufferedBytes of the body of a call into memory.
-func (r *bodyReceiver) receive(ctx context.Context, c *relay.Call) *outcome.Refusal {
+// receive reads up to maxBufferedBytes of the body of a call into memory. The
+// call is expected to run for service after that.
+func (r *bodyReceiver) receive(ctx context.Context, c *relay.Call, service time.Duration) *outcome.Refusal {
 	if !c.Body.Streamed() {
 		return nil
 	}
@@ -61,11 +63,16 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	id, refusal := r.acquire(limit, c, size)
+	body := admission.Body{Bytes: size, Deadline: c.Deadline}
+	if !c.TargetTime.IsZero() && !c.Nested {
+		body.Target = c.TargetTime.Add(-service)
+	}
+	id, refusal := r.acquire(limit, body)
 	if refusal != nil {
 		return refusal
 	}
-	defer r.release(id)
+	received := false
+	defer func() { r.release(id, received) }()
 	abort, aborted := c.Body.Abort, make(chan struct{})
 	stop := context.AfterFunc(limit, func() {
 		defer close(aborted)
@@ -84,16 +91,18 @@
 		}
 		return relay.NotRun(outcome.ReasonCancelled)
 	}
+	received = true
 	return nil
 }
 
 // acquire waits until a body may be received. The id of an admitted body must
 // be passed to release.
-func (r *bodyReceiver) acquire(ctx context.Context, c *relay.Call, size int64) (uint64, *outcome.Refusal) {
+func (r *bodyReceiver) acquire(ctx context.Context, b admission.Body) (uint64, *outcome.Refusal) {
 	r.mu.Lock()
 	r.lastID++
 	id := r.lastID
-	decision := r.limiter.Acquire(r.clock.Now(), id, size, c.Deadline)
+	b.ID = id
+	decision := r.limiter.Acquire(r.clock.Now(), b)
 	var admitted chan struct{}
 	if decision.Verdict == admission.VerdictQueue {
 		admitted = make(chan struct{})
@@ -108,15 +117,15 @@
 		return id, nil
 	case <-ctx.Done():
 	}
-	r.release(id)
+	r.release(id, false)
 	return id, relay.NotRun(outcome.ReasonCancelled)
 }
 
-func (r *bodyReceiver) release(id uint64) {
+func (r *bodyReceiver) release(id uint64, received bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.waiting, id)
-	for _, next := range r.limiter.Release(id) {
+	for _, next := range r.limiter.Release(r.clock.Now(), id, received) {
 		close(r.waiting[next])
 		delete(r.waiting, next)
 	}
