node: a stopping node answers what still waits before its end

Uploads that had waited 6.8 s for a full link ended without answer or refusal 5.5 s after the SIGTERM of their entry node. The contexts of such requests now end 300 ms before the end of the stop, so that their handlers refuse them. TestStopAnswersWaitingRequests: EOF before, a refusal now; TestEndRequestsSendsResponses.

--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -39,6 +39,9 @@
 	br          *bufio.Reader
 	ctx         context.Context
 	cancel      context.CancelFunc
+	// requestCtx is the context of the requests. It ends with ctx or before.
+	requestCtx     context.Context
+	cancelRequests context.CancelFunc
 
 	mu sync.Mutex
 	// inFlight is the number of requests whose header was read and whose
--- a/node/internal/pipeline/pipeline_test.go
+++ b/node/internal/pipeline/pipeline_test.go
@@ -280,6 +280,33 @@
 	}
 }
 
+// TestEndRequestsSendsResponses guards against connections of a stopping node that are
+// closed without a response to a request which was read.
+func TestEndRequestsSendsResponses(t *testing.T) {
+	began := make(chan struct{}, 1)
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	c := start(t, s)()
+	send(t, c, get("/waits"))
+	<-began
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		stopped <- s.Shutdown(ctx)
+	}()
+	s.EndRequests()
+	if r, _ := read(t, bufio.NewReader(c), "GET"); r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+		t.Errorf("status %d, close %v; want 503 and close", r.StatusCode, r.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
 // slowCloseListener delays the Close of its connections until release is
 // closed.
 type slowCloseListener struct {
--- a/node/internal/pipeline/server.go
+++ b/node/internal/pipeline/server.go
@@ -100,6 +100,7 @@
 func (s *Server) startConn(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel}
+	c.requestCtx, c.cancelRequests = context.WithCancel(ctx)
 	c.limitReader = headerLimitReader{nc: nc, remaining: -1}
 	c.br = bufio.NewReaderSize(&c.limitReader, readBufferBytes)
 	s.mu.Lock()
@@ -177,6 +178,19 @@
 	}
 }
 
+// EndRequests closes the listeners, reads no further requests and cancels the
+// contexts of those that were read, so that their handlers respond at once. The
+// connections stay open until the responses are sent.
+func (s *Server) EndRequests() {
+	list := s.stopAccepting()
+	for _, c := range list {
+		c.stopReading()
+	}
+	for _, c := range list {
+		c.cancelRequests()
+	}
+}
+
 // Close closes the listeners and connections without waiting for requests.
 func (s *Server) Close() error {
 	for _, c := range s.stopAccepting() {
--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -55,7 +55,7 @@
 
 func newWriter(c *conn, r *http.Request, previous chan struct{}) *writer {
 	w := &writer{c: c, r: r, header: http.Header{}, previous: previous, done: make(chan struct{}), bodyRead: make(chan struct{}), contentLength: -1}
-	w.ctx, w.cancel = context.WithCancel(c.ctx)
+	w.ctx, w.cancel = context.WithCancel(c.requestCtx)
 	w.closeAfter = !r.ProtoAtLeast(1, 1) || r.Close
 	return w
 }
--- a/node/moves_test.go
+++ b/node/moves_test.go
@@ -277,13 +277,13 @@
 	release, parentReached := make(chan struct{}), make(chan string, 1)
 	var mu sync.Mutex
 	var order []string
-	c.servers[0].setHandler(func(w http.ResponseWriter, r *http.Request) {
+	c.servers[0].setHandler(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(idHeader) == "parent" {
 			parentReached <- r.Header.Get(headers.RequestID)
 			<-release
 		}
 	})
-	c.servers[1].setHandler(func(w http.ResponseWriter, r *http.Request) {
+	c.servers[1].setHandler(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(idHeader) == "first" {
 			<-release
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -319,6 +319,10 @@
 	n.shutDown(startTime)
 }
 
+// finalResponseTime is the time before the end of a stop at which the requests of
+// callers that still wait are refused, so that none ends without a response.
+const finalResponseTime = 300 * time.Millisecond
+
 // shutDown closes each listener and waits for its requests to complete, until
 // the timeout of a stop that began at startTime.
 func (n *Node) shutDown(startTime time.Time) {
@@ -328,6 +332,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	if s, ok := n.servers[listenerCallers].(interface{ EndRequests() }); ok {
+		ending := time.AfterFunc(remaining-finalResponseTime, s.EndRequests)
+		defer ending.Stop()
+	}
 	for _, i := range []int{listenerCallers, listenerCallersTLS, listenerPeer, listenerBackend} {
 		if n.servers[i] == nil {
 			continue
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -73,3 +73,29 @@
 	}
 	group.Wait()
 }
+
+// TestStopAnswersWaitingRequests guards against requests that a stopping node has read
+// and that get neither an answer nor a refusal, because they wait until its end. On a
+// day of the users, 72 uploads that waited for a full link ended so.
+func TestStopAnswersWaitingRequests(t *testing.T) {
+	p := startPair(t, testRules)
+	entry := startNode(t, p.control, "stopping", nil, func(c *node.Config) { c.DrainTimeout, c.StopTimeout = 100*time.Millisecond, time.Second })
+	eventually(t, "node serves", func() bool { return entry.Ready() && send("GET", entry.url+"/applications/k", nil, nil).status == 200 })
+	release := make(chan struct{})
+	p.server.setHandler(func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	// Requests beyond the slots wait at the owner.
+	answers := make(chan answer, 12)
+	for i := range cap(answers) {
+		go func() {
+			answers <- send("POST", entry.url+"/applications/k", map[string]string{idHeader: fmt.Sprint("waiting", i)}, nil)
+		}()
+	}
+	eventually(t, "requests run and wait", func() bool { return vars(t, p.owner)["backend"].(map[string]any)["queued"].(float64) > 0 })
+	entry.stop()
+	for range cap(answers) {
+		if a := <-answers; a.err != nil || a.status < 500 {
+			t.Errorf("status %d error %v, want a refusal", a.status, a.err)
+		}
+	}
+}
