node: a call whose body was not sent has not run

The owner runs no call before it has the whole body (up to 1 MiB); an entry node whose call failed before it had handed out the whole body answered unknown all the same. It says notRun now, after it has made sure that no more of the body is sent, so that callers may send non-idempotent requests again. TestCallWithoutItsBodyHasNotRun: unknown before for nothing and a part received, notRun now; unknown still where all was sent.

--- a/node/internal/backend/body.go
+++ b/node/internal/backend/body.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// maxBufferedBytes is the largest body that is received completely before
-	// its call requests a slot. The rest of a larger body is streamed to the
-	// backend server as it arrives.
-	maxBufferedBytes = 1 << 20
 	// defaultLinkRate is the rate assumed for a link of unknown rate, in
 	// bytes/s. At this rate, up to 32 MB of bodies are received at once, a
 	// sixth of a node's memory.
@@ -47,7 +43,7 @@
 	return &bodyReceiver{clock: c, limiter: admission.NewBodyLimiter(bytesPerSecond), waiting: map[uint64]chan struct{}{}}
 }
 
-// receive reads up to maxBufferedBytes of the body of a call into memory. The
+// receive reads up to relay.MaxWholeBodyBytes of the body of a call into memory. The
 // call is expected to run for service after that.
 func (r *bodyReceiver) receive(ctx context.Context, c *relay.Call, service time.Duration) *outcome.Refusal {
 	if !c.Body.Streamed() {
@@ -85,7 +81,7 @@
 			<-aborted
 		}
 	}()
-	if err := c.Body.Buffer(maxBufferedBytes); err != nil {
+	if err := c.Body.Buffer(relay.MaxWholeBodyBytes); err != nil {
 		if ctx.Err() == nil && limit.Err() != nil {
 			return relay.NotRun(outcome.ReasonDeadline)
 		}
--- a/node/internal/peer/framed_test.go
+++ b/node/internal/peer/framed_test.go
@@ -199,6 +199,39 @@
 	<-gone
 }
 
+// TestCallWithoutItsBodyHasNotRun guards against the outcome unknown for a call whose
+// owner never received the whole body: callers may not send a non-idempotent request
+// again then. It also guards against notRun for a call whose body was sent.
+func TestCallWithoutItsBodyHasNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		reads int64
+		want  outcome.Outcome
+	}{
+		"nothing": {0, outcome.OutcomeNotRun}, "a part": {10_000, outcome.OutcomeNotRun}, "all": {1 << 30, outcome.OutcomeUnknown},
+	} {
+		received := make(chan struct{})
+		n := start(t, func(ctx context.Context, call *relay.Call) (*relay.Response, *outcome.Refusal) {
+			_, _ = io.Copy(io.Discard, io.LimitReader(call.Body.Rest, c.reads))
+			close(received)
+			<-ctx.Done()
+			return nil, relay.Unknown(outcome.ReasonCancelled)
+		})
+		const size = relay.MaxWholeBodyBytes
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-received
+			cancel()
+		}()
+		_, refusal := n.client.Do(ctx, n.node, &relay.Call{
+			ID: "id", Sending: "sending", Upstream: "u", Method: "POST", URI: "/", Host: "h", Deadline: boottime.Clock{}.Now().Add(time.Minute),
+			Body: &relay.Body{Rest: bytes.NewReader(make([]byte, size)), Length: size, Abort: func() {}},
+		})
+		if refusal == nil || refusal.Outcome != c.want {
+			t.Errorf("%s received: refusal %+v, want %v", name, refusal, c.want)
+		}
+	}
+}
+
 // TestPanicFailsOnlyItsCall guards against a panic in one call that ends the node, or
 // that is reported with the outcome notRun.
 func TestPanicFailsOnlyItsCall(t *testing.T) {
--- a/node/internal/peer/streamed.go
+++ b/node/internal/peer/streamed.go
@@ -44,7 +44,12 @@
 	}
 	response, err := p.pooled.RoundTrip(q)
 	if err != nil {
-		return nil, classifyError(ctx, err), err
+		refusal := classifyError(ctx, err)
+		if q.Body.(*abortableBody).stop() {
+			// The owner runs no call whose body it has not received.
+			refusal.Outcome = outcome.OutcomeNotRun
+		}
+		return nil, refusal, err
 	}
 	if r := relay.ReadRefusal(response.Header, response.Body); r != nil {
 		_ = response.Body.Close()
@@ -110,16 +115,29 @@
 		// A body in memory has no blocking reads to abort.
 		abort = func() {}
 	}
-	q.Body = &abortableBody{Reader: b.Reader(), abort: abort}
+	body := &abortableBody{Reader: b.Reader(), abort: abort, whole: relay.MaxWholeBodyBytes}
+	if size := b.Size(); size >= 0 {
+		body.whole = min(body.whole, size)
+	}
+	q.Body = body
 }
 
+var errBodyStopped = errors.New("request body was stopped")
+
 // abortableBody is a request body whose Close aborts a Read that waits for the
 // caller.
 type abortableBody struct {
 	io.Reader
 	abort func()
 	once  sync.Once
-	done  bool
+	// whole is the number of bytes without which the owner runs no call.
+	whole int64
+
+	mu   sync.Mutex
+	read int64
+	// ended is true once the end of the body was read, stopped once no more of it
+	// may be read.
+	ended, stopped bool
 }
 
 // Read reads from the body. After an error or the end of the body, Close does
@@ -129,9 +147,25 @@
 	if err != nil {
 		b.once.Do(func() {})
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		return 0, errBodyStopped
+	}
+	b.read += int64(n)
+	b.ended = b.ended || err == io.EOF
 	return n, err
 }
 
+// stop ends the body. It reports whether less of it was read than the owner
+// needs to run the call. No later Read returns any of it.
+func (b *abortableBody) stop() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	return !b.ended && b.read < b.whole
+}
+
 // Close aborts a Read that waits.
 func (b *abortableBody) Close() error {
 	b.once.Do(b.abort)
--- a/node/internal/relay/body.go
+++ b/node/internal/relay/body.go
@@ -7,6 +7,11 @@
 	"sync/atomic"
 )
 
+// MaxWholeBodyBytes is the size of the largest body that the owner receives
+// completely before its call may run. The rest of a larger body is streamed to
+// the backend server as it arrives.
+const MaxWholeBodyBytes = 1 << 20
+
 // Body is a request body: a part in memory and, for large bodies, a rest that
 // is streamed. The rest can be read only once, and is read only after the
 // request was admitted. The zero value is an empty body.
