node: fewer wake-ups at rest

A node woke 90 times a second whatever its load: 50 to read how long its goroutines wait for the processor, 20 for each direction of its connections. The histogram is read from 128 requests in flight on, half of the lowest limit that can refuse one, and connections are looked at every 100 ms (a half-open one is closed after 950 ms at most, in place of 850).

--- a/core/admission/processorlimiter.go
+++ b/core/admission/processorlimiter.go
@@ -8,11 +8,11 @@
 	// of these waits stays a small part of a route's timeout, and requests that
 	// wait for the node do not hold slots of the backend server.
 	maxProcessorWait = 5 * time.Millisecond
-	// minProcessorLimit is the lowest limit. At 20 us of processor time for
+	// MinProcessorLimit is the lowest limit. At 20 us of processor time for
 	// each turn, this number of requests causes waits of at most about
 	// maxProcessorWait. A longer wait then has another cause, such as a pause
 	// of the machine, which must not make an idle node refuse requests.
-	minProcessorLimit  = 256
+	MinProcessorLimit  = 256
 	processorCutFactor = 0.8
 	// processorGrowthFactor doubles the limit in 15 observations.
 	processorGrowthFactor = 1.05
@@ -39,7 +39,7 @@
 // on.
 func (l *ProcessorLimiter) Observe(wait time.Duration, inFlight int) int {
 	if wait > maxProcessorWait {
-		l.limit = max(min(l.limit, float64(inFlight))*processorCutFactor, minProcessorLimit)
+		l.limit = max(min(l.limit, float64(inFlight))*processorCutFactor, MinProcessorLimit)
 	} else {
 		l.limit *= processorGrowthFactor
 	}
--- a/node/internal/peer/halfopen.go
+++ b/node/internal/peer/halfopen.go
@@ -40,7 +40,7 @@
 	// longer than maxSampleGap means that this process was paused. Bytes that
 	// arrived in the meantime have not been read, so the time since the last
 	// read does not show whether the other node responds.
-	sampleInterval = 50 * time.Millisecond
+	sampleInterval = 100 * time.Millisecond
 	maxSampleGap   = 4 * sampleInterval
 	// maxConcurrentPings limits the HTTP/2 pings in flight.
 	maxConcurrentPings = 256
--- a/node/internal/pressure/monitor.go
+++ b/node/internal/pressure/monitor.go
@@ -18,6 +18,9 @@
 	// sampleInterval is the time between two readings of the scheduler's
 	// histogram. One reading costs a few microseconds.
 	sampleInterval = 20 * time.Millisecond
+	// sampleFrom is the number of requests in flight from which on the histogram
+	// is read. No limit refuses fewer requests than that.
+	sampleFrom = admission.MinProcessorLimit / 2
 	// unlimited is the limit without overload. It is too high to have an
 	// effect.
 	unlimited = 1 << 20
@@ -32,6 +35,8 @@
 type Monitor struct {
 	inFlight atomic.Int64
 	limit    atomic.Int64
+	// busy wakes Run when sampleFrom requests are in flight.
+	busy chan struct{}
 
 	mu      sync.Mutex
 	limiter *admission.ProcessorLimiter
@@ -40,14 +45,21 @@
 // New returns a monitor whose limit has no effect until Run or Observe finds
 // the processor overloaded.
 func New() *Monitor {
-	m := &Monitor{limiter: admission.NewProcessorLimiter(unlimited)}
+	m := &Monitor{busy: make(chan struct{}, 1), limiter: admission.NewProcessorLimiter(unlimited)}
 	m.limit.Store(unlimited)
 	return m
 }
 
 // Begin counts a request as in flight. The caller must call End when the
 // request has ended.
-func (m *Monitor) Begin() { m.inFlight.Add(1) }
+func (m *Monitor) Begin() {
+	if m.inFlight.Add(1) == sampleFrom {
+		select {
+		case m.busy <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // End removes a request that Begin counted.
 func (m *Monitor) End() { m.inFlight.Add(-1) }
@@ -74,12 +86,29 @@
 	m.limit.Store(int64(m.limiter.Observe(delay, int(m.inFlight.Load()))))
 }
 
-// Run adapts the limit every 20 ms until the context ends.
+// Run adapts the limit until the context ends. While so many requests are in
+// flight that a limit could refuse one, it does so every 20 ms. At other times it
+// does not run.
 func (m *Monitor) Run(ctx context.Context) {
 	s := newSchedulerLatency()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.busy:
+			// Discards the waits since the latest reading.
+			s.delay()
+			m.sample(ctx, s)
+		}
+	}
+}
+
+// sample adapts the limit until few requests are in flight and the limit has no
+// effect any more, or until the context ends.
+func (m *Monitor) sample(ctx context.Context, s *schedulerLatency) {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
-	for {
+	for m.inFlight.Load() >= sampleFrom || m.limit.Load() < unlimited {
 		select {
 		case <-ctx.Done():
 			return
