node: requests are measured by a clock without a system call for each reading

A request read CLOCK_BOOTTIME 20 times at its two nodes, over half of its system calls. It notices a suspension of the VM up to 1 ms late, so that leases, permits and grants keep the exact clock.

--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -47,7 +47,7 @@
 // and sends the call. A refusal with outcome notRun means that no byte was
 // written or that the backend server reported that it did not run the call.
 func (s *Server) Do(ctx context.Context, call *relay.Call, gate Gate) (*relay.Response, *outcome.Refusal) {
-	if s.cfg.Clock.Now().UnixNano() < s.refusedUntil.Load() {
+	if s.cfg.RequestClock.Now().UnixNano() < s.refusedUntil.Load() {
 		return nil, relay.NotRun(outcome.ReasonUnreachable)
 	}
 	if s.drained() {
@@ -66,7 +66,7 @@
 		}
 		return nil, refusal
 	}
-	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.Clock.Now(), server: s.Announced().GetName()}
+	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.RequestClock.Now(), server: s.Announced().GetName()}
 	c, err := s.pool.get(ctx)
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
@@ -113,7 +113,7 @@
 	// During the back-off, further calls would only queue up for a backend
 	// server that does not listen.
 	a.s.unreachable.Store(true)
-	a.s.refusedUntil.Store(a.s.cfg.Clock.Now().Add(refusedBackoff).UnixNano())
+	a.s.refusedUntil.Store(a.s.cfg.RequestClock.Now().Add(refusedBackoff).UnixNano())
 	a.s.admission.release(a.ticket, admission.ResultRefused, 0)
 	a.s.log.Debug().Err(err).Msg("backend server refused a connection")
 	a.s.confirmRefusal(err)
@@ -121,7 +121,7 @@
 }
 
 func (a *attempt) run(ctx context.Context) (*relay.Response, *outcome.Refusal) {
-	remaining := a.call.Deadline.Sub(a.s.cfg.Clock.Now())
+	remaining := a.call.Deadline.Sub(a.s.cfg.RequestClock.Now())
 	if remaining <= 0 {
 		a.finish(admission.ResultCancelled, true)
 		return nil, relay.NotRun(outcome.ReasonDeadline)
@@ -262,7 +262,7 @@
 	a.once.Do(func() {
 		ended = true
 		a.releaseConn(complete)
-		a.s.admission.release(a.ticket, kind, a.s.cfg.Clock.Now().Sub(a.started))
+		a.s.admission.release(a.ticket, kind, a.s.cfg.RequestClock.Now().Sub(a.started))
 	})
 	return ended
 }
@@ -277,7 +277,7 @@
 	a.once.Do(func() {
 		ended = true
 		a.releaseConn(false)
-		latency := a.s.cfg.Clock.Now().Sub(a.started)
+		latency := a.s.cfg.RequestClock.Now().Sub(a.started)
 		if a.s.cfg.Dialect != nil {
 			// Dialects have no cancel call: the closed connection is the
 			// signal.
--- a/node/internal/backend/dialect.go
+++ b/node/internal/backend/dialect.go
@@ -78,7 +78,7 @@
 
 // recordDialectResponse records contact with the backend server.
 func (s *Server) recordDialectResponse() {
-	now := s.cfg.Clock.Now()
+	now := s.cfg.RequestClock.Now()
 	s.unreachable.Store(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -157,7 +157,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.cfg.Clock.Now()
+	now := s.cfg.RequestClock.Now()
 	return s.leaving && now.Sub(s.leavingSince) >= s.cfg.Dialect.DrainTimeout ||
 		!s.adopted.since.IsZero() && now.Sub(s.adopted.since) >= s.cfg.Dialect.DrainTimeout-minRestartTime ||
 		!s.outOfServiceSince.IsZero() && now.Sub(s.outOfServiceSince) >= s.cfg.Dialect.OutOfServiceTimeout
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -43,10 +43,13 @@
 // slots, for requests that start while others end.
 const spareConnections = 2
 
-// Config configures a Server. Clock is required. For other fields with a
+// Config configures a Server. Clock is required. RequestClock defaults to it. For other fields with a
 // default, zero means the default.
 type Config struct {
-	Clock          clock.Clock
+	Clock clock.Clock
+	// RequestClock measures requests. It may notice a suspension of the machine a
+	// few ms later than Clock, by which leases and grants are measured.
+	RequestClock   clock.Clock
 	Log            zerolog.Logger
 	HealthInterval time.Duration
 	ConnectTimeout time.Duration
@@ -120,6 +123,9 @@
 	if cfg.Clock == nil {
 		panic("backend: no clock")
 	}
+	if cfg.RequestClock == nil {
+		cfg.RequestClock = cfg.Clock
+	}
 	if cfg.HealthInterval == 0 {
 		cfg.HealthInterval = DefaultHealthInterval
 	}
@@ -137,8 +143,8 @@
 	}
 	return &Server{
 		cfg: cfg, log: cfg.Log, pool: pool{timeout: cfg.ConnectTimeout}, cancels: make(chan cancellation, 256),
-		admission: newAdmissionController(cfg.Clock, admission.Config{}),
-		bodies:    newBodyReceiver(cfg.Clock, cfg.LinkRate),
+		admission: newAdmissionController(cfg.RequestClock, admission.Config{}),
+		bodies:    newBodyReceiver(cfg.RequestClock, cfg.LinkRate),
 		grants:    grants{sending: make(chan struct{}, 1)},
 		client: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true},
@@ -227,7 +233,7 @@
 // the known one means that the backend server restarted. bootID is empty if the
 // response had none.
 func (s *Server) recordResponse(bootID string) {
-	now := s.cfg.Clock.Now()
+	now := s.cfg.RequestClock.Now()
 	s.mu.Lock()
 	s.lastContact = now
 	found, restarted := s.lost, false
--- a/node/node.go
+++ b/node/node.go
@@ -151,17 +151,19 @@
 }
 
 func (n *Node) build() {
-	clock, log := boottime.Clock{}, n.cfg.Log
+	// Requests are measured by a clock that rarely makes a system call, leases and
+	// grants by the exact one.
+	clock, requestClock, log := boottime.Clock{}, boottime.NewCoarse(), n.cfg.Log
 	n.started = clock.Now()
 	n.backend = backend.New(backend.Config{
-		Clock: clock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout, LinkRate: n.cfg.LinkMbps * bytesPerMegabit,
+		Clock: clock, RequestClock: requestClock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout, LinkRate: n.cfg.LinkMbps * bytesPerMegabit,
 		OnChange: func() { n.session.BackendChanged() },
 		Dialect:  n.cfg.Dialect, HoldsUntil: func() time.Time { return n.owner.HoldsUntil() },
 	})
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend, GrantsByHeartbeat: n.cfg.Dialect != nil, HeartbeatInterval: n.cfg.HeartbeatInterval, WithoutLease: n.cfg.WithoutLease})
 	n.backend.SetPartitionCounter(n.owner.Partitions)
-	n.peers = peer.NewClient(peer.ClientConfig{Clock: clock, Log: log, View: n.view})
-	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Pressure: n.pressure, SharedSecret: n.cfg.PeerSecret, RulesGrace: n.cfg.RulesGrace}
+	n.peers = peer.NewClient(peer.ClientConfig{Clock: requestClock, Log: log, View: n.view})
+	n.peer = &peer.Handler{Log: log, Sample: n.sample, Clock: requestClock, View: n.view, Owner: n.owner, Pressure: n.pressure, SharedSecret: n.cfg.PeerSecret, RulesGrace: n.cfg.RulesGrace}
 	n.session = controlclient.New(controlclient.Config{
 		Clock: clock, Log: log, Members: n.cfg.ControlMembers, Secret: n.cfg.NodeSecret,
 		Node: &wirev1.Node{
@@ -173,7 +175,7 @@
 		Peers: n.peers, FetchRulesAfter: n.cfg.peerRulesDelay(),
 	})
 	callers := caller.New(caller.Config{
-		Log: log, Sample: n.sample, Clock: clock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
+		Log: log, Sample: n.sample, Clock: requestClock, View: n.view, Owner: n.owner, Remote: n.peers, Metrics: n.metrics, Pressure: n.pressure,
 		Dialect: n.cfg.Dialect, WithoutLease: n.cfg.WithoutLease, RulesGrace: n.cfg.RulesGrace,
 		AvailabilityZone: n.cfg.AvailabilityZone, IsBackendServer: n.backend.IsAddress, ParentUrgency: n.backend.Urgency,
 		HeaderTimeout: n.cfg.CallerHeaderTimeout, BodyTimeout: n.cfg.CallerBodyTimeout, MaxInFlight: n.cfg.CallerMaxInFlight,
