--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -61,3 +61,20 @@
 	}
 	return time.Time{}
 }
+
+// Cold reports whether the backend server is taken to be in cold start. It is
+// always false with Config.ReportsColdStart; ColdAt includes reported cold
+// starts.
+func (c *Controller) Cold() bool { return c.limiter.cold }
+
+// ColdAt reports whether the backend server is in cold start at the given time,
+// as reported by the server or as assumed by the Controller.
+func (c *Controller) ColdAt(now time.Time) bool {
+	return c.limiter.cold || c.coldStart.active(now)
+}
+
+// SetColdUntil records that the backend server reports cold start until the
+// given time. It is for servers with Config.ReportsColdStart.
+func (c *Controller) SetColdUntil(now, until time.Time) {
+	c.coldStart.setUntil(now, until)
+}
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -86,23 +86,6 @@
 	return c
 }
 
-// Cold reports whether the backend server is taken to be in cold start. It is
-// always false with Config.ReportsColdStart; ColdAt includes reported cold
-// starts.
-func (c *Controller) Cold() bool { return c.limiter.cold }
-
-// ColdAt reports whether the backend server is in cold start at the given time,
-// as reported by the server or as assumed by the Controller.
-func (c *Controller) ColdAt(now time.Time) bool {
-	return c.limiter.cold || c.coldStart.active(now)
-}
-
-// SetColdUntil records that the backend server reports cold start until the
-// given time. It is for servers with Config.ReportsColdStart.
-func (c *Controller) SetColdUntil(now, until time.Time) {
-	c.coldStart.setUntil(now, until)
-}
-
 // Limit returns the number of requests that may run at once, from 1 to the
 // number of slots. While it is below the number of slots, one nested call of
 // each depth may run in addition to the limit if it could otherwise deadlock
@@ -113,10 +96,6 @@
 // of slots.
 func (c *Controller) InFlight() int { return len(c.running) }
 
-// ServiceTime returns the moving mean of the service time of requests, 0 if
-// none has ended yet.
-func (c *Controller) ServiceTime() time.Duration { return time.Duration(c.latency.mean) }
-
 // Queued returns the number of waiting requests.
 func (c *Controller) Queued() int { return c.queue.length }
 
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -68,40 +68,6 @@
 	return max(int(c.config.KeyShare*float64(c.config.MaxQueued)), 1)
 }
 
-const (
-	// minKindSamples is the number of service times from which on the median of a
-	// kind is used in place of that of all requests.
-	minKindSamples = 8
-	// maxKinds bounds the kinds whose service times are recorded. The rules of a
-	// deployment have some dozens of routes to one upstream.
-	maxKinds = 1024
-)
-
-// recordKind adds the service time of a request of a kind.
-func (c *Controller) recordKind(kind uint32, latency time.Duration) {
-	if kind == 0 {
-		return
-	}
-	e := c.latencyByKind[kind]
-	if e == nil {
-		if len(c.latencyByKind) >= maxKinds {
-			clear(c.latencyByKind)
-		}
-		e = &latencyEstimate{}
-		c.latencyByKind[kind] = e
-	}
-	e.add(latency)
-}
-
-// ExpectedService returns the time for which a request of a kind is expected to
-// run, 0 if no request has ended yet.
-func (c *Controller) ExpectedService(kind uint32) time.Duration {
-	if e := c.latencyByKind[kind]; e != nil && e.samples >= minKindSamples {
-		return time.Duration(e.median)
-	}
-	return time.Duration(c.latency.median)
-}
-
 // newestFirst reports whether the newest request is served first because the
 // server is overloaded; see the package comment. The queue must not have been
 // empty for Config.OverloadAfter, or for twice the mean service time if that is
--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -53,7 +53,7 @@
 	if s.drained() {
 		return nil, relay.NotRun(outcome.ReasonStopping)
 	}
-	if refusal := s.bodies.receive(ctx, call, s.admission.expectedService(call.Kind)); refusal != nil {
+	if refusal := s.bodies.receive(ctx, call, s.admission.expectedService); refusal != nil {
 		return nil, refusal
 	}
 	ticket, refusal := s.admission.acquire(ctx, call, gate.Halt, gate.HaltReason)
--- a/node/internal/backend/body.go
+++ b/node/internal/backend/body.go
@@ -43,9 +43,9 @@
 	return &bodyReceiver{clock: c, limiter: admission.NewBodyLimiter(bytesPerSecond), waiting: map[uint64]chan struct{}{}}
 }
 
-// receive reads up to relay.MaxWholeBodyBytes of the body of a call into memory. The
-// call is expected to run for service after that.
-func (r *bodyReceiver) receive(ctx context.Context, c *relay.Call, service time.Duration) *outcome.Refusal {
+// receive reads up to relay.MaxWholeBodyBytes of the body of a call into memory.
+// service returns the time for which calls of a kind are expected to run.
+func (r *bodyReceiver) receive(ctx context.Context, c *relay.Call, service func(kind uint32) time.Duration) *outcome.Refusal {
 	if !c.Body.Streamed() {
 		return nil
 	}
@@ -61,7 +61,7 @@
 	defer cancel()
 	body := admission.Body{Bytes: size, Deadline: c.Deadline}
 	if !c.TargetTime.IsZero() && !c.Nested {
-		body.Target = c.TargetTime.Add(-service)
+		body.Target = c.TargetTime.Add(-service(c.Kind))
 	}
 	id, refusal := r.acquire(limit, body)
 	if refusal != nil {
--- a/node/internal/backend/body_test.go
+++ b/node/internal/backend/body_test.go
@@ -34,7 +34,7 @@
 	}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	refusals := make(chan *outcome.Refusal, 1)
-	go func() { refusals <- newBodyReceiver(boottime.Clock{}, 0).receive(ctx, call, 0) }()
+	go func() { refusals <- newBodyReceiver(boottime.Clock{}, 0).receive(ctx, call, nil) }()
 	cancel()
 	<-aborting
 	select {
@@ -57,7 +57,7 @@
 	receive := func(r io.Reader) <-chan *outcome.Refusal {
 		done := make(chan *outcome.Refusal, 1)
 		call := &relay.Call{Deadline: boottime.Clock{}.Now().Add(time.Minute), Body: &relay.Body{Rest: r, Length: 100_000, Abort: func() {}}}
-		go func() { done <- i.receive(context.Background(), call, 0) }()
+		go func() { done <- i.receive(context.Background(), call, nil) }()
 		return done
 	}
 	firstDone := receive(first)
