--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -72,9 +74,13 @@
 		broken, err := cases[os.Args[1]](b)
 		results <- result{broken, err}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	r := result{err: fmt.Errorf("the case did not end within %v", maxRun)}
 	select {
 	case r = <-results:
+	case s := <-signals:
+		r.err = fmt.Errorf("stopped by a signal: %v", s)
 	case <-time.After(maxRun):
 	}
 	if b.d != nil {
