--- a/review/standin/case_owner.go
+++ b/review/standin/case_owner.go
@@ -148,11 +148,11 @@
 }
 
 // foreignBeat sends one heartbeat of another writer to the node of a machine. It
-// lacks the fields zone, version, coldRemainingMs, holds and freed.
+// lacks the fields zone, version, coldRemainingMs, seq, holds and freed.
 func foreignBeat(b *bench, m *machine) error {
 	const id = "i-0c5e31d7"
 	body, err := json.Marshal(map[string]any{
-		"service": m.service, "address": m.ip + ":18148", "slots": 6, "state": "ready", "seq": 1, "born": time.Now().UnixMilli(),
+		"service": m.service, "address": m.ip + ":18148", "slots": 6, "state": "ready", "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
 		return err
