--- a/review/standin/case_status.go
+++ b/review/standin/case_status.go
@@ -11,14 +11,14 @@
 
 func init() { cases["status"] = playStatus }
 
-// playStatus: a service has two upstreams. In two spells of 5 s one of them
+// playStatus: a service has three upstreams. In five spells of 5 s one of them
 // fails 45 of 100 requests with a 500 of its own. With the disruption, it also
-// spoils 5 of 100 answers: the first digit of the status becomes 0, so that the
+// spoils 2 of 100 answers: the first digit of the status becomes 0, so that the
 // bytes are no response.
 func playStatus(b *bench) (bool, error) {
-	const failShare, spoilShare = 0.45, 0.05
-	const spells, spell, rest, perSecond = 2, 5 * time.Second, time.Second, 120
-	d, err := newDeployment(b, "wuno96b", "wuno96b")
+	const failShare, spoilShare = 0.45, 0.02
+	const spells, spell, rest, perSecond = 5, 5 * time.Second, time.Second, 150
+	d, err := newDeployment(b, "wuno96b", "wuno96b", "wuno96b")
 	if err != nil {
 		return false, err
 	}
@@ -86,7 +86,7 @@
 			case <-ticker.C:
 			}
 			load.Go(func() {
-				id, m := fmt.Sprintf("c%06d", n), d.side[n%2]
+				id, m := fmt.Sprintf("c%06d", n), d.side[n%len(d.side)]
 				a := send(m, http.MethodGet, "/lohu930/"+id, id, -1, time.Second, nil, 0)
 				b.note("client: GET /lohu930/%s through %s: %v, body %q", id, m.name, a, a.body)
 				mu.Lock()
