node: a status outside 200 to 599 ends the attempt as incomplete

Cause: http.ReadResponse takes any three digits, the status was relayed, and the entry node's writer ignores statuses below 200, so that the first write of the body sent 200. Between nodes the response was a malformed frame, which closed the connection with all its calls. Evidence: TestStatusOutOfRangeIsNotAnAnswer failed before for each status below 100 (200 at the caller) and above 599 (relayed), with one hop and two. Change: the node of the backend server treats such a response as incomplete, outcome unknown; request.send, through which all responses pass, decides what the entry node does with a status that it cannot write; the writer of pipeline fails an invalid status in place of replacing it.

--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -31,6 +31,7 @@
 	errExtraBytes     = errors.New("bytes after the response")
 	errMismatchedID   = errors.New("response carries the id of another request")
 	errInformational  = errors.New("too many informational responses")
+	errStatus         = errors.New("response status is not between 200 and 599")
 )
 
 // pastDeadline is a deadline that ends every read and write at once.
@@ -251,6 +252,9 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
+		if !relay.FinalStatus(response.StatusCode) {
+			return errStatus
+		}
 		x.c.headerBudget = -1
 		x.response = response
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
--- a/node/internal/caller/run.go
+++ b/node/internal/caller/run.go
@@ -280,12 +280,23 @@
 	if ctx.Err() != nil {
 		return nil, relay.NotRun(outcome.ReasonCancelled)
 	}
+	var response *relay.Response
+	var refusal *outcome.Refusal
 	if to.GetIncarnation() == self {
 		q.h.cfg.Metrics.Attempts.Add("local", 1)
-		return q.h.cfg.Owner.Do(ctx, c)
+		response, refusal = q.h.cfg.Owner.Do(ctx, c)
+	} else {
+		q.h.cfg.Metrics.Attempts.Add("peer", 1)
+		response, refusal = q.h.cfg.Remote.Do(ctx, to, c)
+	}
+	if response != nil && !relay.FinalStatus(response.Status) {
+		// Nodes of earlier versions relay any status. http.ResponseWriter takes an
+		// informational one for the announcement of a final status, which would then
+		// be 200.
+		_ = response.Body.Close()
+		return nil, relay.Unknown(outcome.ReasonAnswerIncomplete)
 	}
-	q.h.cfg.Metrics.Attempts.Add("peer", 1)
-	return q.h.cfg.Remote.Do(ctx, to, c)
+	return response, refusal
 }
 
 // logDecision logs one routing decision of the entry node, unless the sample
--- a/node/internal/peer/frame.go
+++ b/node/internal/peer/frame.go
@@ -205,7 +205,7 @@
 		length = m.GetLength()
 	}
 	kept := !m.GetStreamed() && !m.GetNoBody()
-	if status < 100 || status > 999 || length < -1 || !kept && len(body) > 0 || kept && length != int64(len(body)) {
+	if length < -1 || !kept && len(body) > 0 || kept && length != int64(len(body)) {
 		return nil, "", errMalformed
 	}
 	header := headerFromFields(m.GetHeader())
--- a/node/internal/pipeline/pipeline_test.go
+++ b/node/internal/pipeline/pipeline_test.go
@@ -399,3 +399,19 @@
 		t.Errorf("read from idle connection: got %v, want EOF", err)
 	}
 }
+
+// TestInvalidStatusClosesConnection guards against a status that cannot be written
+// and is replaced by 200.
+func TestInvalidStatusClosesConnection(t *testing.T) {
+	for _, status := range []int{0, 99, 1000} {
+		connect := start(t, &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "failure")
+		})})
+		c := connect()
+		send(t, c, get("/"))
+		if text, err := io.ReadAll(c); err != nil || len(text) > 0 {
+			t.Errorf("status %d: got %q, %v; want a closed connection", status, text, err)
+		}
+	}
+}
--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -93,8 +93,12 @@
 func (w *writer) Header() http.Header { return w.header }
 
 // WriteHeader sets the status. Informational (1xx) statuses and repeated calls
-// are ignored.
+// are ignored. It panics for a status that is not between 100 and 999, like the
+// writers of net/http: if it were ignored, the response would have status 200.
 func (w *writer) WriteHeader(status int) {
+	if status < http.StatusContinue || status > 999 {
+		panic(fmt.Sprintf("pipeline: invalid status %d", status))
+	}
 	if w.status != 0 || status < http.StatusOK {
 		return
 	}
--- a/node/internal/relay/call.go
+++ b/node/internal/relay/call.go
@@ -104,6 +104,12 @@
 	Trailer func() http.Header
 }
 
+// FinalStatus reports whether a status may end a response: 200 to 599. http.ReadResponse
+// accepts any three digits.
+func FinalStatus(status int) bool {
+	return status >= http.StatusOK && status <= 599
+}
+
 // Target runs calls. Do returns either a response or a refusal: exactly one of
 // them is not nil. Implementations must be safe for concurrent use.
 type Target interface {
--- a/node/raw_test.go
+++ b/node/raw_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+// TestStatusOutOfRangeIsNotAnAnswer guards against a damaged status below 100 that
+// reaches the caller as a success, with one hop and with two, streamed or not.
+func TestStatusOutOfRangeIsNotAnAnswer(t *testing.T) {
+	_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		status := r.Header.Get("X-Status")
+		if status == "" {
+			return fine(c, "ok")
+		}
+		framing, body := "Content-Length: 7\r\n", "failure"
+		if r.Header.Get("X-Chunked") != "" {
+			framing, body = "Transfer-Encoding: chunked\r\n", "7\r\nfailure\r\n0\r\n\r\n"
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %s Internal Server Error\r\n%s\r\n%s", status, framing, body)
+		return err == nil
+	})
+	for _, status := range []string{"000", "+99", "050", "099", "600", "999"} {
+		for _, chunked := range []string{"", "1"} {
+			for i, n := range nodes {
+				for _, method := range []string{"GET", "POST"} {
+					a := send(method, n.url+"/applications/k", map[string]string{"X-Status": status, "X-Chunked": chunked}, nil)
+					if a.status != http.StatusBadGateway || a.refusal.Outcome != "unknown" {
+						t.Errorf("%s, chunked %q, hop %d, %s: status %d outcome %q body %q error %v, want 502 and unknown",
+							status, chunked, i+1, method, a.status, a.refusal.Outcome, a.body, a.err)
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestLateResponseIsDiscarded guards against a response that arrives after its request
 // was abandoned and is taken for the response to the next request.
 func TestLateResponseIsDiscarded(t *testing.T) {
