routing: the dialect chooses how paths are compared; paths are sent on as they came

Paths with | " { } ^ ` or bytes above 127 arrived with other escapes (UNASKED). Cause: the platform selects by how the path begins, the product by segments of the decoded path; the path was rebuilt from the parsed URL. Change: routing.PathMatching is the one decision, Dialect.Paths chooses it; path and query are those of the request line, also between nodes (header Jujubeknot-Peer-Target where the HTTP/2 path has other escapes).

--- a/core/routing/decide.go
+++ b/core/routing/decide.go
@@ -13,8 +13,30 @@
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
+// PathMatching says when the prefix of a route matches a path.
+type PathMatching int
+
+const (
+	// MatchSegments compares segments of the path after percent decoding: /app and
+	// /app/ match /app, /%61pp and /app/x, but not /apple. It is the default.
+	MatchSegments PathMatching = iota
+	// MatchBytes compares the path as sent, byte by byte: /app/ matches /app/x, but
+	// neither /app nor /%61pp/x.
+	MatchBytes
+)
+
+// String returns the matching as docs/protocols.md names it.
+func (m PathMatching) String() string {
+	if m == MatchBytes {
+		return "bytes"
+	}
+	return "segments"
+}
+
 // Request has the parts of a request that routing depends on.
 type Request struct {
+	// Paths is how the path is compared with the prefixes of routes.
+	Paths PathMatching
 	// Path is the path as sent, with its percent escapes.
 	Path string
 	// Query is the query as sent, without the question mark.
@@ -120,23 +142,26 @@
 	return r.Upstream
 }
 
-// matches reports whether a path has the prefix and the prefix ends at the end
-// of a path segment: /app matches /app and /app/x, but not /apple.
-func (r *route) matches(path string) bool {
+// matches reports whether the prefix matches a path, which is decoded for
+// MatchSegments and as sent for MatchBytes.
+func (r *route) matches(path string, m PathMatching) bool {
+	if m == MatchBytes {
+		return strings.HasPrefix(path, r.Prefix)
+	}
 	return strings.HasPrefix(path, r.prefix) && (len(path) == len(r.prefix) || path[len(r.prefix)] == '/')
 }
 
 // match returns the route of the host with the longest matching prefix. If no
 // route of the host matches, it returns the one with the longest matching
 // prefix among the routes without a host. It returns nil if no route matches.
-func (t *Table) match(host, path string) *route {
+func (t *Table) match(host, path string, m PathMatching) *route {
 	name := strings.ToLower(host)
 	if i := strings.LastIndexByte(name, ':'); i >= 0 && !strings.HasSuffix(name, "]") {
 		name = name[:i]
 	}
 	for _, list := range [...][]*route{t.routes[name], t.routes[""]} {
 		for _, r := range list {
-			if r.matches(path) {
+			if r.matches(path, m) {
 				return r
 			}
 		}
@@ -154,7 +179,10 @@
 	if !ok {
 		return Decision{Reason: outcome.ReasonBadRequest}
 	}
-	r := t.match(q.Host, path)
+	if q.Paths == MatchBytes {
+		path = q.Path
+	}
+	r := t.match(q.Host, path, q.Paths)
 	if r == nil {
 		return Decision{Reason: outcome.ReasonNoRoute}
 	}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -85,6 +85,43 @@
 	}
 }
 
+// TestPathMatching guards against a request on a route whose prefix covers its path
+// only by the other kind of matching.
+func TestPathMatching(t *testing.T) {
+	n, err := routing.New().With(&wirev1.Update{Index: 1, Rules: &wirev1.RulesRevision{Revision: 1, Text: `upstream u unkeyed # a: b
+route /a/ to u # a: b
+route /a/b/ to u # a: b
+route /c to u # a: b
+`}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ path, segments, bytes string }{
+		{"/a/x", "/a/", "/a/"},
+		{"/a/b/x", "/a/b/", "/a/b/"},
+		{"/a/b", "/a/b/", "/a/"},
+		{"/a/%62/x", "/a/b/", "/a/"},
+		{"/a/b%2Fx", "/a/b/", "/a/"},
+		{"/a//b/x", "/a/", "/a/"},
+		{"/a", "/a/", ""},
+		{"/%61/x", "/a/", ""},
+		{"/c", "/c", "/c"},
+		{"/cx", "", "/c"},
+		{"/a/../c", "", ""},
+		{"/a/%2e%2e/c", "", ""},
+	} {
+		for m, want := range map[routing.PathMatching]string{routing.MatchSegments: c.segments, routing.MatchBytes: c.bytes} {
+			got := ""
+			if d := n.Decide(routing.Request{Path: c.path, Paths: m}); d.Route != nil {
+				got = d.Route.Prefix
+			}
+			if got != want {
+				t.Errorf("%s by %v: route %q, want %q", c.path, m, got, want)
+			}
+		}
+	}
+}
+
 // TestUpdatesKeepEarlierTables guards against a table that does not have the sum of
 // its updates, and against an update that changes a chunk of an earlier table.
 func TestUpdatesKeepEarlierTables(t *testing.T) {
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/jujubeknot/jujubeknot/core/routing"
 )
 
 // Dialect is a protocol that replaces the project's own. Callers and Backend
@@ -14,6 +16,8 @@
 type Dialect struct {
 	Callers Callers
 	Backend Backend
+	// Paths is how the path of a request is compared with the prefixes of routes.
+	Paths routing.PathMatching
 	// MaxHold bounds the time for which a backend server is granted keys.
 	MaxHold time.Duration
 	// MaxHeartbeatWait bounds how long the response to a heartbeat may wait for
--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -225,11 +225,12 @@
 // read validates the request and fills in the call, including its body.
 func (q *request) read() *outcome.Refusal {
 	r := q.r
-	uri := r.URL.RequestURI()
+	uri := requestTarget(r)
 	if !unambiguousRequest(r, uri) {
 		return relay.NotRun(outcome.ReasonBadRequest)
 	}
-	q.query = routing.Request{Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Host: r.Host, Random: rand.Uint64(), Header: r.Header}
+	path, query, _ := strings.Cut(uri, "?")
+	q.query = routing.Request{Paths: q.h.paths(), Path: path, Query: query, Host: r.Host, Random: rand.Uint64(), Header: r.Header}
 	t := q.h.cfg.View.Table()
 	if t.Revision() == 0 || q.h.rulesSuperseded() {
 		// Without current rules it is unknown whether a route exists.
@@ -291,6 +292,32 @@
 	}
 }
 
+// paths returns how paths are compared with the prefixes of routes.
+func (h *Handler) paths() routing.PathMatching {
+	if h.cfg.Dialect == nil {
+		return routing.MatchSegments
+	}
+	return h.cfg.Dialect.Paths
+}
+
+// requestTarget returns the path and the query as the caller sent them. URL has the
+// path only after decoding, and encodes more bytes than a caller must.
+func requestTarget(r *http.Request) string {
+	_, rest, absolute := strings.Cut(r.RequestURI, "://")
+	switch {
+	case r.RequestURI == "":
+		// The request does not come from a connection.
+		return r.URL.RequestURI()
+	case strings.HasPrefix(r.RequestURI, "/") || !absolute:
+		return r.RequestURI
+	}
+	i := strings.IndexAny(rest, "/?")
+	if i < 0 || rest[i] == '?' {
+		return r.URL.RequestURI()
+	}
+	return rest[i:]
+}
+
 // unambiguousRequest reports whether every backend server reads the request as
 // this node does. It rejects HTTP/1.0, whose truncated responses cannot be
 // distinguished from complete ones, and a target or host with spaces or control
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -264,7 +264,10 @@
 		h.Log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("call from a node cannot be decoded")
 		return nil, relay.NotRun(outcome.ReasonBadRequest)
 	}
-	c.Method, c.URI, c.Host, c.Header = r.Method, r.URL.RequestURI(), r.Host, relay.EndToEnd(r.Header)
+	c.Method, c.URI, c.Host, c.Header = r.Method, r.RequestURI, r.Host, relay.EndToEnd(r.Header)
+	if target := r.Header.Get(headers.PeerTarget); target != "" {
+		c.URI = target
+	}
 	setClassFromHeader(c, r.Header)
 	c.Body = requestBody(w, r)
 	return c, nil
--- a/wire/headers/headers.go
+++ b/wire/headers/headers.go
@@ -49,6 +49,10 @@
 	// PeerClass holds the kind of the call and the priority of the call that it
 	// is made for. Nodes of versions without it ignore it.
 	PeerClass = "Jujubeknot-Peer-Class"
+	// PeerTarget is the path and the query of a call as its caller sent them, if
+	// the path of the HTTP/2 request has other escapes. Nodes of versions without
+	// it use that path.
+	PeerTarget = "Jujubeknot-Peer-Target"
 )
 
 // Headers between control members.
