backend: one heartbeat no longer decides who lives beside a node

Cause: missing fields were taken for zeros and unused ones not looked at; the backend server that started last was announced; the incarnation then returned its lease at once, on the evidence of that one message. Another backend server is announced if the health path names it, one of the same name if the connections to the earlier process have ended, and otherwise after a second heartbeat and the end of all grants. A response 421 of another server is confirmed the same way before the lease is returned.

--- a/core/rules/format.go
+++ b/core/rules/format.go
@@ -81,7 +81,7 @@
 	}
 	add(2, u.Name, "upstream "+u.Name, u.Comment, "upstream", u.Name, kind, partitions, keys,
 		nonDefault("slots", u.Slots, 0), nonDefault("connections", u.Connections, 0), nonDefault("queue", u.Queue, 0),
-		nonDefault("policy", u.Policy, ""))
+		nonDefault("health", u.HealthPath, ""), nonDefault("policy", u.Policy, ""))
 	if u.LimitComment.present() {
 		rate, share, body := "", "", ""
 		if u.RequestsPerSecond > 0 {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -80,6 +80,9 @@
 	Connections int
 	// Queue limits the requests that wait at one node. 0 means 4 times Slots.
 	Queue int
+	// HealthPath is the path at which a backend server states its health and its
+	// name, where a dialect has such a path. Empty means that there is none.
+	HealthPath string
 	// Policy is the placement policy of a keyed upstream, or the policy by
 	// which an unkeyed upstream selects a backend server. Empty means the
 	// default.
--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -75,6 +75,12 @@
 		setting{"slots", func(w word) { u.Slots = int(c.integer(w, 1, maxSlots)) }},
 		setting{"connections", func(w word) { u.Connections = int(c.integer(w, 1, maxConnections)) }},
 		setting{"queue", func(w word) { u.Queue = int(c.integer(w, 1, maxQueue)) }},
+		setting{"health", func(w word) {
+			u.HealthPath = w.text
+			if !ValidHealthPath(w.text) {
+				c.errorf(w.column, "found %q; expected a path that begins with /, of at most %d bytes and without any of ? # \" \\", w.text, maxPrefixBytes)
+			}
+		}},
 		setting{"policy", func(w word) {
 			u.Policy = w.text
 			if !slices.Contains(policies, w.text) {
@@ -144,6 +150,13 @@
 	p.set.Routes = append(p.set.Routes, r)
 }
 
+// ValidHealthPath reports whether the setting health of an upstream may have a
+// value.
+func ValidHealthPath(path string) bool {
+	return strings.HasPrefix(path, "/") && len(path) <= maxPrefixBytes &&
+		strings.IndexFunc(path, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune("?#\"\\", r) }) < 0
+}
+
 // weightedUpstreams parses the upstreams of a route: NAME, or a list such as
 // NAME:WEIGHT,NAME:WEIGHT. keyed is the name of a keyed upstream among them, or
 // empty if there is none.
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -58,6 +58,9 @@
 	// ExpectedResponseID returns the id that a response to the call must carry,
 	// or an empty string if responses carry none.
 	ExpectedResponseID(c Call) string
+	// ServerName returns the name that a backend server states in the header of the
+	// response of its health path, or an empty string if it states none.
+	ServerName(header http.Header) string
 }
 
 // Call is one call to the backend server.
@@ -115,6 +118,9 @@
 	// ColdRemaining is the remaining time of its cold start, 0 if there is
 	// none.
 	ColdRemaining time.Duration
+	// ReportsKeys is true if the heartbeat states which keys the backend server holds
+	// and released, even if there are none.
+	ReportsKeys bool
 	// Held are the keys that it holds or for which it still runs requests.
 	Held []FencedRange
 	// Released are the keys that it released since the last heartbeat that got
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/jujubeknot/jujubeknot/node/dialect"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
@@ -17,7 +18,15 @@
 // returns the response to it, after at most Dialect.MaxHeartbeatWait. It
 // requires Config.Dialect. It is safe for concurrent use.
 func (n *Node) Heartbeat(ctx context.Context, b dialect.Heartbeat) (dialect.HeartbeatResponse, error) {
-	current, err := n.backend.Heartbeat(b)
+	arrived := time.Now()
+	healthPath := ""
+	if u := n.view.Table().Upstream(b.Upstream); u != nil {
+		if u.NumericKeys && !b.ReportsKeys {
+			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q without keys, of a keyed upstream: %w", b.Name, backend.ErrForeignHeartbeat)
+		}
+		healthPath = u.HealthPath
+	}
+	current, err := n.backend.Heartbeat(ctx, b, healthPath)
 	if err != nil {
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
@@ -25,12 +34,13 @@
 		return dialect.HeartbeatResponse{OnSent: func() {}}, nil
 	}
 	received := n.owner.Receive(b)
-	n.owner.AwaitGrantChange(ctx, received, n.cfg.Dialect.MaxHeartbeatWait)
+	n.owner.AwaitGrantChange(ctx, received, max(n.cfg.Dialect.MaxHeartbeatWait-time.Since(arrived), 0))
 	return n.owner.Respond(received, n.cfg.Dialect.MaxHold), nil
 }
 
-// Deregister records that the backend server with this name is stopping.
-func (n *Node) Deregister(name string) { n.backend.Deregister(name) }
+// Deregister records that the backend server with this name is stopping. If started
+// is not zero, it is the start of the incarnation that is stopping.
+func (n *Node) Deregister(name string, started time.Time) { n.backend.Deregister(name, started) }
 
 // SetControlMembers replaces the configured addresses of control members, after
 // a change of the settings. Addresses learnt from control itself are kept.
--- a/node/internal/backend/adopt_test.go
+++ b/node/internal/backend/adopt_test.go
@@ -50,7 +50,7 @@
 		}
 		clock.passed.Add(int64(c.after))
 		if c.heartbeat {
-			if current, err := s.Heartbeat(heartbeat); !current || err != nil {
+			if current, err := s.Heartbeat(context.Background(), heartbeat, ""); !current || err != nil {
 				t.Fatalf("%s: heartbeat of the same incarnation: %v, %v", c.name, current, err)
 			}
 		}
@@ -114,7 +114,7 @@
 		heartbeat dialect.Heartbeat
 		want      bool
 	}{{earlier, false}, {next, true}, {earlier, false}} {
-		if current, err := s.Heartbeat(c.heartbeat); current != c.want || err != nil {
+		if current, err := s.Heartbeat(context.Background(), c.heartbeat, ""); current != c.want || err != nil {
 			t.Errorf("heartbeat of %s: current %v, %v; want %v", c.heartbeat.Name, current, err, c.want)
 		}
 	}
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -91,22 +91,38 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
+	n, ok, err := c.peek()
+	return !ok || n <= 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+}
+
+// endedByPeer reports whether the backend server has closed or reset an idle
+// connection.
+func (c *conn) endedByPeer() bool {
+	n, ok, err := c.peek()
+	return ok && (n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE)
+}
+
+// peek looks for a byte to read without waiting and without reading it. n is 0
+// without an error at the end of the connection. It reports false if the connection
+// is not that of a socket.
+func (c *conn) peek() (n int, ok bool, err error) {
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, true, syscall.EPIPE
 	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
+	readErr := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = n <= 0 && (e == syscall.EAGAIN || e == syscall.EWOULDBLOCK)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && usable
+	if readErr != nil {
+		return 0, true, syscall.EPIPE
+	}
+	return n, true, err
 }
 
 // exchange is one request and its response on a connection.
--- a/node/internal/backend/dialect.go
+++ b/node/internal/backend/dialect.go
@@ -67,11 +67,13 @@
 		// Another server now has the address, so the one that was called has
 		// ended.
 		refusal, kind = relay.NotRun(outcome.ReasonUnreachable), admission.ResultCancelled
-		a.s.loseReplaced(a.server)
 	case read.NotHeld:
 		refusal, kind = relay.NotRun(outcome.ReasonNotHeld), admission.ResultCancelled
 	}
 	a.finish(kind, err == nil)
+	if read.WrongServer {
+		a.s.confirmReplaced(ctx, a.server)
+	}
 	refusal.RetryAfter = read.RetryAfter
 	return nil, refusal
 }
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"syscall"
@@ -28,9 +29,11 @@
 var ErrForeignHeartbeat = errors.New("the heartbeat is not one of the backend server beside this node")
 
 // Heartbeat applies a heartbeat. It reports false for a heartbeat that is older
-// than the latest one. Such a heartbeat has no effect, and its sender must not
-// be granted anything.
-func (s *Server) Heartbeat(b dialect.Heartbeat) (bool, error) {
+// than the latest one, and for one of a backend server that is not known to be
+// the one beside this node. Such a heartbeat has no effect, and its sender must
+// not be granted anything. healthPath is the path at which backend servers of the
+// upstream state their names, empty if it is unknown.
+func (s *Server) Heartbeat(ctx context.Context, b dialect.Heartbeat, healthPath string) (bool, error) {
 	if _, err := netip.ParseAddrPort(b.Address); err != nil || b.Name == "" || b.Upstream == "" || b.Slots < 1 || b.Slots > maxSlots {
 		return false, ErrForeignHeartbeat
 	}
@@ -39,17 +42,23 @@
 		Name: b.Name, Upstream: b.Upstream, Address: b.Address, BootId: incarnation, Slots: uint32(b.Slots), ChecksFences: true,
 		StartedUnixMs: b.Started.UnixMilli(),
 	}
-	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	old := s.announced
 	sameIncarnation := old.GetBootId() == incarnation
-	if old != nil && (b.Started.Before(s.started) || sameIncarnation && b.Sequence <= s.sequence) {
+	s.mu.Unlock()
+	found := evidenceNone
+	if !sameIncarnation {
+		found = s.evidenceFor(ctx, b, healthPath)
+	}
+	now, grantsEnd := s.cfg.Clock.Now(), s.cfg.HoldsUntil()
+	s.mu.Lock()
+	if s.announced != old || sameIncarnation && b.Sequence <= s.sequence || !sameIncarnation && !s.acceptsClaim(now, grantsEnd, b, found) {
 		s.mu.Unlock()
 		return false, nil
 	}
 	changed := s.lost || !proto.Equal(old, next)
-	s.announced, s.lastContact, s.lost, s.started, s.sequence = next, now, false, b.Started, b.Sequence
-	s.adopted = adoption{}
+	s.announced, s.lastContact, s.lastHeartbeat, s.lost, s.started, s.sequence = next, now, now, false, b.Started, b.Sequence
+	s.adopted, s.claim = adoption{}, claim{}
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
 	s.mu.Unlock()
 	if b.ColdRemaining > 0 {
@@ -72,6 +81,24 @@
 	return true, nil
 }
 
+// acceptsClaim records a heartbeat of a backend server that is not the announced
+// one, and reports whether that backend server is to be announced. The caller holds
+// the lock.
+func (s *Server) acceptsClaim(now, grantsEnd time.Time, b dialect.Heartbeat, e evidence) bool {
+	s.claim = s.claim.with(now, b)
+	if s.adopted.holdsUntil.After(grantsEnd) {
+		grantsEnd = s.adopted.holdsUntil
+	}
+	accepted := succession{
+		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
+	}.accepts(now)
+	if !accepted {
+		s.log.Warn().Str("name", b.Name).Str("life", b.Incarnation()).Str("announced", s.announced.GetBootId()).Stringer("evidence", e).
+			Int("heartbeats", s.claim.heartbeats).Msg("heartbeat of another backend server not accepted")
+	}
+	return accepted
+}
+
 // Adopt makes the backend server of an earlier process of the node the
 // announced one until its next heartbeat. Without Adopt, the keys of the
 // backend server would have no node until that heartbeat. From holdsUntil on
@@ -121,11 +148,12 @@
 }
 
 // Deregister records that the backend server called name is about to end. It
-// may still serve requests for a short time.
-func (s *Server) Deregister(name string) {
+// may still serve requests for a short time. If started is not zero, it must be the
+// start of the announced incarnation.
+func (s *Server) Deregister(name string, started time.Time) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
-	known := s.announced.GetName() == name
+	known := s.announced.GetName() == name && (started.IsZero() || started.Equal(s.started))
 	beganLeaving := known && s.recordLeaving(now, true, true)
 	s.mu.Unlock()
 	if beganLeaving {
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -109,6 +109,21 @@
 	}
 }
 
+// idleStates returns how many of the idle connections are open and how many of
+// them the backend server has closed or reset.
+func (p *pool) idleStates() (open, ended int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		if c.endedByPeer() {
+			ended++
+		} else {
+			open++
+		}
+	}
+	return open, ended
+}
+
 func (p *pool) expired(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -107,11 +107,18 @@
 	// adopted is set while an adopted backend server has sent no heartbeat to
 	// this process of the node.
 	adopted adoption
-	// started and sequence are those of the latest heartbeat.
-	started  time.Time
-	sequence uint64
-	upstream rules.Upstream
-	load     Load
+	// started and sequence are those of the latest heartbeat, which arrived at
+	// lastHeartbeat.
+	started       time.Time
+	sequence      uint64
+	lastHeartbeat time.Time
+	// claim is the latest claim that was not accepted.
+	claim claim
+	// lastIdentified is the time of the latest request for the name of a backend
+	// server.
+	lastIdentified time.Time
+	upstream       rules.Upstream
+	load           Load
 	// countPartitions returns the number of partitions that keep a leaving
 	// backend server from stopping.
 	countPartitions func() (partitions int)
@@ -147,7 +154,8 @@
 		bodies:    newBodyReceiver(cfg.RequestClock, cfg.LinkRate),
 		grants:    grants{sending: make(chan struct{}, 1)},
 		client: &http.Client{
-			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true},
+			Transport:     &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxCallBytes},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		countPartitions: func() int { return 0 },
 	}
