backend: a connection carries no request id twice; responses without id prove nothing

Cause: a second copy of a rejection arrives on the kept connection on which the repeat with the same attempt id was sent; the id cannot tell the two sendings apart, and a response without an id was taken for that of any request. Change: a connection remembers the ids that it carried, and the pool takes another one for a repeat; a response without the expected id is skipped like one with another id; without ids (own protocol) a connection ends after a refusal.

--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -67,7 +67,7 @@
 		return nil, refusal
 	}
 	a := &attempt{s: s, call: call, ticket: ticket, started: s.cfg.RequestClock.Now(), server: s.Announced().GetName()}
-	c, err := s.pool.get(ctx)
+	c, err := s.pool.get(ctx, s.receivedID(call))
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
 	}
@@ -161,7 +161,10 @@
 		return nil, a.fail(ctx, errMismatchedID)
 	}
 	if isShed(x.response) {
-		a.finish(admission.ResultShed, discardBody(x.response.Body) == nil)
+		// Without an id, a late copy of the refusal could be taken for the response to
+		// another request, so the connection is not used again.
+		identified := x.response.Header.Get(headers.RequestID) != ""
+		a.finish(admission.ResultShed, discardBody(x.response.Body) == nil && identified)
 		return nil, a.retryAfter(relay.NotRun(outcome.ReasonShed))
 	}
 	return a.answer(ctx)
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -50,6 +50,7 @@
 	// is expected, -1 for no limit.
 	headerBudget int
 	written      int64
+	sent         sentIDs
 }
 
 func newConn(nc net.Conn, generation uint64) *conn {
--- a/node/internal/backend/dialect.go
+++ b/node/internal/backend/dialect.go
@@ -37,11 +37,11 @@
 	var read dialect.Response
 	for mismatched := 0; ; mismatched++ {
 		read = d.Backend.ParseResponse(call, x.response.StatusCode, x.response.Header)
-		if read.ID == "" || expected == "" || read.ID == expected {
+		if read.ID == expected {
 			break
 		}
-		// This is a second response to an earlier call. The one to this call
-		// follows.
+		// Without the id of this call, the response may be a late copy of that to an
+		// earlier call, and proves nothing. The one to this call follows.
 		if mismatched >= maxMismatched || x.response.Close {
 			return nil, a.fail(ctx, errMismatchedID)
 		}
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,18 +92,22 @@
 	}
 }
 
-// get returns an idle connection or opens one. The error means that no byte
-// was sent.
-func (p *pool) get(ctx context.Context) (*conn, error) {
+// get returns an idle connection that has not carried the request id, or opens
+// one. The error means that no byte was sent.
+func (p *pool) get(ctx context.Context, id string) (*conn, error) {
 	for {
-		c, address, generation, err := p.take()
+		c, address, generation, err := p.take(id)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx, address, generation)
+			if c, err = p.dial(ctx, address, generation); err == nil {
+				c.sent.add(id)
+			}
+			return c, err
 		}
 		if c.usable() && !p.expired(c) {
+			c.sent.add(id)
 			return c, nil
 		}
 		p.put(c, false)
@@ -130,20 +135,28 @@
 	return p.idleLimit > 0 && time.Since(c.idleSince) >= p.idleLimit
 }
 
-func (p *pool) take() (*conn, string, uint64, error) {
+// take removes and returns the most recently used idle connection that has not
+// carried the request id. If there is none, it returns nil and what is needed to
+// open a connection, and closes an idle one where no more may be open.
+func (p *pool) take(id string) (*conn, string, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
-		return c, "", 0, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.sent.has(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, "", 0, nil
+		}
 	}
 	if p.address == "" || p.maxOpen == 0 {
 		return nil, "", 0, errNoServer
 	}
 	if p.open >= p.maxOpen {
-		return nil, "", 0, errNoConnection
+		if len(p.idle) == 0 {
+			return nil, "", 0, errNoConnection
+		}
+		_ = p.idle[0].nc.Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
 	}
 	p.open++
 	return nil, p.address, p.generation, nil
--- a/node/raw_test.go
+++ b/node/raw_test.go
@@ -331,6 +331,58 @@
 	}
 }
 
+// TestLateCopyOfRefusal guards against a late copy of a refusal that is taken for the
+// response to another request, or to a resend of the refused one, which then runs.
+func TestLateCopyOfRefusal(t *testing.T) {
+	for _, withID := range []bool{true, false} {
+		var mu sync.Mutex
+		pending, refused, runs := map[net.Conn]string{}, map[string]bool{}, map[string]int{}
+		_, nodes := startRaw(t, func(c net.Conn, r *http.Request) bool {
+			id := r.Header.Get(idHeader)
+			if id == "" {
+				return fine(c, "ok")
+			}
+			mu.Lock()
+			late := pending[c]
+			delete(pending, c)
+			refuse := !refused[id] && late == ""
+			if refuse {
+				refused[id] = true
+			} else {
+				runs[id]++
+			}
+			mu.Unlock()
+			if !refuse {
+				_, _ = io.WriteString(c, late)
+				// The response follows some time after the copy.
+				time.Sleep(10 * time.Millisecond)
+				return fine(c, id)
+			}
+			answer := "HTTP/1.1 503 Service Unavailable\r\nJujubeknot-Outcome: notRun\r\nContent-Length: 0\r\n"
+			if withID {
+				answer += "Jujubeknot-Request-Id: " + r.Header.Get("Jujubeknot-Request-Id") + "\r\n"
+			}
+			mu.Lock()
+			pending[c] = answer + "\r\n"
+			mu.Unlock()
+			_, err := io.WriteString(c, answer+"\r\n")
+			return err == nil
+		})
+		for i := range 10 {
+			id := fmt.Sprint("copy", i)
+			for range 3 {
+				a := send("POST", nodes[i%2].url+"/applications/k", map[string]string{idHeader: id, "Idempotency-Key": id}, nil)
+				mu.Lock()
+				n := runs[id]
+				mu.Unlock()
+				if n > 1 || a.refusal.Outcome == "notRun" && n > 0 || a.status == 200 && n != 1 {
+					t.Errorf("with id %v, %s: status %d outcome %q after %d runs", withID, id, a.status, a.refusal.Outcome, n)
+				}
+			}
+		}
+	}
+}
+
 // TestEndlessResponsesAreBounded guards against a backend server that sends bytes
 // without end in place of a response: the request must end by its deadline, not look
 // complete, and keep no memory, slot or connection.
