--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -19,14 +19,10 @@
 // requires Config.Dialect. It is safe for concurrent use.
 func (n *Node) Heartbeat(ctx context.Context, b dialect.Heartbeat) (dialect.HeartbeatResponse, error) {
 	arrived := time.Now()
-	healthPath := ""
-	if u := n.view.Table().Upstream(b.Upstream); u != nil {
-		if u.NumericKeys && !b.ReportsKeys {
-			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q without keys, of a keyed upstream: %w", b.Name, backend.ErrForeignHeartbeat)
-		}
-		healthPath = u.HealthPath
+	if u := n.view.Table().Upstream(b.Upstream); u != nil && u.NumericKeys && !b.ReportsKeys {
+		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q without keys, of a keyed upstream: %w", b.Name, backend.ErrForeignHeartbeat)
 	}
-	current, err := n.backend.Heartbeat(ctx, b, healthPath)
+	current, err := n.backend.Heartbeat(ctx, b, n.healthPath(b.Upstream))
 	if err != nil {
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
@@ -38,6 +34,29 @@
 	return n.owner.Respond(received, n.cfg.Dialect.MaxHold), nil
 }
 
+// healthPath returns the path at which backend servers of an upstream state their
+// names, or an empty string if it is unknown.
+func (n *Node) healthPath(upstream string) string {
+	if u := n.view.Table().Upstream(upstream); u != nil {
+		return u.HealthPath
+	}
+	return ""
+}
+
+// reviewClaims reviews the claim of a backend server whenever the routing table
+// changes, until the context ends.
+func (n *Node) reviewClaims(ctx context.Context) {
+	for {
+		changed := n.view.Changed()
+		n.backend.ReviewClaim(ctx, n.healthPath)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Deregister records that the backend server with this name is stopping. If started
 // is not zero, it is the start of the incarnation that is stopping.
 func (n *Node) Deregister(name string, started time.Time) { n.backend.Deregister(name, started) }
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -42,26 +42,52 @@
 	return [...]string{"none", "confirms", "refutes"}[e]
 }
 
+// maxClaimAge is the time after which a claim without another heartbeat is no longer
+// reviewed.
+const maxClaimAge = 5 * time.Second
+
 // claim counts the heartbeats of one incarnation that is not the announced one.
 type claim struct {
 	incarnation string
 	since       time.Time
 	sequence    uint64
 	heartbeats  int
+	// latest is the latest heartbeat of the claim, which arrived at latestAt.
+	latest   dialect.Heartbeat
+	latestAt time.Time
 }
 
 // with returns the claim with another heartbeat. A heartbeat of another
 // incarnation begins another claim.
 func (c claim) with(now time.Time, b dialect.Heartbeat) claim {
 	if c.incarnation != b.Incarnation() {
-		return claim{b.Incarnation(), now, b.Sequence, 1}
+		return claim{b.Incarnation(), now, b.Sequence, 1, b, now}
 	}
 	if b.Sequence > c.sequence {
-		c.sequence, c.heartbeats = b.Sequence, c.heartbeats+1
+		c.sequence, c.heartbeats, c.latest, c.latestAt = b.Sequence, c.heartbeats+1, b, now
 	}
 	return c
 }
 
+// ReviewClaim looks again for evidence for a backend server whose heartbeat was not
+// accepted, once the rules are known. A new process of the node gets heartbeats before
+// it knows the health path of the upstream, and the next one may be seconds away.
+func (s *Server) ReviewClaim(ctx context.Context, healthPath func(upstream string) string) {
+	s.mu.Lock()
+	c := s.claim
+	due := c.heartbeats > 0 && s.announced == nil && s.cfg.Clock.Now().Sub(c.latestAt) < maxClaimAge
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	path := healthPath(c.latest.Upstream)
+	if path == "" {
+		return
+	}
+	accepted, err := s.Heartbeat(ctx, c.latest, path)
+	s.log.Debug().Err(err).Str("name", c.latest.Name).Bool("accepted", accepted).Msg("heartbeat of another backend server reviewed")
+}
+
 // succession decides whether the backend server of a heartbeat replaces the
 // announced one. The replaced one loses its lease at once, which cannot be undone,
 // so one message is not enough: any process on the VM may have sent it.
