relay: what must have arrived before a call runs is said in one place

Cause: the entry node took a lost call for not run below 1 MiB read, but bodies that are announced as longer are streamed from the first byte, the header before. Evidence: TestUploadThatRunsIsNotRefused, notRun after a run before. Change: Body.BytesBeforeRun; the header of a streamed request leaves with the first part of the body; an attempt of which nothing was written is notRun.

--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -140,10 +140,10 @@
 	_ = x.c.nc.SetDeadline(time.Now().Add(remaining))
 	x.watch(ctx)
 	x.watch(a.permit.Context)
-	x.c.written = 0
+	x.c.written.Store(0)
 	a.s.running.add(a.s.receivedID(a.call), a.call.Urgency())
 	if err := x.writeRequest(a.call, a.fields(remaining)); err != nil {
-		if x.c.written == 0 {
+		if x.c.written.Load() == 0 {
 			a.finish(admission.ResultRefused, false)
 			return nil, relay.NotRun(outcome.ReasonUnreachable)
 		}
@@ -152,6 +152,11 @@
 	if err := x.readResponse(); err != nil {
 		return nil, a.fail(ctx, err)
 	}
+	if x.c.written.Load() == 0 {
+		// The first part of a streamed body has not arrived, so nothing was sent that
+		// this could be the response to.
+		return nil, a.fail(ctx, errExtraBytes)
+	}
 	if a.s.cfg.Dialect != nil {
 		return a.runDialect(ctx)
 	}
@@ -237,8 +242,8 @@
 	return list
 }
 
-// fail ends an attempt of which at least one byte was written, and makes the
-// backend server cancel it.
+// fail ends an attempt of which a byte may have been written, and makes the backend
+// server cancel it.
 func (a *attempt) fail(ctx context.Context, err error) *outcome.Refusal {
 	kind, refusal := admission.ResultFailed, relay.Unknown(outcome.ReasonConnectionLost)
 	switch {
@@ -254,6 +259,10 @@
 	if a.cancel(kind) && a.x.sendErr != nil {
 		refusal.Reason = outcome.ReasonCancelled
 	}
+	if a.x.c.written.Load() == 0 {
+		// cancel has ended the goroutine that streams the body.
+		refusal.Outcome = outcome.OutcomeNotRun
+	}
 	a.s.log.Debug().Err(err).Str("requestId", a.call.BackendRequestID()).Str("reason", string(refusal.Reason)).Msg("request to backend server failed")
 	return refusal
 }
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -49,8 +49,10 @@
 	// headerBudget is the number of bytes that may still be read while a header
 	// is expected, -1 for no limit.
 	headerBudget int
-	written      int64
-	sent         sentIDs
+	// written is the number of bytes of the current request that the kernel has
+	// accepted.
+	written atomic.Int64
+	sent    sentIDs
 }
 
 func newConn(nc net.Conn, generation uint64) *conn {
@@ -82,7 +84,7 @@
 // Write counts the bytes that the kernel has accepted.
 func (w *connWriter) Write(p []byte) (int, error) {
 	n, err := w.nc.Write(p)
-	w.written += int64(n)
+	w.written.Add(int64(n))
 	return n, err
 }
 
@@ -221,9 +223,9 @@
 		_, _ = w.Write(call.Body.Buffered)
 		return w.Flush()
 	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
+	// The header is sent together with the first part of the body. The backend server
+	// may run a request as soon as it has the header, and entry nodes rely on
+	// relay.Body.BytesBeforeRun.
 	x.bodySent, x.abortSource = make(chan struct{}), call.Body.Abort
 	go func() {
 		defer close(x.bodySent)
--- a/node/internal/peer/streamed.go
+++ b/node/internal/peer/streamed.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		refusal := classifyError(ctx, err)
 		if q.Body.(*abortableBody).stop() {
-			// The owner runs no call whose body it has not received.
+			// The owner runs no call before it has received these bytes.
 			refusal.Outcome = outcome.OutcomeNotRun
 		}
 		return nil, refusal, err
@@ -118,11 +118,7 @@
 		// A body in memory has no blocking reads to abort.
 		abort = func() {}
 	}
-	body := &abortableBody{Reader: b.Reader(), abort: abort, whole: relay.MaxWholeBodyBytes}
-	if size := b.Size(); size >= 0 {
-		body.whole = min(body.whole, size)
-	}
-	q.Body = body
+	q.Body = &abortableBody{Reader: b.Reader(), abort: abort, needed: b.BytesBeforeRun()}
 }
 
 var errBodyStopped = errors.New("request body was stopped")
@@ -133,8 +129,8 @@
 	io.Reader
 	abort func()
 	once  sync.Once
-	// whole is the number of bytes without which the owner runs no call.
-	whole int64
+	// needed is the number of bytes without which the owner runs no call.
+	needed int64
 
 	mu   sync.Mutex
 	read int64
@@ -166,7 +162,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopped = true
-	return !b.ended && b.read < b.whole
+	return !b.ended && b.read < b.needed
 }
 
 // Close aborts a Read that waits.
--- a/node/internal/relay/body.go
+++ b/node/internal/relay/body.go
@@ -8,8 +8,8 @@
 )
 
 // MaxWholeBodyBytes is the size of the largest body that the owner receives
-// completely before its call may run. The rest of a larger body is streamed to
-// the backend server as it arrives.
+// completely before its call may run. A larger body is streamed to the backend
+// server as it arrives, from its first byte if its length was announced.
 const MaxWholeBodyBytes = 1 << 20
 
 // Body is a request body: a part in memory and, for large bodies, a rest that
@@ -40,6 +40,20 @@
 	return int64(len(b.Buffered))
 }
 
+// BytesBeforeRun returns the number of bytes of the body without which the owner
+// runs no call: all of a short body, MaxWholeBodyBytes if the length is unknown, and
+// one byte of a body that is announced as longer.
+func (b *Body) BytesBeforeRun() int64 {
+	switch size := b.Size(); {
+	case size < 0:
+		return MaxWholeBodyBytes
+	case size <= MaxWholeBodyBytes:
+		return size
+	default:
+		return 1
+	}
+}
+
 // Resendable reports whether the body can still be read from its beginning.
 func (b *Body) Resendable() bool { return b.Rest == nil || !b.restRead.Load() }
 
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -248,6 +248,55 @@
 	}
 }
 
+// TestUploadThatRunsIsNotRefused guards against an upload that a backend server has
+// begun to run and whose caller is told that it did not, because its owner's node is
+// lost or its deadline passes while less than 1 MiB of it was read.
+func TestUploadThatRunsIsNotRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, deadline string
+		kill           bool
+		// sent is how much of the upload the caller sends.
+		sent    int
+		length  string
+		runs    int
+		outcome string
+	}{
+		{"node lost, length announced", "2000", true, 100_000, "Content-Length: 3000000", 1, "unknown"},
+		{"deadline, length announced", "300", false, 100_000, "Content-Length: 3000000", 1, "unknown"},
+		{"deadline before the first byte", "300", false, 0, "Content-Length: 3000000", 0, "notRun"},
+		{"deadline, length below 1 MiB", "300", false, 100_000, "Content-Length: 300000", 0, "notRun"},
+	} {
+		p := startPair(t, testRules)
+		running, end := make(chan struct{}, 1), make(chan struct{})
+		p.server.setHandler(func(_ http.ResponseWriter, _ *http.Request) {
+			running <- struct{}{}
+			<-end
+		})
+		nc, err := net.Dial("tcp", p.entry.Addresses().Callers.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(nc, "POST /applications/k HTTP/1.1\r\nHost: h\r\nX-Test-Id: upload\r\nJujubeknot-Deadline: %s\r\n%s\r\n\r\n%s", c.deadline, c.length, strings.Repeat("u", c.sent))
+		if c.kill {
+			<-running
+			p.owner.Kill()
+		}
+		r, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if got := r.Header.Get(headers.Outcome); got != c.outcome || p.server.runCount("upload") != c.runs {
+			t.Errorf("%s: status %d outcome %q after %d runs, want %s after %d", c.name, r.StatusCode, got, p.server.runCount("upload"), c.outcome, c.runs)
+		}
+		close(end)
+		_ = nc.Close()
+		p.owner.Kill()
+		<-p.owner.ended
+		p.entry.Kill()
+		<-p.entry.ended
+	}
+}
+
 // TestDisconnectDuringLongBodyIsDetected guards against requests that reach a backend
 // server long after their callers have disconnected. The disconnection is not detected
 // if a long body is not read while its request waits for a slot.
