--- a/node/internal/peer/recent.go
+++ b/node/internal/peer/recent.go
@@ -15,8 +15,8 @@
 	// after which the other node detects that its connection is half-open.
 	recentRetention = 2 * time.Second
 	// maxRecentBytes limits the memory of the kept responses.
-	// recentOverheadBytes is added to the size of each body for its header. The
-	// limit is enough for 3,276 responses with a body of 256 bytes.
+	// recentOverheadBytes is added to the size of each header and body. The limit is
+	// enough for 2,730 responses with header and body of 512 bytes.
 	maxRecentBytes      = 4 << 20
 	recentOverheadBytes = 1 << 10
 )
@@ -31,7 +31,15 @@
 	ended   time.Time
 }
 
-func (c *recentCall) cost() int { return recentOverheadBytes + len(c.body) }
+func (c *recentCall) cost() int {
+	n := recentOverheadBytes + len(c.body)
+	for name, values := range c.header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
 
 // recentCalls has the idempotent calls of other nodes, so that a response that
 // was lost with its connection can be sent again without a second run. It
--- a/node/internal/pipeline/pipeline_test.go
+++ b/node/internal/pipeline/pipeline_test.go
@@ -415,3 +415,43 @@
 		}
 	}
 }
+
+// TestWaitingResponsesAreBounded guards against responses that wait for an earlier one
+// and take memory without bound: 128 KiB each, 32 on each of thousands of connections.
+func TestWaitingResponsesAreBounded(t *testing.T) {
+	release, written := make(chan struct{}), make(chan struct{}, 400)
+	body := strings.Repeat("x", 100<<10)
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-release
+			return
+		}
+		_, _ = io.WriteString(w, body)
+		written <- struct{}{}
+	})}
+	connect := start(t, s)
+	var conns []net.Conn
+	for range 12 {
+		c := connect()
+		conns = append(conns, c)
+		send(t, c, get("/first")+strings.Repeat(get("/next"), 30))
+	}
+	// 16 MiB are enough for 163 responses. The others wait in Write.
+	for range 163 {
+		<-written
+	}
+	time.Sleep(50 * time.Millisecond)
+	if n := len(written); n > 0 {
+		t.Errorf("%d responses of 100 KiB are buffered, want at most 163", 163+n)
+	}
+	close(release)
+	for _, c := range conns {
+		br := bufio.NewReader(c)
+		read(t, br, "GET")
+		for range 30 {
+			if _, got := read(t, br, "GET"); got != body {
+				t.Fatalf("got a body of %d bytes, want %d", len(got), len(body))
+			}
+		}
+	}
+}
--- a/node/internal/pipeline/server.go
+++ b/node/internal/pipeline/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,10 @@
 	DefaultMaxHeaderBytes = 64 << 10
 )
 
+// maxTotalBuffered bounds the response bodies that wait for earlier responses, over
+// all connections. Beyond it, handlers wait.
+const maxTotalBuffered = 16 << 20
+
 // shutdownPoll is the interval at which Shutdown checks for idle connections.
 const shutdownPoll = 5 * time.Millisecond
 
@@ -56,6 +61,9 @@
 	closing    bool
 	running    sync.WaitGroup
 	http2Conns *passedListener
+	// buffered is the number of bytes of response bodies that wait for earlier
+	// responses.
+	buffered atomic.Int64
 }
 
 // Serve accepts connections until Shutdown or Close, and then returns
@@ -124,6 +132,16 @@
 	delete(s.conns, c)
 }
 
+// reserve counts bytes that a response buffers. It reports false, and counts nothing,
+// if too many bytes are buffered.
+func (s *Server) reserve(n int) bool {
+	if s.buffered.Add(int64(n)) <= maxTotalBuffered {
+		return true
+	}
+	s.buffered.Add(-int64(n))
+	return false
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -80,6 +80,7 @@
 // is set.
 func (w *writer) complete() {
 	w.cancel()
+	w.releaseBuffer()
 	if err := w.failure(); err != nil && err != errConnectionEnded {
 		w.c.abort()
 	} else if w.shouldClose() {
@@ -123,7 +124,7 @@
 		return 0, http.ErrContentLength
 	}
 	w.written += int64(len(p))
-	if !w.headerSent && w.buffered.Len()+len(p) <= maxBufferedBytes {
+	if !w.headerSent && w.buffered.Len()+len(p) <= maxBufferedBytes && w.c.server.reserve(len(p)) {
 		return w.buffered.Write(p)
 	}
 	if err := w.sendHeader(); err != nil {
@@ -201,10 +202,16 @@
 			return err
 		}
 	}
-	w.buffered = bytes.Buffer{}
+	w.releaseBuffer()
 	return nil
 }
 
+// releaseBuffer drops the buffered part of the body.
+func (w *writer) releaseBuffer() {
+	w.c.server.buffered.Add(-int64(w.buffered.Len()))
+	w.buffered = bytes.Buffer{}
+}
+
 // connWriter writes to the connection below the chunk writer.
 type connWriter struct{ w *writer }
 
