--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -155,7 +155,7 @@
 	if x.c.written.Load() == 0 {
 		// The first part of a streamed body has not arrived, so nothing was sent that
 		// this could be the response to.
-		return nil, a.fail(ctx, errExtraBytes)
+		return nil, a.fail(ctx, errEarlyResponse)
 	}
 	if a.s.cfg.Dialect != nil {
 		return a.runDialect(ctx)
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -28,7 +28,7 @@
 	errBodyTooLong    = errors.New("body of a response that is not relayed is over 64 KiB")
 	errInvalid        = errors.New("response that the backend server cannot have sent for this request")
 	errFraming        = errors.New("response without length or chunks")
-	errExtraBytes     = errors.New("bytes after the response")
+	errEarlyResponse  = errors.New("response before the request was sent")
 	errMismatchedID   = errors.New("response carries the id of another request")
 	errInformational  = errors.New("too many informational responses")
 	errStatus         = errors.New("response status is not between 200 and 599")
