--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -45,6 +45,8 @@
 	bw *bufio.Writer
 	// generation is the pool's generation in which the connection was opened.
 	generation uint64
+	// heartbeats is the pool's number of heartbeats when the connection was opened.
+	heartbeats uint64
 	idleSince  time.Time
 	// headerBudget is the number of bytes that may still be read while a header
 	// is expected, -1 for no limit.
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -61,6 +61,7 @@
 	s.adopted, s.claim = adoption{}, claim{}
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
 	s.mu.Unlock()
+	s.pool.countHeartbeat()
 	if b.ColdRemaining > 0 {
 		s.admission.setColdUntil(now.Add(b.ColdRemaining))
 	}
@@ -92,7 +93,7 @@
 	accepted := succession{
 		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
 	}.accepts(now)
-	if !accepted {
+	if !accepted && s.claim.heartbeats <= minClaimHeartbeats {
 		s.log.Warn().Str("name", b.Name).Str("life", b.Incarnation()).Str("announced", s.announced.GetBootId()).Stringer("evidence", e).
 			Int("heartbeats", s.claim.heartbeats).Msg("heartbeat of another backend server not accepted")
 	}
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -28,6 +28,10 @@
 	idle       []*conn
 	open       int
 	generation uint64
+	// heartbeats is the number of heartbeats of the backend server, and ended that of
+	// the idle connections which it has closed or reset since the latest one.
+	heartbeats uint64
+	ended      int
 	// idleLimit is the idle time from which a connection is no longer used, 0
 	// for no limit.
 	idleLimit time.Duration
@@ -110,23 +114,48 @@
 			c.sent.add(id)
 			return c, nil
 		}
+		p.countEnded(c)
 		p.put(c, false)
 	}
 }
 
-// idleStates returns how many of the idle connections are open and how many of
-// them the backend server has closed or reset.
-func (p *pool) idleStates() (open, ended int) {
+// countHeartbeat counts a heartbeat of the backend server.
+func (p *pool) countHeartbeat() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.heartbeats++
+	p.ended = 0
+}
+
+// countEnded counts an idle connection that the backend server has closed.
+func (p *pool) countEnded(c *conn) {
+	if !c.endedByPeer() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.heartbeats < p.heartbeats {
+		p.ended++
+	}
+}
+
+// allEnded reports whether there were idle connections that were opened before the
+// latest heartbeat of the backend server, and it has closed or reset all of them. Later
+// connections may be those of its successor at the same address.
+func (p *pool) allEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ended := p.ended > 0
 	for _, c := range p.idle {
-		if c.endedByPeer() {
-			ended++
-		} else {
-			open++
+		switch {
+		case c.heartbeats >= p.heartbeats:
+		case c.endedByPeer():
+			ended = true
+		default:
+			return false
 		}
 	}
-	return open, ended
+	return ended
 }
 
 func (p *pool) expired(c *conn) bool {
@@ -164,6 +193,9 @@
 
 func (p *pool) dial(ctx context.Context, address string, generation uint64) (*conn, error) {
 	d := net.Dialer{Timeout: p.timeout}
+	p.mu.Lock()
+	heartbeats := p.heartbeats
+	p.mu.Unlock()
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.mu.Lock()
@@ -171,7 +203,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return newConn(nc, generation), nil
+	c := newConn(nc, generation)
+	c.heartbeats = heartbeats
+	return c, nil
 }
 
 // put returns a connection to the pool. It closes the connection unless it is
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -125,10 +125,7 @@
 	started := s.started
 	s.mu.Unlock()
 	if sameName {
-		switch open, ended := s.pool.idleStates(); {
-		case open > 0:
-			return evidenceRefutes
-		case ended > 0 && !b.Started.Before(started):
+		if !b.Started.Before(started) && s.pool.allEnded() {
 			return evidenceConfirms
 		}
 		return evidenceNone
