node: claims are no longer reviewed once a backend server is announced

Cause: the loop of reviewClaims woke with each change of the routing table for the whole life of a node, though a review is only for a process that has announced no backend server; wake-ups cost processor time on the large deployment. Change: the loop waits for the end of the node after the first announcement.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -44,11 +44,14 @@
 }
 
 // reviewClaims reviews the claim of a backend server whenever the routing table
-// changes, until the context ends.
+// changes, until one is announced. It returns when the context ends.
 func (n *Node) reviewClaims(ctx context.Context) {
 	for {
 		changed := n.view.Changed()
-		n.backend.ReviewClaim(ctx, n.healthPath)
+		if n.backend.ReviewClaim(ctx, n.healthPath) {
+			<-ctx.Done()
+			return
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -71,21 +71,24 @@
 
 // ReviewClaim looks again for evidence for a backend server whose heartbeat was not
 // accepted, once the rules are known. A new process of the node gets heartbeats before
-// it knows the health path of the upstream, and the next one may be seconds away.
-func (s *Server) ReviewClaim(ctx context.Context, healthPath func(upstream string) string) {
+// it knows the health path of the upstream, and the next one may be seconds away. It
+// reports true once a backend server has been announced, when no review is needed any
+// more.
+func (s *Server) ReviewClaim(ctx context.Context, healthPath func(upstream string) string) (done bool) {
 	s.mu.Lock()
-	c := s.claim
-	due := c.heartbeats > 0 && s.announced == nil && s.cfg.Clock.Now().Sub(c.latestAt) < maxClaimAge
+	c, announced := s.claim, s.announced != nil
+	due := c.heartbeats > 0 && s.cfg.Clock.Now().Sub(c.latestAt) < maxClaimAge
 	s.mu.Unlock()
-	if !due {
-		return
+	if announced || !due {
+		return announced
 	}
 	path := healthPath(c.latest.Upstream)
 	if path == "" {
-		return
+		return false
 	}
 	accepted, err := s.Heartbeat(ctx, c.latest, path)
 	s.log.Debug().Err(err).Str("name", c.latest.Name).Bool("accepted", accepted).Msg("heartbeat of another backend server reviewed")
+	return accepted
 }
 
 // succession decides whether the backend server of a heartbeat replaces the
