backend: a starting process takes its first heartbeat

Change: a process that has announced nothing and has no rules takes the first proper heartbeat, as before; the review of claims is no longer needed and is removed.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -43,23 +43,6 @@
 	return ""
 }
 
-// reviewClaims reviews the claim of a backend server whenever the routing table
-// changes, until one is announced. It returns when the context ends.
-func (n *Node) reviewClaims(ctx context.Context) {
-	for {
-		changed := n.view.Changed()
-		if n.backend.ReviewClaim(ctx, n.healthPath) {
-			<-ctx.Done()
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Deregister records that the backend server with this name is stopping. If started
 // is not zero, it is the start of the incarnation that is stopping.
 func (n *Node) Deregister(name string, started time.Time) { n.backend.Deregister(name, started) }
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -52,7 +52,7 @@
 	}
 	now, grantsEnd := s.cfg.Clock.Now(), s.cfg.HoldsUntil()
 	s.mu.Lock()
-	if s.announced != old || sameIncarnation && b.Sequence <= s.sequence || !sameIncarnation && !s.acceptsClaim(now, grantsEnd, b, found) {
+	if s.announced != old || sameIncarnation && b.Sequence <= s.sequence || !sameIncarnation && !s.acceptsClaim(now, grantsEnd, b, found, healthPath) {
 		s.mu.Unlock()
 		return false, nil
 	}
@@ -85,13 +85,13 @@
 // acceptsClaim records a heartbeat of a backend server that is not the announced
 // one, and reports whether that backend server is to be announced. The caller holds
 // the lock.
-func (s *Server) acceptsClaim(now, grantsEnd time.Time, b dialect.Heartbeat, e evidence) bool {
+func (s *Server) acceptsClaim(now, grantsEnd time.Time, b dialect.Heartbeat, e evidence, healthPath string) bool {
 	s.claim = s.claim.with(now, b)
 	if s.adopted.holdsUntil.After(grantsEnd) {
 		grantsEnd = s.adopted.holdsUntil
 	}
 	accepted := succession{
-		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
+		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, starting: s.announced == nil && healthPath == "", lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
 	}.accepts(now)
 	if !accepted && s.claim.heartbeats <= minClaimHeartbeats {
 		s.log.Warn().Str("name", b.Name).Str("life", b.Incarnation()).Str("announced", s.announced.GetBootId()).Stringer("evidence", e).
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -42,55 +42,26 @@
 	return [...]string{"none", "confirms", "refutes"}[e]
 }
 
-// maxClaimAge is the time after which a claim without another heartbeat is no longer
-// reviewed.
-const maxClaimAge = 5 * time.Second
-
 // claim counts the heartbeats of one incarnation that is not the announced one.
 type claim struct {
 	incarnation string
 	since       time.Time
 	sequence    uint64
 	heartbeats  int
-	// latest is the latest heartbeat of the claim, which arrived at latestAt.
-	latest   dialect.Heartbeat
-	latestAt time.Time
 }
 
 // with returns the claim with another heartbeat. A heartbeat of another
 // incarnation begins another claim.
 func (c claim) with(now time.Time, b dialect.Heartbeat) claim {
 	if c.incarnation != b.Incarnation() {
-		return claim{b.Incarnation(), now, b.Sequence, 1, b, now}
+		return claim{b.Incarnation(), now, b.Sequence, 1}
 	}
 	if b.Sequence > c.sequence {
-		c.sequence, c.heartbeats, c.latest, c.latestAt = b.Sequence, c.heartbeats+1, b, now
+		c.sequence, c.heartbeats = b.Sequence, c.heartbeats+1
 	}
 	return c
 }
 
-// ReviewClaim looks again for evidence for a backend server whose heartbeat was not
-// accepted, once the rules are known. A new process of the node gets heartbeats before
-// it knows the health path of the upstream, and the next one may be seconds away. It
-// reports true once a backend server has been announced, when no review is needed any
-// more.
-func (s *Server) ReviewClaim(ctx context.Context, healthPath func(upstream string) string) (done bool) {
-	s.mu.Lock()
-	c, announced := s.claim, s.announced != nil
-	due := c.heartbeats > 0 && s.cfg.Clock.Now().Sub(c.latestAt) < maxClaimAge
-	s.mu.Unlock()
-	if announced || !due {
-		return announced
-	}
-	path := healthPath(c.latest.Upstream)
-	if path == "" {
-		return false
-	}
-	accepted, err := s.Heartbeat(ctx, c.latest, path)
-	s.log.Debug().Err(err).Str("name", c.latest.Name).Bool("accepted", accepted).Msg("heartbeat of another backend server reviewed")
-	return accepted
-}
-
 // succession decides whether the backend server of a heartbeat replaces the
 // announced one. The replaced one loses its lease at once, which cannot be undone,
 // so one message is not enough: any process on the VM may have sent it.
@@ -99,6 +70,9 @@
 	claim    claim
 	// announced is true if a backend server is announced and not lost.
 	announced bool
+	// starting is true if the process has announced no backend server and knows no
+	// health path.
+	starting bool
 	// lastHeartbeat is the time of the latest heartbeat of the announced backend
 	// server, and holdsUntil the time at which its grants end.
 	lastHeartbeat, holdsUntil time.Time
@@ -106,11 +80,15 @@
 
 // accepts reports whether the claim is accepted. Without evidence, it is accepted
 // after a second heartbeat and once the announced backend server holds no keys and
-// has been silent for as long as the claim exists.
+// has been silent for as long as the claim exists. A process that starts accepts the
+// first heartbeat: it gets no rules before it has registered, and a second
+// registration of all nodes after the loss of all processes would delay each of them.
 func (s succession) accepts(now time.Time) bool {
 	switch {
 	case s.evidence != evidenceNone:
 		return s.evidence == evidenceConfirms
+	case s.starting:
+		return true
 	case s.claim.heartbeats < minClaimHeartbeats:
 		return false
 	default:
--- a/node/internal/backend/succession_test.go
+++ b/node/internal/backend/succession_test.go
@@ -19,6 +19,7 @@
 	}{
 		{"one heartbeat, none announced", succession{claim: claim{heartbeats: 1}}, false},
 		{"two heartbeats, none announced", succession{claim: claim{heartbeats: 2}}, true},
+		{"the first heartbeat of a starting process", succession{claim: claim{heartbeats: 1}, starting: true}, true},
 		{"confirmed at once", succession{evidence: evidenceConfirms, claim: claim{heartbeats: 1}, announced: true, holdsUntil: after}, true},
 		{"refuted for good", succession{evidence: evidenceRefutes, claim: claim{heartbeats: 9}}, false},
 		{"while keys are held", succession{claim: claim{heartbeats: 9, since: before}, announced: true, holdsUntil: after}, false},
--- a/node/node.go
+++ b/node/node.go
@@ -261,15 +261,12 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
-	workers := tasks.New(7 + len(n.servers))
+	workers := tasks.New(6 + len(n.servers))
 	workers.Go(work, "backend server", tasks.WithoutError(n.backend.Run))
 	workers.Go(work, "pressure", tasks.WithoutError(n.pressure.Run))
 	workers.Go(work, "control session", tasks.WithoutError(n.session.Run))
 	workers.Go(work, "connections to nodes", tasks.WithoutError(n.peers.Run))
 	workers.Go(work, "connections from nodes", tasks.WithoutError(n.peer.Run))
-	if n.cfg.Dialect != nil {
-		workers.Go(work, "claims of backend servers", tasks.WithoutError(n.reviewClaims))
-	}
 	if n.certificates != nil {
 		workers.Go(work, "certificate", tasks.WithoutError(n.certificates.Run))
 	}
