--- a/control/documents.go
+++ b/control/documents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/jujubeknot/jujubeknot/control/internal/replica"
 	"github.com/jujubeknot/jujubeknot/core/cluster"
@@ -56,7 +57,7 @@
 	if _, faults := rules.Parse(d.Rules); faults.Err() != nil {
 		return fmt.Errorf("%w: %s", ErrInvalidDocument, faults.Error())
 	}
-	result, err := m.change(ctx, func(state *cluster.State) *wirev1.ApplyRules {
+	result, waited, err := m.change(ctx, func(state *cluster.State) *wirev1.ApplyRules {
 		if d.Version <= state.Document().GetVersion() {
 			return nil
 		}
@@ -65,7 +66,7 @@
 			Document: &wirev1.RulesDocument{Version: d.Version, Content: d.Content},
 		}
 	})
-	m.config.Logger.Info().Err(err).Uint64("version", d.Version).Uint64("revision", result.Revision).Stringer("result", result.Code).Msg("document")
+	m.config.Logger.Info().Err(err).Uint64("version", d.Version).Uint64("revision", result.Revision).Stringer("result", result.Code).EmbedObject(waited).Msg("document")
 	return err
 }
 
@@ -88,7 +89,7 @@
 	if _, faults := rules.Parse(line); faults.Err() != nil {
 		return fmt.Errorf("%w: %s", ErrInvalidDocument, faults.Error())
 	}
-	result, err := m.change(ctx, func(state *cluster.State) *wirev1.ApplyRules {
+	result, waited, err := m.change(ctx, func(state *cluster.State) *wirev1.ApplyRules {
 		text := state.Rules().GetText()
 		var zones []string
 		for _, l := range zoneRules(text) {
@@ -101,37 +102,57 @@
 		}
 		return &wirev1.ApplyRules{Text: withZoneRules(withoutZoneRules(text), zones), Author: "operator"}
 	})
-	m.config.Logger.Info().Err(err).Str("zone", zone).Bool("out", out).Uint64("revision", result.Revision).Stringer("result", result.Code).Msg("zone")
+	m.config.Logger.Info().Err(err).Str("zone", zone).Bool("out", out).Uint64("revision", result.Revision).Stringer("result", result.Code).EmbedObject(waited).Msg("zone")
 	return err
 }
 
+// waits has the time that a change of the rules spent in each wait, over all its
+// attempts.
+type waits struct {
+	// confirm is the time until a quorum had confirmed that this member leads, and
+	// commit that until the change was synced by a quorum and applied.
+	confirm, commit time.Duration
+	conflicts       int
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (w waits) MarshalZerologObject(e *zerolog.Event) {
+	e.Dur("confirmTook", w.confirm).Dur("commitTook", w.commit).Int("conflicts", w.conflicts)
+}
+
 // change proposes the command that makeCommand returns for the current state.
 // After a conflict it calls makeCommand again with the newer state. Nil from
 // makeCommand means that there is nothing to change.
-func (m *Member) change(ctx context.Context, makeCommand func(*cluster.State) *wirev1.ApplyRules) (cluster.Result, error) {
+func (m *Member) change(ctx context.Context, makeCommand func(*cluster.State) *wirev1.ApplyRules) (cluster.Result, waits, error) {
 	var result cluster.Result
+	var w waits
 	for range maxChangeAttempts {
-		if err := m.log.Confirm(ctx); err != nil {
-			return result, publicError(err)
+		since := time.Now()
+		err := m.log.Confirm(ctx)
+		w.confirm += time.Since(since)
+		if err != nil {
+			return result, w, fmt.Errorf("confirmation of leadership: %w", publicError(err))
 		}
 		state := m.log.State()
 		command := makeCommand(state)
 		if command == nil {
-			return cluster.Result{Code: cluster.CodeUnchanged, Revision: state.Revision()}, nil
+			return cluster.Result{Code: cluster.CodeUnchanged, Revision: state.Revision()}, w, nil
 		}
 		command.BaseRevision, command.AcceptedUnixMs = state.Revision(), time.Now().UnixMilli()
-		var err error
+		since = time.Now()
 		result, err = m.log.Propose(ctx, &wirev1.Command{Kind: &wirev1.Command_ApplyRules{ApplyRules: command}})
+		w.commit += time.Since(since)
 		switch {
 		case err != nil:
-			return result, publicError(err)
+			return result, w, fmt.Errorf("commit of the change: %w", publicError(err))
 		case result.Code == cluster.CodeInvalid:
-			return result, fmt.Errorf("%w: %s", ErrInvalidDocument, result.Message)
+			return result, w, fmt.Errorf("%w: %s", ErrInvalidDocument, result.Message)
 		case result.Code != cluster.CodeConflict:
-			return result, nil
+			return result, w, nil
 		}
+		w.conflicts++
 	}
-	return result, errors.Errorf("change of the rules abandoned after %d conflicts with other changes", maxChangeAttempts)
+	return result, w, errors.Errorf("change of the rules abandoned after %d conflicts with other changes", maxChangeAttempts)
 }
 
 // publicError replaces the error types of internal packages by those of this
