control, platform: failing tests of VMs that name no leader to operators

What callers saw: an operator's order gets 503 from 4 of 11 control VMs each time it picks one. Cause: not mended here.

--- a/control/internal/replica/join_test.go
+++ b/control/internal/replica/join_test.go
@@ -59,6 +59,15 @@
 		t.Fatalf("%s: got operator address %q, want %q", what, r.Leadership().OperatorAddress, want)
 	}
 	await("a leader was reported", "10.0.0.1:8000")
+	for name, submit := range map[string]func() error{
+		"confirm": func() error { return r.Confirm(t.Context()) },
+		"propose": func() error { _, err := r.Propose(t.Context(), &wirev1.Command{}); return err },
+	} {
+		var notLeader *replica.NotLeaderError
+		if err := submit(); !errors.As(err, &notLeader) || notLeader.OperatorAddress != "10.0.0.1:8000" || notLeader.Address != "10.0.0.1:7000" {
+			t.Errorf("%s: got error %v, want one that names the leader at 10.0.0.1:7000, for operators 10.0.0.1:8000", name, err)
+		}
+	}
 	group.leader.Store(&wirev1.JoinResponse{Leader: "10.0.0.3:7000", LeaderOperator: "10.0.0.3:8000"})
 	await("another leader was reported", "10.0.0.3:8000")
 	group.leader.Store(nil)
