replica: a process outside the full group refers operators to the leader

Cause: two sources say who leads. Join responses set Replica.Leadership, which nodes are referred by; orders are rejected by the raft state machine, whose log is empty there, so its leader is 0. The test that guards this (TestNonMemberReportsLeader) read the first only.

Change: without a leader in the log, the error refers to the reported one. A report that names the own address is about the process of before its disk was lost, and counts as none.

--- a/control/internal/replica/join.go
+++ b/control/internal/replica/join.go
@@ -149,8 +149,13 @@
 
 // setReportedLeader stores the leader that other members reported, or none for
 // nil. Operators and nodes that ask this member are then referred to it. A
-// leader known from the own log takes precedence.
+// leader known from the own log takes precedence. A report that names the own
+// address is about the process that had this address before its data folder was
+// lost, so it counts as none.
 func (r *Replica) setReportedLeader(reported *wirev1.JoinResponse) {
+	if reported.GetLeader() == r.config.Address {
+		reported = nil
+	}
 	before := r.leadership.Load()
 	if before.LeaderID != 0 || before.Leading {
 		return
--- a/control/internal/replica/join_test.go
+++ b/control/internal/replica/join_test.go
@@ -70,6 +70,10 @@
 	}
 	group.leader.Store(&wirev1.JoinResponse{Leader: "10.0.0.3:7000", LeaderOperator: "10.0.0.3:8000"})
 	await("another leader was reported", "10.0.0.3:8000")
+	group.leader.Store(&wirev1.JoinResponse{Leader: "m9", LeaderOperator: "10.0.0.9:8000"})
+	await("the process before this one was reported", "")
+	group.leader.Store(&wirev1.JoinResponse{Leader: "10.0.0.3:7000", LeaderOperator: "10.0.0.3:8000"})
+	await("the leader was reported again", "10.0.0.3:8000")
 	group.leader.Store(nil)
 	await("no member is reachable", "")
 }
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -290,9 +290,7 @@
 		// The known leader is this member itself, so no address is returned.
 		return &NotLeaderError{}
 	case raft.ReasonNotLeader:
-		return &NotLeaderError{
-			Address: findMember(l.member.Membership(), e.Leader).GetAddress(), OperatorAddress: l.transport.OperatorAddress(e.Leader),
-		}
+		return l.notLeaderError(e.Leader)
 	case raft.ReasonBusy:
 		return ErrBusy
 	case raft.ReasonChangePending:
@@ -302,3 +300,16 @@
 	}
 	return errors.New(e.Reason.String())
 }
+
+// notLeaderError returns the error that refers to the leader with the given id, 0 for
+// none. A process that the group has not added has no leader in its log and refers to
+// the one that members reported.
+func (l *loop) notLeaderError(leader uint64) error {
+	if leader != 0 {
+		return &NotLeaderError{Address: findMember(l.member.Membership(), leader).GetAddress(), OperatorAddress: l.transport.OperatorAddress(leader)}
+	}
+	if known := l.Leadership(); known.LeaderID == 0 && !known.Leading {
+		return &NotLeaderError{Address: known.Address, OperatorAddress: known.OperatorAddress}
+	}
+	return &NotLeaderError{}
+}
