raft: a leader that learns of the next one refers pending reads to it

What callers saw: found by reading for the fault before: orders and reads that wait at a leader that has been replaced end with 503, 'no leader known', though the message that deposes it names its sender. Cause: pending reads are rejected before the next leader is set, and the rejection named none. Evidence: TestReadRejectedByNextLeaderNamesIt got 'Leader:0' before, leader 3 of 3 after the change. Change: the rejection has the leader that becomeFollower is given, 0 if there is none.

--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -255,7 +255,7 @@
 // is not known.
 func (m *Member) becomeFollower(term, leader uint64) {
 	if m.role == RoleLeader {
-		m.rejectReads()
+		m.rejectReads(leader)
 	}
 	if term > m.term {
 		m.setTerm(term, 0)
--- a/core/raft/read.go
+++ b/core/raft/read.go
@@ -51,10 +51,11 @@
 	m.leaderState.pendingReads = m.leaderState.pendingReads[answered:]
 }
 
-// rejectReads rejects the pending reads of a leader that steps down.
-func (m *Member) rejectReads() {
+// rejectReads rejects the pending reads of a leader that steps down. The next leader
+// is 0 if it is not known.
+func (m *Member) rejectReads(next uint64) {
 	for _, r := range m.leaderState.pendingReads {
-		m.responses = append(m.responses, Rejected{ID: r.id, Reason: ReasonNotLeader})
+		m.responses = append(m.responses, Rejected{ID: r.id, Reason: ReasonNotLeader, Leader: next})
 	}
 	m.leaderState.pendingReads = nil
 }
--- a/core/raft/scenario_test.go
+++ b/core/raft/scenario_test.go
@@ -212,3 +212,24 @@
 		t.Fatal("the read was answered with responses to earlier heartbeats")
 	}
 }
+
+// TestReadRejectedByNextLeaderNamesIt guards against operators who are not referred
+// to the next leader by the member that has just learned of it.
+func TestReadRejectedByNextLeaderNamesIt(t *testing.T) {
+	g := newGroup(t, 1, 3)
+	old := g.elect(1, 2, 3)
+	old.offset += time.Duration(float64(g.now) * 0.9)
+	old.rate = 0.1
+	g.isolate(old.id, true)
+	g.run(2 * time.Second)
+	next := g.leader()
+	read := g.read(old)
+	if old.role.Role != raft.RoleLeader || next == nil || next == old {
+		t.Fatalf("want the old leader to remain in its role and another leader to be elected: %s", g.describeMembers())
+	}
+	g.isolate(old.id, false)
+	g.run(time.Second)
+	if rejection := g.rejected[read]; rejection.ID != read || rejection.Leader != next.id {
+		t.Fatalf("read of the old leader: rejection %+v, want one that names leader %d", rejection, next.id)
+	}
+}
