--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -213,18 +213,19 @@
 // flight are cancelled, and the grants to the backend server are ended.
 func (s *Server) EndLease(ctx context.Context) {
 	s.mu.Lock()
-	openGrants := s.clear()
+	openGrants, calls := s.clear()
 	s.cfg.Backend.EndGrants()
 	s.mu.Unlock()
-	if openGrants > 0 {
-		s.cfg.Log.Warn().Int("partitions", openGrants).Msg("lease ended, keyed work stopped")
+	if openGrants > 0 || calls > 0 {
+		s.cfg.Log.Warn().Int("partitions", openGrants).Int("callsCancelled", calls).Msg("lease ended, keyed work stopped")
 		s.sendGrants(ctx)
 	}
 }
 
 // clear cancels the context of the lease, drops all partitions, and returns the
-// number of those that were not released yet. The caller holds s.mu.
-func (s *Server) clear() (openGrants int) {
+// number of those that were not released yet and of their calls in flight. The
+// caller holds s.mu.
+func (s *Server) clear() (openGrants, calls int) {
 	if s.lease != nil {
 		s.lease.cancel()
 	}
@@ -232,9 +233,10 @@
 		if p.state != stateReleased {
 			openGrants++
 		}
+		calls += p.active
 		p.stop()
 	}
 	clear(s.partitions)
 	clear(s.released)
-	return openGrants
+	return openGrants, calls
 }
--- a/node/node.go
+++ b/node/node.go
@@ -289,7 +289,7 @@
 		n.Close()
 		stop(controlclient.ErrAbandoned)
 	case <-ctx.Done():
-		n.drain()
+		n.logStop(n.drain)
 	}
 	stop(nil)
 	n.Close()
