node: calls in flight complete before the lease of a lost or replaced server ends

Two refused connections counted as its end, the lease ended at once, and with it all keyed calls in flight; the lease was returned, so that its keys were granted to another server while it held them.

Cause: what shows that a server takes no more calls was used to end those that it runs. Now the lease is closed first: it admits nothing more, and ends when the calls in flight have ended or it expires. Calls of a process that has ended fail at once, so a crash is handled as fast as before. Only a server that is silent (no heartbeat, no response) is not waited for beyond its grants.

--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -50,7 +50,7 @@
 	if !sameIncarnation {
 		found = s.evidenceFor(ctx, b, healthPath)
 	}
-	now, grantsEnd := s.cfg.Clock.Now(), s.cfg.HoldsUntil()
+	now, grantsEnd := s.cfg.Clock.Now(), s.HoldsUntil()
 	s.mu.Lock()
 	if s.announced != old || sameIncarnation && b.Sequence <= s.sequence || !sameIncarnation && !s.acceptsClaim(now, grantsEnd, b, found, healthPath) {
 		s.mu.Unlock()
@@ -87,9 +87,6 @@
 // the lock.
 func (s *Server) acceptsClaim(now, grantsEnd time.Time, b dialect.Heartbeat, e evidence, healthPath string) bool {
 	s.claim = s.claim.with(now, b)
-	if s.adopted.holdsUntil.After(grantsEnd) {
-		grantsEnd = s.adopted.holdsUntil
-	}
 	accepted := succession{
 		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, starting: s.announced == nil && healthPath == "", lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
 	}.accepts(now)
@@ -133,6 +130,19 @@
 	since, holdsUntil time.Time
 }
 
+// HoldsUntil returns the time from which the backend server holds no keys, unless
+// another heartbeat arrives before: neither by grants of this process nor by those of
+// the earlier one.
+func (s *Server) HoldsUntil() time.Time {
+	until := s.cfg.HoldsUntil()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.adopted.holdsUntil.After(until) {
+		return s.adopted.holdsUntil
+	}
+	return until
+}
+
 // recordLeaving records whether the backend server leaves and reports whether
 // it has just begun to. Only a new incarnation ends leaving. The caller holds
 // the lock.
@@ -195,11 +205,13 @@
 // checkHeartbeats detects the loss of a backend server that no longer sends
 // heartbeats or responses. It counts as lost only once it holds no keys.
 func (s *Server) checkHeartbeats() {
-	now, holdsUntil := s.cfg.Clock.Now(), s.cfg.HoldsUntil()
+	now, holdsUntil := s.cfg.Clock.Now(), s.HoldsUntil()
 	s.mu.Lock()
 	sinceContact := now.Sub(s.lastContact)
-	gone := s.announced != nil && !s.lost && sinceContact >= s.cfg.Dialect.LostAfter && now.After(holdsUntil) && now.After(s.adopted.holdsUntil)
-	s.lost = s.lost || gone
+	gone := s.announced != nil && !s.lost && sinceContact >= s.cfg.Dialect.LostAfter && now.After(holdsUntil)
+	if gone {
+		s.lost, s.unresponsive = true, true
+	}
 	s.mu.Unlock()
 	if gone {
 		s.handleLoss("no heartbeat and no answer", sinceContact)
@@ -225,7 +237,9 @@
 		}
 		s.mu.Lock()
 		gone := errors.Is(err, syscall.ECONNREFUSED) && s.lastContact.Equal(lastContact) && !s.lost && s.announced.GetAddress() == address
-		s.lost = s.lost || gone
+		if gone {
+			s.lost, s.unresponsive = true, false
+		}
 		s.mu.Unlock()
 		if gone {
 			s.handleLoss("connections are refused", 0)
@@ -238,7 +252,9 @@
 func (s *Server) loseReplaced(name string) {
 	s.mu.Lock()
 	gone := !s.lost && s.announced.GetName() == name
-	s.lost = s.lost || gone
+	if gone {
+		s.lost, s.unresponsive = true, false
+	}
 	s.mu.Unlock()
 	if gone {
 		s.handleLoss("another server answers at its address", 0)
--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -59,6 +59,9 @@
 		running.Go(loops, "drain", tasks.WithoutError(i.drainLoop))
 	}
 	reason := i.wait(ctx)
+	if reason != leaseLost {
+		i.completeCalls(ctx)
+	}
 	held, expiry := i.invalidateLease()
 	cancel()
 	// Keyed work must end before another node can own the partitions. The lease is
@@ -86,6 +89,32 @@
 	return reason
 }
 
+// completeCalls admits no further keyed calls and waits for those in flight, at most
+// until the lease expires. The backend server may be running them although it is taken
+// for lost or replaced: one that stops closes its listener first. The calls of a server
+// that has ended fail at once. Those of a silent one may take until their deadlines,
+// so they are waited for only while it can hold keys.
+func (i *incarnation) completeCalls(ctx context.Context) {
+	s := i.s
+	i.mu.Lock()
+	until := i.holder.Expiry()
+	i.mu.Unlock()
+	if s.cfg.GrantsByHeartbeat && s.cfg.Backend.Unresponsive() {
+		if grantsEnd := s.cfg.Backend.HoldsUntil(); grantsEnd.Before(until) {
+			until = grantsEnd
+		}
+	}
+	completed := s.cfg.Owner.CloseLease()
+	timer := time.NewTimer(until.Sub(s.cfg.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-completed:
+	case <-timer.C:
+	case <-i.ended:
+	case <-ctx.Done():
+	}
+}
+
 // keepsLease reports whether a stopping node lets its lease expire instead of
 // returning it. It does so if the backend server keeps running beside the next
 // process, or if the backend server still holds keys. Other nodes would own
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -51,6 +51,10 @@
 	mu         sync.Mutex
 	lease      *leaseContext
 	partitions map[PartitionID]*partition
+	// activeCalls is the number of calls in flight for all partitions, those of
+	// earlier leases included. idle is closed when it reaches 0.
+	activeCalls int
+	idle        chan struct{}
 	// released are the released partitions. Each is reported until the table shows
 	// a higher epoch for it.
 	released map[PartitionID]*wirev1.ReleasedPartition
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -65,6 +65,8 @@
 type leaseContext struct {
 	context context.Context
 	cancel  context.CancelFunc
+	// closing is true once no further calls are admitted under the lease.
+	closing bool
 }
 
 func newLeaseContext() *leaseContext {
@@ -85,11 +87,12 @@
 	switch {
 	case p == nil || p.epoch != c.Epoch:
 		return nil, relay.NotRun(outcome.ReasonNotOwner)
-	case p.state != stateServing:
+	case p.state != stateServing || s.lease.closing:
 		return nil, relay.NotRun(outcome.ReasonMoving)
 	}
 	p.active++
 	p.count++
+	s.activeCalls++
 	return p, nil
 }
 
@@ -102,6 +105,11 @@
 		close(p.idle)
 		p.idle = nil
 	}
+	s.activeCalls--
+	if s.activeCalls == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
 }
 
 // permit checks the lease and the partition again, immediately before the first
@@ -114,7 +122,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.state != stateServing || s.partitions[p.id] != p {
+	if p.state != stateServing || s.partitions[p.id] != p || s.lease.closing {
 		return backend.Permit{}, relay.NotRun(outcome.ReasonMoving)
 	}
 	t := backend.Permit{Context: s.lease.context}
@@ -209,6 +217,30 @@
 	s.lease = newLeaseContext()
 }
 
+// CloseLease admits no further keyed calls under the lease. Queued ones leave the
+// queue. The returned channel is closed when those in flight have ended. The lease
+// itself goes on until EndLease.
+func (s *Server) CloseLease() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.closing = true
+	for _, p := range s.partitions {
+		if p.state == stateServing {
+			close(p.halt)
+			p.state = stateReleasing
+		}
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	if s.activeCalls == 0 {
+		close(s.idle)
+		s.idle = nil
+	}
+	return idle
+}
+
 // EndLease ends the lease. Queued keyed calls leave the queue, keyed calls in
 // flight are cancelled, and the grants to the backend server are ended.
 func (s *Server) EndLease(ctx context.Context) {
