backend: a heartbeat does not end the grants of the earlier process

The time stays until another incarnation is announced, and is recorded too if the heartbeat came before the registration.

--- a/node/internal/backend/adopt_test.go
+++ b/node/internal/backend/adopt_test.go
@@ -65,36 +65,62 @@
 
 // TestAdoptedServerMayHoldKeys guards against an adopted backend server that counts
 // as lost while it may still use grants of the earlier process. Its keys would
-// then be assigned to others too early.
+// then be assigned to others too early. A heartbeat to this process, before or after
+// the adoption, says nothing about the end of those grants.
 func TestAdoptedServerMayHoldKeys(t *testing.T) {
-	clock := &manualClock{}
-	lost := make(chan struct{}, 10)
-	s := backend.New(backend.Config{
-		Clock: clock, Dialect: &dialect.Dialect{DrainTimeout: 2 * time.Second, OutOfServiceTimeout: time.Minute, LostAfter: time.Second},
-		HoldsUntil: func() time.Time { return time.Time{} }, HealthInterval: time.Millisecond,
-		OnChange: func() { lost <- struct{}{} },
-	})
-	s.Adopt(&wirev1.BackendServer{Name: "i-1", Upstream: "desk", Address: "127.0.0.1:1", BootId: "i-1/1", Slots: 4}, clock.Now().Add(5*time.Second))
-	<-lost
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		s.Run(ctx)
-	}()
-	clock.passed.Add(int64(4 * time.Second))
-	// The ticker fires many times meanwhile.
-	time.Sleep(50 * time.Millisecond)
-	if s.Announced() == nil {
-		t.Error("lost before the grants of the earlier process have ended")
-	}
-	clock.passed.Add(int64(2 * time.Second))
-	<-lost
-	if s.Announced() != nil {
-		t.Error("not lost although it sends nothing and holds no keys")
+	heartbeat := dialect.Heartbeat{Name: "i-1", Upstream: "desk", Address: "127.0.0.1:1", Started: time.Unix(900, 0), Sequence: 9, Slots: 4}
+	for _, c := range []struct {
+		name          string
+		before, after bool
+	}{{name: "no heartbeat"}, {name: "heartbeat before the adoption", before: true}, {name: "heartbeat after the adoption", after: true}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := &manualClock{}
+			changes := make(chan struct{}, 10)
+			s := backend.New(backend.Config{
+				Clock: clock, Dialect: &dialect.Dialect{DrainTimeout: 2 * time.Second, OutOfServiceTimeout: time.Minute, LostAfter: time.Second},
+				HoldsUntil: func() time.Time { return time.Time{} }, HealthInterval: time.Millisecond,
+				OnChange: func() { changes <- struct{}{} },
+			})
+			report := func() {
+				if current, err := s.Heartbeat(context.Background(), heartbeat, ""); !current || err != nil {
+					t.Fatalf("heartbeat: current %v, %v", current, err)
+				}
+			}
+			if c.before {
+				report()
+			}
+			s.Adopt(&wirev1.BackendServer{
+				Name: heartbeat.Name, Upstream: "desk", Address: heartbeat.Address, BootId: heartbeat.Incarnation(), Slots: 4, StartedUnixMs: heartbeat.Started.UnixMilli(),
+			}, clock.Now().Add(5*time.Second))
+			if c.after {
+				report()
+			}
+			<-changes
+			for len(changes) > 0 {
+				<-changes
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				s.Run(ctx)
+			}()
+			clock.passed.Add(int64(4 * time.Second))
+			// The ticker fires many times meanwhile.
+			time.Sleep(50 * time.Millisecond)
+			if s.Announced() == nil {
+				t.Error("lost before the grants of the earlier process have ended")
+			} else {
+				clock.passed.Add(int64(2 * time.Second))
+				<-changes
+			}
+			if s.Announced() != nil {
+				t.Error("not lost although it sends nothing and holds no keys")
+			}
+			stop()
+			<-ended
+		})
 	}
-	stop()
-	<-ended
 }
 
 // TestEarlierHeartbeatAfterAdoption guards against a late heartbeat of an ended
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -58,7 +58,10 @@
 	}
 	changed := s.lost || !proto.Equal(old, next)
 	s.announced, s.lastContact, s.lastHeartbeat, s.lost, s.started, s.sequence = next, now, now, false, b.Started, b.Sequence
-	s.adopted, s.claim = adoption{}, claim{}
+	s.adopted.since, s.claim = time.Time{}, claim{}
+	if !sameIncarnation {
+		s.adopted.holdsUntil = time.Time{}
+	}
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
 	s.mu.Unlock()
 	s.pool.countHeartbeat()
@@ -100,8 +103,9 @@
 // Adopt makes the backend server of an earlier process of the node the
 // announced one until its next heartbeat. Without Adopt, the keys of the
 // backend server would have no node until that heartbeat. From holdsUntil on
-// the backend server holds no keys, unless a heartbeat arrives before. Adopt
-// does nothing if a backend server is already known.
+// the backend server holds no keys by grants of that process. If a backend server
+// is already known, Adopt records only until when it may hold keys, if it is the same
+// one.
 //
 // The backend server may have reported to the earlier process that it leaves.
 // Without a heartbeat, calls are therefore refused from the time at which its
@@ -110,6 +114,9 @@
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	if s.announced != nil {
+		if s.announced.GetBootId() == b.GetBootId() {
+			s.adopted.holdsUntil = holdsUntil
+		}
 		s.mu.Unlock()
 		return
 	}
@@ -123,9 +130,9 @@
 	s.cfg.OnChange()
 }
 
-// adoption has the times of an adopted backend server that has sent no
-// heartbeat to this process. The zero value means that there is no such backend
-// server.
+// adoption has the times of a backend server that an earlier process of the node
+// served. Since is zero once it has sent a heartbeat to this process. From holdsUntil
+// on it holds no keys by grants of the earlier process.
 type adoption struct {
 	since, holdsUntil time.Time
 }
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -104,8 +104,8 @@
 	// outOfServiceSince is when the backend server was taken out of service,
 	// zero if it is in service.
 	outOfServiceSince time.Time
-	// adopted is set while an adopted backend server has sent no heartbeat to
-	// this process of the node.
+	// adopted is zero for a backend server that no earlier process of the node
+	// served.
 	adopted adoption
 	// started and sequence are those of the latest heartbeat, which arrived at
 	// lastHeartbeat.
