peer: a stopping node keeps HTTP/2 connections usable until their calls have ended

The entry node's line says "half-open connection between nodes closed", calls 1.

Cause: HTTP/2 connections are pinged by a request to the address. Once the stopping node has sent GOAWAY, the ping goes to a new connection, which the closed listener refuses; nothing arrives on the old one, and after 750 ms (1.5 s at the owner's side) it counts as half-open and is closed under the calls that run on it. A stop is thus longer than what it lets complete.

Now the GOAWAY follows when the calls on HTTP/2 have ended; until then new calls are refused with notRun, stopping, and pings are answered on the same connection.

--- a/node/internal/peer/listen.go
+++ b/node/internal/peer/listen.go
@@ -164,6 +164,13 @@
 		}
 	})
 	defer unresponsive.Stop()
+	// After a GOAWAY the calling node cannot ping an HTTP/2 connection any more, and
+	// both sides would take it for half-open while calls run on it. The GOAWAY is
+	// therefore sent only once they have ended.
+	select {
+	case <-s.h.http2Calls.close():
+	case <-ctx.Done():
+	}
 	err := s.http.Shutdown(ctx)
 	ended := make(chan struct{})
 	go func() {
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -95,6 +95,8 @@
 	recent recentCalls
 
 	connections connectionSet
+	// http2Calls are the calls over HTTP/2.
+	http2Calls callGate
 }
 
 // connKey is the context key of the connection on which a request arrived.
@@ -180,6 +182,11 @@
 		h.rules(w, revision)
 		return
 	}
+	if !h.http2Calls.begin() {
+		relay.WriteRefusal(w, relay.NotRun(outcome.ReasonStopping))
+		return
+	}
+	defer h.http2Calls.end()
 	c, refusal := h.readCall(w, r)
 	if refusal != nil {
 		relay.WriteRefusal(w, refusal)
