--- /dev/null
+++ b/node/internal/pipeline/read.go
@@ -0,0 +1,135 @@
+package pipeline
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// lingerTimeout and lingerBytes bound what is read and discarded after the
+	// last response. Closing a socket with unread data makes the kernel send a
+	// reset, which could destroy the response before the caller has read it.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 256 << 10
+)
+
+var (
+	errHeaderTooLarge = errors.New("header is too large")
+	pastDeadline      = time.Unix(1, 0)
+)
+
+// headerLimitReader reads from a connection and bounds the bytes that are read
+// for one request header.
+type headerLimitReader struct {
+	nc net.Conn
+	// remaining is the number of bytes that may still be read, -1 for no bound.
+	remaining int
+}
+
+// Read returns errHeaderTooLarge when the bound is reached.
+func (h *headerLimitReader) Read(p []byte) (int, error) {
+	if h.remaining == 0 {
+		return 0, errHeaderTooLarge
+	}
+	if h.remaining > 0 && len(p) > h.remaining {
+		p = p[:h.remaining]
+	}
+	n, err := h.nc.Read(p)
+	if h.remaining > 0 {
+		h.remaining -= n
+	}
+	return n, err
+}
+
+func (c *conn) deadline(timeout time.Duration) {
+	at := time.Time{}
+	if timeout > 0 {
+		at = time.Now().Add(timeout)
+	}
+	_ = c.nc.SetReadDeadline(at)
+}
+
+// readRequest reads the header of the next request. It returns io.EOF if the
+// caller sends no further request.
+func (c *conn) readRequest() (*http.Request, error) {
+	c.mu.Lock()
+	switch {
+	case c.readsStopped:
+	case c.inFlight == 0:
+		c.deadline(c.server.IdleTimeout)
+	default:
+		c.deadline(0)
+	}
+	c.mu.Unlock()
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, io.EOF
+	}
+	c.mu.Lock()
+	stopped := c.readsStopped
+	c.readingHeader = !stopped
+	c.mu.Unlock()
+	if stopped {
+		return nil, io.EOF
+	}
+	c.deadline(c.server.HeaderTimeout)
+	c.limitReader.remaining = c.server.maxHeaderBytes()
+	r, err := http.ReadRequest(c.br)
+	c.limitReader.remaining = -1
+	if err == nil {
+		err = validateRequest(r)
+	}
+	c.headerRead(err == nil)
+	if err != nil {
+		return nil, err
+	}
+	if !c.hasStoppedReading() {
+		c.deadline(0)
+	}
+	r.RemoteAddr = c.nc.RemoteAddr().String()
+	return r, nil
+}
+
+// writeParseError responds to a request that cannot be parsed, after the
+// responses to the requests before it, and closes the connection for writing.
+// If the caller has disconnected, it cancels the requests in flight instead.
+func (c *conn) writeParseError(err error, previous <-chan struct{}) {
+	status := http.StatusBadRequest
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errHeaderTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case c.hasStoppedReading():
+		return
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		// The caller has disconnected, so nobody waits for the requests in
+		// flight.
+		c.cancel()
+		return
+	}
+	if !c.waitFor(previous) || c.hasSentFinal() {
+		return
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	_, _ = fmt.Fprintf(c.nc, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
+	c.linger()
+}
+
+// linger closes the connection for writing and discards what the caller still
+// sends, within lingerTimeout and lingerBytes.
+func (c *conn) linger() {
+	if tcp, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	// The data is discarded and the connection is closed next, so an error does
+	// not matter.
+	_, _ = io.CopyN(io.Discard, c.br, lingerBytes)
+}
