pipeline: the last response of a shutdown always says close

Callers of a stopping node saw the last response of a pipelined connection without "Connection: close" and then the end of the connection. A request of theirs that crossed it was lost.

Cause: a response allowed the next one to be sent before its request was taken from the count of requests in flight. The next one, complete already, then found two requests in flight and did not take itself for the last.

Evidence: TestLastResponseSaysClose, 200 connections each time, failed 11 of 40 times before with the race detector, and none of 10 without it. The count is now reduced first. Result: 0 of 40 fail with the race detector.

--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -86,8 +86,10 @@
 	} else if w.shouldClose() {
 		w.c.markFinalSent()
 	}
-	close(w.done)
+	// The count must be right before the next response is sent, which is the last
+	// one if no other request is in flight.
 	w.c.requestEnded()
+	close(w.done)
 }
 
 // Header returns the response header.
