pipeline: requests that were read outlive a response that closes

Callers who pipeline saw the connection end after a response with "Connection: close" although a later request, already passed on, was running. It got no response. A stopping node sends such a response to each request whose deadline is after its stop.

Cause: the first response with "Connection: close" was taken for the last of the connection, whatever had been read behind it. The same happened behind a request with the caller's own "Connection: close" and behind HTTP/1.0: what followed was read and run, and its response dropped. And once no further request was read, a caller that left was not noticed.

A handler's close now stops the reading of requests. The requests that were read are answered, and the response to the latest says close. Nothing is read behind a request after which the connection ends; so no response can precede others that must be dropped, and errConnectionEnded is gone. The connection is still read, and its data discarded, so that a caller that leaves is noticed.

--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -60,19 +60,19 @@
 	for {
 		r, err := c.readRequest()
 		if err != nil {
-			c.writeParseError(err, previous)
+			c.endReading(err, previous)
 			return
 		}
 		exclusive := !isConcurrent(r)
 		if (exclusive || barrier) && !c.waitFor(previous) {
-			c.requestEnded()
+			c.requestEnded(false)
 			return
 		}
 		barrier = exclusive
 		select {
 		case slots <- struct{}{}:
 		case <-c.ctx.Done():
-			c.requestEnded()
+			c.requestEnded(false)
 			return
 		}
 		w := newWriter(c, r, previous)
@@ -94,6 +94,10 @@
 	return (r.Method == http.MethodGet || r.Method == http.MethodHead) && r.Body == http.NoBody && r.Header.Get("Expect") == ""
 }
 
+// endsConnection reports whether the caller expects the connection to be closed after
+// the response to a request.
+func endsConnection(r *http.Request) bool { return !r.ProtoAtLeast(1, 1) || r.Close }
+
 func (c *conn) waitFor(previous <-chan struct{}) bool {
 	select {
 	case <-previous:
@@ -103,48 +107,55 @@
 	}
 }
 
-// headerRead ends the reading of a header and counts the request if it is
-// valid.
-func (c *conn) headerRead(valid bool) {
+// accept ends the reading of a header and counts the request. It reports false if
+// the request must not be run, because no further request is read.
+func (c *conn) accept(r *http.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readingHeader = false
-	if valid {
-		c.inFlight++
-		c.readsStopped = c.readsStopped || c.shuttingDown
+	if c.readsStopped {
+		return false
 	}
+	c.inFlight++
+	c.readsStopped = c.shuttingDown || endsConnection(r)
+	c.deadline(0)
+	return true
 }
 
-// requestEnded undoes the count of headerRead and starts the idle timeout if no
-// other request is in flight.
-func (c *conn) requestEnded() {
+// headerFailed ends the reading of a header that cannot be parsed.
+func (c *conn) headerFailed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight--
-	switch {
-	case c.inFlight > 0 || c.readingHeader:
-	case c.readsStopped:
-		// Wakes the reader: it waits for a request that must not be read.
-		_ = c.nc.SetReadDeadline(pastDeadline)
-	default:
-		c.deadline(c.server.IdleTimeout)
-	}
+	c.readingHeader = false
 }
 
-// markFinalSent records that a response with "Connection: close" was sent.
-func (c *conn) markFinalSent() {
+// beginResponse reports whether the response whose header is sent next is the last
+// of the connection. If wantsClose is true, no further request is read, and the
+// response to the latest request is the last one. If mustClose is true, it is this
+// one.
+func (c *conn) beginResponse(wantsClose, mustClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readsStopped, c.finalSent = true, true
-	_ = c.nc.SetReadDeadline(pastDeadline)
+	c.readsStopped = c.readsStopped || wantsClose || mustClose
+	return mustClose || c.readsStopped && c.inFlight == 1
 }
 
-// isServingFinal reports whether no further request is read and exactly one is
-// in flight.
-func (c *conn) isServingFinal() bool {
+// requestEnded undoes the count of accept and starts the idle timeout if no other
+// request is in flight. The argument final is true if the last response was sent.
+func (c *conn) requestEnded(final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readsStopped && c.inFlight == 1
+	c.inFlight--
+	c.finalSent = c.finalSent || final
+	c.readsStopped = c.readsStopped || final
+	switch {
+	case c.inFlight > 0:
+	case c.readsStopped:
+		// Wakes the reader: it waits for a request that must not be read.
+		_ = c.nc.SetReadDeadline(pastDeadline)
+	case !c.readingHeader:
+		c.deadline(c.server.IdleTimeout)
+	}
 }
 
 // hasSentFinal reports whether the last response of the connection was sent.
--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -21,7 +21,10 @@
 
 var (
 	errHeaderTooLarge = errors.New("header is too large")
-	pastDeadline      = time.Unix(1, 0)
+	// errReadsStopped is returned in place of a request once no further one is
+	// read.
+	errReadsStopped = errors.New("no further request is read")
+	pastDeadline    = time.Unix(1, 0)
 )
 
 // headerLimitReader reads from a connection and bounds the bytes that are read
@@ -55,57 +58,69 @@
 	_ = c.nc.SetReadDeadline(at)
 }
 
-// readRequest reads the header of the next request. It returns io.EOF if the
+// awaitRequest waits for the first byte of the next request. It returns io.EOF if the
 // caller sends no further request.
-func (c *conn) readRequest() (*http.Request, error) {
+func (c *conn) awaitRequest() error {
 	c.mu.Lock()
 	switch {
 	case c.readsStopped:
+		c.mu.Unlock()
+		return errReadsStopped
 	case c.inFlight == 0:
 		c.deadline(c.server.IdleTimeout)
 	default:
 		c.deadline(0)
 	}
 	c.mu.Unlock()
-	if _, err := c.br.Peek(1); err != nil {
-		return nil, io.EOF
-	}
+	_, err := c.br.Peek(1)
 	c.mu.Lock()
-	stopped := c.readsStopped
-	c.readingHeader = !stopped
-	c.mu.Unlock()
-	if stopped {
-		return nil, io.EOF
+	defer c.mu.Unlock()
+	switch {
+	case c.readsStopped:
+		return errReadsStopped
+	case err != nil:
+		return io.EOF
 	}
+	c.readingHeader = true
 	c.deadline(c.server.HeaderTimeout)
+	return nil
+}
+
+// readRequest reads the header of the next request. It returns io.EOF if the
+// caller sends no further request, and errReadsStopped if none is to be read.
+func (c *conn) readRequest() (*http.Request, error) {
+	if err := c.awaitRequest(); err != nil {
+		return nil, err
+	}
 	c.limitReader.remaining = c.server.maxHeaderBytes()
 	r, err := http.ReadRequest(c.br)
 	c.limitReader.remaining = -1
 	if err == nil {
 		err = validateRequest(r)
 	}
-	c.headerRead(err == nil)
 	if err != nil {
+		c.headerFailed()
 		return nil, err
 	}
-	if !c.hasStoppedReading() {
-		c.deadline(0)
+	if !c.accept(r) {
+		return nil, errReadsStopped
 	}
 	r.RemoteAddr = c.nc.RemoteAddr().String()
 	return r, nil
 }
 
-// writeParseError responds to a request that cannot be parsed, after the
-// responses to the requests before it, and closes the connection for writing.
-// If the caller has disconnected, it cancels the requests in flight instead.
-func (c *conn) writeParseError(err error, previous <-chan struct{}) {
+// endReading ends the reading of requests after a failure. It responds to a request
+// that cannot be parsed, after the responses to the requests before it. If the
+// caller has disconnected, it cancels the requests in flight instead.
+func (c *conn) endReading(err error, previous <-chan struct{}) {
 	status := http.StatusBadRequest
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
 	case c.hasStoppedReading():
+		c.awaitLeaving()
 		return
+	case errors.Is(err, errHeaderTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -122,6 +137,24 @@
 	c.linger()
 }
 
+// awaitLeaving discards what the caller still sends until the requests in flight have
+// ended. It cancels them if the caller disconnects. Beyond lingerBytes, it does not
+// wait.
+func (c *conn) awaitLeaving() {
+	c.mu.Lock()
+	if c.inFlight == 0 {
+		c.mu.Unlock()
+		return
+	}
+	c.deadline(0)
+	c.mu.Unlock()
+	_, err := io.CopyN(io.Discard, c.br, lingerBytes)
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.cancel()
+	}
+}
+
 // linger closes the connection for writing and discards what the caller still
 // sends, within lingerTimeout and lingerBytes.
 func (c *conn) linger() {
--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -16,10 +16,6 @@
 	"github.com/pkg/errors"
 )
 
-// errConnectionEnded is the failure of a request that follows the last response
-// of its connection.
-var errConnectionEnded = errors.New("connection closed after an earlier response")
-
 // maxBufferedBytes bounds the part of a response body that is buffered before
 // the header is sent, so that a handler need not wait for earlier responses.
 const maxBufferedBytes = 128 << 10
@@ -56,7 +52,7 @@
 func newWriter(c *conn, r *http.Request, previous chan struct{}) *writer {
 	w := &writer{c: c, r: r, header: http.Header{}, previous: previous, done: make(chan struct{}), bodyRead: make(chan struct{}), contentLength: -1}
 	w.ctx, w.cancel = context.WithCancel(c.requestCtx)
-	w.closeAfter = !r.ProtoAtLeast(1, 1) || r.Close
+	w.closeAfter = endsConnection(r)
 	return w
 }
 
@@ -81,14 +77,13 @@
 func (w *writer) complete() {
 	w.cancel()
 	w.releaseBuffer()
-	if err := w.failure(); err != nil && err != errConnectionEnded {
+	failed := w.failure() != nil
+	if failed {
 		w.c.abort()
-	} else if w.shouldClose() {
-		w.c.markFinalSent()
 	}
 	// The count must be right before the next response is sent, which is the last
 	// one if no other request is in flight.
-	w.c.requestEnded()
+	w.c.requestEnded(!failed && w.shouldClose())
 	close(w.done)
 }
 
@@ -180,9 +175,6 @@
 	if !w.c.waitFor(w.previous) {
 		return w.fail(context.Canceled)
 	}
-	if w.c.hasSentFinal() {
-		return w.fail(errConnectionEnded)
-	}
 	w.headerSent = true
 	chunked := w.hasBody() && w.contentLength < 0
 	if chunked && !w.r.ProtoAtLeast(1, 1) {
@@ -287,16 +279,12 @@
 		// request.
 		w.setCloseAfter()
 	}
-	if w.c.isServingFinal() {
+	if w.c.beginResponse(strings.EqualFold(w.header.Get("Connection"), "close"), w.shouldClose()) {
 		w.setCloseAfter()
 	}
 	for name, values := range w.header {
 		switch {
-		case name == "Connection":
-			if len(values) > 0 && strings.EqualFold(values[0], "close") {
-				w.setCloseAfter()
-			}
-		case name == "Transfer-Encoding", strings.HasPrefix(name, http.TrailerPrefix):
+		case name == "Connection", name == "Transfer-Encoding", strings.HasPrefix(name, http.TrailerPrefix):
 		default:
 			writeFields(&b, name, values)
 		}
