pipeline: a shutdown serves the requests that have arrived whole

Callers who send further requests in one write got no response to those behind the next one when a shutdown began: of POST, POST and GET, the third was dropped although it was whole in the read buffer.

Cause: a shutdown made the request that was read last the last one. Requests that change state run one at a time, so others wait unread in the buffer.

The reader goes on after the begin of a shutdown with what has arrived, at most one buffer more, and with requests whose body is in the buffer too; parts are not waited for. A response that may be the last waits until the reader knows, 5 ms at most. The reader closes an idle connection itself. TestShutdownEndsBusyCallers has a caller that sends without end.

--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -15,8 +15,11 @@
 	nc          net.Conn
 	limitReader headerLimitReader
 	br          *bufio.Reader
-	ctx         context.Context
-	cancel      context.CancelFunc
+	// limitedToArrived is true once limitReader is limited for the rest of a
+	// shutdown. Only the reader uses it.
+	limitedToArrived bool
+	ctx              context.Context
+	cancel           context.CancelFunc
 	// requestCtx is the context of the requests. It ends with ctx or before.
 	requestCtx     context.Context
 	cancelRequests context.CancelFunc
@@ -25,13 +28,20 @@
 	// inFlight is the number of requests whose header was read and whose
 	// response is not complete.
 	inFlight int
-	// readingHeader is true from the first byte of a request to the end of its
-	// header.
-	readingHeader bool
+	// awaiting is true while the reader waits for the first byte of a request, and
+	// readingHeader from there to the end of its header. Both are false for requests
+	// that are read after the begin of a shutdown.
+	awaiting, readingHeader bool
 	// shuttingDown is set by a shutdown. readsStopped is set once no further
 	// request is read. finalSent is set once the last response was sent, which
 	// has "Connection: close".
 	shuttingDown, readsStopped, finalSent bool
+	// readerEnded is set once the reader accepts no further request.
+	readerEnded bool
+	// readerDecided signals that a request was accepted, or that none will be.
+	readerDecided *sync.Cond
+	// passed is true if the connection was passed to the HTTP/2 server.
+	passed bool
 }
 
 // serve reads requests until the connection is closed or its last request was
@@ -51,6 +61,16 @@
 	if c.passHTTP2() {
 		return
 	}
+	if previous, err := c.readRequests(&requests); err != nil {
+		c.endReading(err, previous)
+	}
+}
+
+// readRequests reads and starts requests. It returns a channel that is closed when
+// all responses were sent, and the failure that ended the reading, nil if it was the
+// end of a request.
+func (c *conn) readRequests(requests *sync.WaitGroup) (<-chan struct{}, error) {
+	defer c.endReader()
 	previous := make(chan struct{})
 	close(previous)
 	// barrier is true while the latest request must not run concurrently with
@@ -60,20 +80,19 @@
 	for {
 		r, err := c.readRequest()
 		if err != nil {
-			c.endReading(err, previous)
-			return
+			return previous, err
 		}
 		exclusive := !isConcurrent(r)
 		if (exclusive || barrier) && !c.waitFor(previous) {
 			c.requestEnded(false)
-			return
+			return previous, nil
 		}
 		barrier = exclusive
 		select {
 		case slots <- struct{}{}:
 		case <-c.ctx.Done():
 			c.requestEnded(false)
-			return
+			return previous, nil
 		}
 		w := newWriter(c, r, previous)
 		previous = w.done
@@ -83,7 +102,7 @@
 			w.run(c.server.Handler, r)
 		})
 		if !c.waitForBody(w) {
-			return
+			return previous, nil
 		}
 	}
 }
@@ -117,8 +136,9 @@
 		return false
 	}
 	c.inFlight++
-	c.readsStopped = c.shuttingDown || endsConnection(r)
+	c.readsStopped = endsConnection(r)
 	c.deadline(0)
+	c.readerDecided.Broadcast()
 	return true
 }
 
@@ -132,11 +152,15 @@
 // beginResponse reports whether the response whose header is sent next is the last
 // of the connection. If wantsClose is true, no further request is read, and the
 // response to the latest request is the last one. If mustClose is true, it is this
-// one.
+// one. In a shutdown, beginResponse waits until it is known whether another request has
+// arrived.
 func (c *conn) beginResponse(wantsClose, mustClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readsStopped = c.readsStopped || wantsClose || mustClose
+	for c.shuttingDown && !c.readsStopped && !c.readerEnded && !c.readingHeader && c.inFlight == 1 {
+		c.readerDecided.Wait()
+	}
 	return mustClose || c.readsStopped && c.inFlight == 1
 }
 
@@ -153,7 +177,7 @@
 	case c.readsStopped:
 		// Wakes the reader: it waits for a request that must not be read.
 		_ = c.nc.SetReadDeadline(pastDeadline)
-	case !c.readingHeader:
+	case !c.readingHeader && !c.shuttingDown:
 		c.deadline(c.server.IdleTimeout)
 	}
 }
@@ -172,25 +196,6 @@
 	return c.readsStopped
 }
 
-// stopReading makes the request whose header is being read, or else the latest
-// one, the last of the connection.
-func (c *conn) stopReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.shuttingDown = true
-	c.readsStopped = c.readsStopped || !c.readingHeader
-}
-
-// closeIdle closes the connection if it reads no further request and has none
-// in flight.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.readsStopped && c.inFlight == 0 && !c.readingHeader {
-		_ = c.nc.Close()
-	}
-}
-
 // abort cancels the requests in flight and closes the connection.
 func (c *conn) abort() {
 	c.cancel()
--- a/node/internal/pipeline/http2.go
+++ b/node/internal/pipeline/http2.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"net"
 	"sync"
-	"time"
 )
 
 // http2Preface is the start of the connection preface of HTTP/2.
@@ -13,16 +12,17 @@
 // passHTTP2 passes a connection that begins with the HTTP/2 preface to the
 // HTTP/2 server, waits until it is closed, and reports whether it was passed.
 func (c *conn) passHTTP2() bool {
-	c.deadline(c.server.IdleTimeout)
-	first, err := c.br.Peek(1)
+	first, err := c.await(1, c.server.IdleTimeout)
 	if err != nil || first[0] != http2Preface[0] {
 		return false
 	}
-	c.deadline(c.server.HeaderTimeout)
-	if prefix, err := c.br.Peek(len(http2Preface)); err != nil || string(prefix) != http2Preface || c.server.http2Conns == nil {
+	if prefix, err := c.await(len(http2Preface), c.server.HeaderTimeout); err != nil || string(prefix) != http2Preface || c.server.http2Conns == nil {
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	c.passed = true
+	c.deadline(0)
+	c.mu.Unlock()
 	closed := make(chan struct{})
 	if !c.server.http2Conns.pass(&passedConn{bufferedConn{c.nc, c.br}, closed, sync.Once{}}) {
 		return true
--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -17,6 +17,9 @@
 	// reset, which could destroy the response before the caller has read it.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// arrivedTimeout bounds the time to receive, after the begin of a shutdown, what
+	// has arrived before.
+	arrivedTimeout = 5 * time.Millisecond
 )
 
 var (
@@ -58,40 +61,63 @@
 	_ = c.nc.SetReadDeadline(at)
 }
 
-// awaitRequest waits for the first byte of the next request. It returns io.EOF if the
-// caller sends no further request.
-func (c *conn) awaitRequest() error {
+// await waits until n bytes are buffered, within the timeout if no request is in
+// flight. It fails at once if a shutdown has begun, and when one begins.
+func (c *conn) await(n int, timeout time.Duration) ([]byte, error) {
 	c.mu.Lock()
-	switch {
-	case c.readsStopped:
+	if c.shuttingDown {
 		c.mu.Unlock()
-		return errReadsStopped
-	case c.inFlight == 0:
-		c.deadline(c.server.IdleTimeout)
-	default:
-		c.deadline(0)
+		return nil, errReadsStopped
 	}
+	if c.inFlight > 0 {
+		timeout = 0
+	}
+	c.awaiting = true
+	c.deadline(timeout)
 	c.mu.Unlock()
-	_, err := c.br.Peek(1)
+	b, err := c.br.Peek(n)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+	if err == nil && c.shuttingDown {
+		err = errReadsStopped
+	}
+	return b, err
+}
+
+// awaitRequest waits for the first byte of the next request. It returns io.EOF if the
+// caller sends no further request, and errReadsStopped if none is to be read. It
+// reports true, without a wait, if only what has arrived is to be read.
+func (c *conn) awaitRequest() (arrivedOnly bool, err error) {
+	if c.hasStoppedReading() {
+		return false, errReadsStopped
+	}
+	_, err = c.await(1, c.server.IdleTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.readsStopped:
-		return errReadsStopped
+		return false, errReadsStopped
+	case c.shuttingDown:
+		return true, nil
 	case err != nil:
-		return io.EOF
+		return false, io.EOF
 	}
 	c.readingHeader = true
 	c.deadline(c.server.HeaderTimeout)
-	return nil
+	return false, nil
 }
 
 // readRequest reads the header of the next request. It returns io.EOF if the
 // caller sends no further request, and errReadsStopped if none is to be read.
 func (c *conn) readRequest() (*http.Request, error) {
-	if err := c.awaitRequest(); err != nil {
+	arrivedOnly, err := c.awaitRequest()
+	if err != nil {
 		return nil, err
 	}
+	if arrivedOnly {
+		return c.readArrived()
+	}
 	c.limitReader.remaining = c.server.maxHeaderBytes()
 	r, err := http.ReadRequest(c.br)
 	c.limitReader.remaining = -1
@@ -148,6 +174,7 @@
 	}
 	c.deadline(0)
 	c.mu.Unlock()
+	c.limitReader.remaining = -1
 	_, err := io.CopyN(io.Discard, c.br, lingerBytes)
 	var timeout net.Error
 	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
@@ -162,6 +189,7 @@
 		_ = tcp.CloseWrite()
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.limitReader.remaining = -1
 	// The data is discarded and the connection is closed next, so an error does
 	// not matter.
 	_, _ = io.CopyN(io.Discard, c.br, lingerBytes)
--- a/node/internal/pipeline/server.go
+++ b/node/internal/pipeline/server.go
@@ -108,6 +108,7 @@
 func (s *Server) startConn(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel}
+	c.readerDecided = sync.NewCond(&c.mu)
 	c.requestCtx, c.cancelRequests = context.WithCancel(ctx)
 	c.limitReader = headerLimitReader{nc: nc, remaining: -1}
 	c.br = bufio.NewReaderSize(&c.limitReader, readBufferBytes)
@@ -164,7 +165,7 @@
 }
 
 // Shutdown closes the listeners and idle connections, and lets requests that
-// were read complete. It returns when no connection is open or the context
+// have arrived whole complete. It returns when no connection is open or the context
 // ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	var http2Err error
@@ -178,11 +179,9 @@
 		// All connections are marked before the first is closed. Closing may
 		// take a while, and responses that are sent meanwhile must already
 		// state that they are the last.
+		endReads(list)
 		for _, c := range list {
-			c.stopReading()
-		}
-		for _, c := range list {
-			c.closeIdle()
+			c.closePassed()
 		}
 		if len(list) == 0 {
 			s.closeHTTP2()
@@ -196,14 +195,23 @@
 	}
 }
 
-// EndRequests closes the listeners, reads no further requests and cancels the
-// contexts of those that were read, so that their handlers respond at once. The
+// endReads makes the requests that have arrived whole the last ones of their
+// connections.
+func endReads(list []*conn) {
+	for _, c := range list {
+		c.markShutdown()
+	}
+	for _, c := range list {
+		c.wakeReader()
+	}
+}
+
+// EndRequests closes the listeners, reads no further requests than those that
+// have arrived whole, and cancels their contexts, so that their handlers respond at once. The
 // connections stay open until the responses are sent.
 func (s *Server) EndRequests() {
 	list := s.stopAccepting()
-	for _, c := range list {
-		c.stopReading()
-	}
+	endReads(list)
 	for _, c := range list {
 		c.cancelRequests()
 	}
--- a/node/internal/pipeline/shutdown_test.go
+++ b/node/internal/pipeline/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/jujubeknot/jujubeknot/node/internal/pipeline"
 )
 
+const post = "POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+
 // shutdown begins a shutdown, waits until all connections are marked and returns a
 // channel that receives its result. The connection idle must be open and without
 // unread responses.
@@ -29,6 +32,81 @@
 	return stopped
 }
 
+// TestShutdownServesArrivedRequests guards against a shutdown that drops requests
+// which had arrived whole behind those that run, and against one that waits for the
+// rest of a request.
+func TestShutdownServesArrivedRequests(t *testing.T) {
+	for _, tt := range []struct {
+		name, arrived string
+		want          []string
+	}{
+		{"whole", post + get("/3"), []string{"/post", "/post", "/3"}},
+		{"concurrent", post + get("/3") + get("/4"), []string{"/post", "/post", "/3", "/4"}},
+		{"bodies", post + post + "POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n", []string{"/post", "/post", "/post", "/chunked"}},
+		{"part of a header", post + "GET /3 HTTP/1.1\r\n", []string{"/post", "/post"}},
+		{"part of a body", post + post[:len(post)-1], []string{"/post", "/post"}},
+		{"part of chunks", post + "POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n", []string{"/post", "/post"}},
+		{"malformed", post + "nonsense\r\n\r\n", []string{"/post", "/post"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			began, release := make(chan string, 8), make(chan struct{})
+			s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				began <- r.URL.Path
+				<-release
+				_, _ = fmt.Fprint(w, r.URL.Path)
+			})}
+			connect := start(t, s)
+			idle, c := connect(), connect()
+			send(t, c, post+tt.arrived)
+			<-began
+			stopped := shutdown(t, s, idle)
+			close(release)
+			br := bufio.NewReader(c)
+			for i, want := range tt.want {
+				r, body := read(t, br, "GET")
+				if last := i == len(tt.want)-1; body != want || r.Close != last {
+					t.Errorf("response %d: got %q, close %v; want %q, close %v", i+1, body, r.Close, want, last)
+				}
+			}
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Errorf("read after the last response: got %v, want EOF", err)
+			}
+			_ = c.Close()
+			if err := <-stopped; err != nil {
+				t.Errorf("Shutdown: %v", err)
+			}
+		})
+	}
+}
+
+// TestShutdownEndsBusyCallers guards against a shutdown that serves a caller who sends
+// requests without end.
+func TestShutdownEndsBusyCallers(t *testing.T) {
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	connect := start(t, s)
+	idle, c := connect(), connect()
+	go func() {
+		for {
+			if _, err := io.WriteString(c, get("/")+post); err != nil {
+				return
+			}
+		}
+	}()
+	br := bufio.NewReader(c)
+	read(t, br, "GET")
+	stopped := shutdown(t, s, idle)
+	for {
+		if r, _ := read(t, br, "GET"); r.Close {
+			break
+		}
+	}
+	_ = c.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
 // TestLastResponseSaysClose guards against a last response without "Connection: close"
 // because the request ahead of it is still counted.
 func TestLastResponseSaysClose(t *testing.T) {
