pipeline: linger on every connection that ends gracefully

Callers of a stopping node saw their connection reset where it ended without a response that says "Connection: close": a request of theirs crossed the end of an idle connection, or more had arrived behind a response whose header was sent before the shutdown. A reset can destroy a response that was just sent.

Cause: only a response with "Connection: close" was followed by a lingering close, and Shutdown cut that short. On a node no connection was closed for writing at all, because the limited listener hid that method.

Each connection that ends without a failure or the caller's leaving now lingers until 500 ms after its latest response, or until the caller closes it.

--- a/node/internal/caller/connections.go
+++ b/node/internal/caller/connections.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -96,6 +97,16 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the connection for writing, so that the caller sees the end and
+// what it still sends can be discarded.
+func (c *countedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // mayBeNestedAddress reports whether a connection from an address may carry
 // nested calls.
 func (h *Handler) mayBeNestedAddress(remote net.Addr) bool {
--- a/node/internal/caller/connections_test.go
+++ b/node/internal/caller/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -93,3 +94,44 @@
 		t.Errorf("%d log lines, want 3:\n%s", lines, log.String())
 	}
 }
+
+// TestLimitListenerKeepsHalfClose guards against accepted connections that cannot be
+// closed for writing: the pipeline server would reset callers that still send.
+func TestLimitListenerKeepsHalfClose(t *testing.T) {
+	h := caller.New(caller.Config{
+		Clock: &fakeClock{now: time.Unix(1, 0)}, View: view.New(routing.New()), Owner: &owner.Server{}, Remote: &peer.Client{},
+		Metrics: metrics.New(),
+	})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	accepted, err := h.LimitListener(inner).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	half, ok := accepted.(interface{ CloseWrite() error })
+	if !ok {
+		t.Fatal("the accepted connection cannot be closed for writing")
+	}
+	if err := half.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(c); err != nil || len(text) > 0 {
+		t.Errorf("read after CloseWrite: got %q, %v, want EOF", text, err)
+	}
+	if _, err := io.WriteString(c, "late"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(accepted, make([]byte, 4)); err != nil {
+		t.Errorf("read what was sent after CloseWrite: %v", err)
+	}
+}
--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // conn is one connection of a caller. Its goroutine reads requests. Each
@@ -36,6 +37,8 @@
 	// request is read. finalSent is set once the last response was sent, which
 	// has "Connection: close".
 	shuttingDown, readsStopped, finalSent bool
+	// lastResponse is the time at which the latest response was sent.
+	lastResponse time.Time
 	// readerEnded is set once the reader accepts no further request.
 	readerEnded bool
 	// readerDecided signals that a request was accepted, or that none will be.
@@ -52,10 +55,10 @@
 		// The caller has disconnected, or has sent its last request and still
 		// receives the responses.
 		requests.Wait()
-		c.cancel()
-		if c.hasSentFinal() {
+		if c.ctx.Err() == nil {
 			c.linger()
 		}
+		c.cancel()
 		_ = c.nc.Close()
 	}()
 	if c.passHTTP2() {
@@ -170,6 +173,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
+	c.lastResponse = time.Now()
 	c.finalSent = c.finalSent || final
 	c.readsStopped = c.readsStopped || final
 	switch {
--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -13,7 +13,7 @@
 const (
 	readBufferBytes = 4 << 10
 	// lingerTimeout and lingerBytes bound what is read and discarded after the
-	// last response. Closing a socket with unread data makes the kernel send a
+	// latest response. Closing a socket with unread data makes the kernel send a
 	// reset, which could destroy the response before the caller has read it.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 256 << 10
@@ -160,7 +160,9 @@
 	}
 	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	_, _ = fmt.Fprintf(c.nc, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
-	c.linger()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finalSent, c.lastResponse = true, time.Now()
 }
 
 // awaitLeaving discards what the caller still sends until the requests in flight have
@@ -182,13 +184,24 @@
 	}
 }
 
-// linger closes the connection for writing and discards what the caller still
-// sends, within lingerTimeout and lingerBytes.
+// linger closes the connection for writing and discards what the caller still sends,
+// until lingerTimeout after the latest response and within lingerBytes. It returns at
+// once if the caller cannot notice the end.
 func (c *conn) linger() {
-	if tcp, ok := c.nc.(interface{ CloseWrite() error }); ok {
+	c.mu.Lock()
+	until, final := c.lastResponse.Add(lingerTimeout), c.finalSent
+	c.mu.Unlock()
+	if !time.Now().Before(until) {
+		return
+	}
+	tcp, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok && !final {
+		return
+	}
+	if ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.nc.SetReadDeadline(until)
 	c.limitReader.remaining = -1
 	// The data is discarded and the connection is closed next, so an error does
 	// not matter.
--- a/node/internal/pipeline/shutdown_test.go
+++ b/node/internal/pipeline/shutdown_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/jujubeknot/jujubeknot/node/internal/pipeline"
 )
@@ -107,6 +109,87 @@
 	}
 }
 
+// TestEndWithoutFinalResponseIsNotAReset guards against a reset, which can destroy a
+// response that was sent, when a shutdown ends a connection on which the last
+// response does not say "Connection: close" and whose caller has sent more.
+func TestEndWithoutFinalResponseIsNotAReset(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		close(began)
+		<-release
+		_, _ = io.WriteString(w, "streamed")
+	})}
+	connect := start(t, s)
+	idle, c := connect(), connect()
+	send(t, c, get("/"))
+	<-began
+	stopped := shutdown(t, s, idle)
+	time.Sleep(50 * time.Millisecond)
+	send(t, c, strings.Repeat(get("/late"), 1000))
+	close(release)
+	br := bufio.NewReader(c)
+	if _, body := read(t, br, "GET"); body != "streamed" {
+		t.Errorf("got body %q, want streamed", body)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("read after the response: got %v, want EOF", err)
+	}
+	_ = c.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
+// TestShutdownDoesNotResetIdleConnections guards against a reset, which can destroy a
+// response that was just sent, when a caller's next request crosses the end of an
+// idle connection.
+func TestShutdownDoesNotResetIdleConnections(t *testing.T) {
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	connect := start(t, s)
+	idle, c := connect(), connect()
+	send(t, c, get("/"))
+	br := bufio.NewReader(c)
+	read(t, br, "GET")
+	stopped := shutdown(t, s, idle)
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("read from idle connection: got %v, want EOF", err)
+	}
+	for range 3 {
+		if _, err := io.WriteString(c, get("/crosses")); err != nil {
+			t.Errorf("write after the end: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	_ = c.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
+// TestShutdownDoesNotWaitForSilentCallers guards against a shutdown that waits for
+// callers who do not close their idle connections.
+func TestShutdownDoesNotWaitForSilentCallers(t *testing.T) {
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	connect := start(t, s)
+	for range 32 {
+		connect()
+	}
+	used := connect()
+	send(t, used, get("/"))
+	read(t, bufio.NewReader(used), "GET")
+	time.Sleep(600 * time.Millisecond)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	if d := time.Since(began); d > 300*time.Millisecond {
+		t.Errorf("Shutdown took %v with idle connections only", d)
+	}
+}
+
 // TestLastResponseSaysClose guards against a last response without "Connection: close"
 // because the request ahead of it is still counted.
 func TestLastResponseSaysClose(t *testing.T) {
