pipeline: a caller that leaves within a header cancels its requests

Backend servers worked on for callers that had left: a caller that ended or reset its connection within the header of a further request was taken for one that sends a malformed request, and its requests ran to their end.

Cause: the parser takes the part of a line before a failed read for a whole line, and its error then says nothing of the failure. A reset was not in the list of errors that mean leaving either.

The reader keeps the error of its latest read, and that decides.

--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -36,12 +36,15 @@
 	nc net.Conn
 	// remaining is the number of bytes that may still be read, -1 for no bound.
 	remaining int
+	// err is the error of the latest read.
+	err error
 }
 
 // Read returns errHeaderTooLarge when the bound is reached.
 func (h *headerLimitReader) Read(p []byte) (int, error) {
 	if h.remaining == 0 {
-		return 0, errHeaderTooLarge
+		h.err = errHeaderTooLarge
+		return 0, h.err
 	}
 	if h.remaining > 0 && len(p) > h.remaining {
 		p = p[:h.remaining]
@@ -50,9 +53,24 @@
 	if h.remaining > 0 {
 		h.remaining -= n
 	}
+	h.err = err
 	return n, err
 }
 
+// cause returns the reason why a header could not be parsed, whose parser returned
+// err. It is io.EOF if the caller has disconnected. The parser takes the part of a
+// line before a failed read for a whole line, and its error then hides the failure.
+func (h *headerLimitReader) cause(err error) error {
+	var timeout net.Error
+	switch {
+	case h.err == nil:
+		return err
+	case h.err == errHeaderTooLarge, errors.As(h.err, &timeout) && timeout.Timeout():
+		return h.err
+	}
+	return io.EOF
+}
+
 func (c *conn) deadline(timeout time.Duration) {
 	at := time.Time{}
 	if timeout > 0 {
@@ -118,7 +136,7 @@
 	if arrivedOnly {
 		return c.readArrived()
 	}
-	c.limitReader.remaining = c.server.maxHeaderBytes()
+	c.limitReader.remaining, c.limitReader.err = c.server.maxHeaderBytes(), nil
 	r, err := http.ReadRequest(c.br)
 	c.limitReader.remaining = -1
 	if err == nil {
@@ -126,7 +144,7 @@
 	}
 	if err != nil {
 		c.headerFailed()
-		return nil, err
+		return nil, c.limitReader.cause(err)
 	}
 	if !c.accept(r) {
 		return nil, errReadsStopped
@@ -149,7 +167,7 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+	case errors.Is(err, io.EOF):
 		// The caller has disconnected, so nobody waits for the requests in
 		// flight.
 		c.cancel()
