pipeline: a deadline for a body that was read is not a caller's leaving

Requests were cancelled, and their connection closed, although the caller waited: a request whose body was read completely set a deadline for the body, for example because the call that sent the body on was aborted. Such a deadline could also take away the bound of the next header.

Cause: both are deadlines of the one connection, and by then its reader waits for the next request. Each failure of that wait counts as the caller's leaving.

A request's deadline has no effect once its body was read completely.

--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -139,8 +139,19 @@
 	return w.sendHeader()
 }
 
-// SetReadDeadline sets the deadline for reading the request body.
-func (w *writer) SetReadDeadline(at time.Time) error { return w.c.nc.SetReadDeadline(at) }
+// SetReadDeadline sets the deadline for reading the request body. It has no effect once
+// the body was read completely, because the reader of the connection then waits for
+// the next request.
+func (w *writer) SetReadDeadline(at time.Time) error {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	select {
+	case <-w.bodyRead:
+		return nil
+	default:
+		return w.c.nc.SetReadDeadline(at)
+	}
+}
 
 // SetWriteDeadline sets the deadline for sending the response.
 func (w *writer) SetWriteDeadline(at time.Time) error { return w.c.nc.SetWriteDeadline(at) }
