--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -17,6 +17,9 @@
 	// reset, which could destroy the response before the caller has read it.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// shutdownLinger bounds the same in a shutdown, which waits for it. Callers close
+	// the connection when they see its end.
+	shutdownLinger = 100 * time.Millisecond
 	// arrivedTimeout bounds the time to receive, after the begin of a shutdown, what
 	// has arrived before.
 	arrivedTimeout = 5 * time.Millisecond
@@ -203,15 +206,21 @@
 }
 
 // linger closes the connection for writing and discards what the caller still sends,
-// until lingerTimeout after the latest response and within lingerBytes. It returns at
-// once if the caller cannot notice the end.
+// until lingerTimeout after the latest response, within lingerBytes, and in a shutdown
+// for no longer than shutdownLinger. It returns at once if the caller cannot notice
+// the end.
 func (c *conn) linger() {
 	c.mu.Lock()
 	until, final := c.lastResponse.Add(lingerTimeout), c.finalSent
+	shuttingDown := c.shuttingDown
 	c.mu.Unlock()
-	if !time.Now().Before(until) {
+	now := time.Now()
+	if !now.Before(until) {
 		return
 	}
+	if end := now.Add(shutdownLinger); shuttingDown && end.Before(until) {
+		until = end
+	}
 	tcp, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok && !final {
 		return
--- a/node/internal/pipeline/shutdown_test.go
+++ b/node/internal/pipeline/shutdown_test.go
@@ -159,7 +159,6 @@
 		if _, err := io.WriteString(c, get("/crosses")); err != nil {
 			t.Errorf("write after the end: %v", err)
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 	_ = c.Close()
 	if err := <-stopped; err != nil {
@@ -175,10 +174,11 @@
 	for range 32 {
 		connect()
 	}
-	used := connect()
-	send(t, used, get("/"))
-	read(t, bufio.NewReader(used), "GET")
-	time.Sleep(600 * time.Millisecond)
+	for range 32 {
+		used := connect()
+		send(t, used, get("/"))
+		read(t, bufio.NewReader(used), "GET")
+	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
