pipeline: a caller that leaves behind a malformed request cancels its requests

Backend servers worked on for callers that had left after a request that cannot be parsed, or whose header did not arrive in time: nobody read from the connection while its response waited for those before it.

The reader now discards what follows such a request until the requests before it have ended, and notices the caller's leaving, as behind a last request.

--- a/node/internal/pipeline/conn.go
+++ b/node/internal/pipeline/conn.go
@@ -178,8 +178,9 @@
 	c.readsStopped = c.readsStopped || final
 	switch {
 	case c.inFlight > 0:
-	case c.readsStopped:
-		// Wakes the reader: it waits for a request that must not be read.
+	case c.readsStopped, c.readerEnded:
+		// Wakes the reader: it waits for a request that must not be read, or for the
+		// caller to leave.
 		_ = c.nc.SetReadDeadline(pastDeadline)
 	case !c.readingHeader && !c.shuttingDown:
 		c.deadline(c.server.IdleTimeout)
--- a/node/internal/pipeline/leave_test.go
+++ b/node/internal/pipeline/leave_test.go
@@ -77,8 +77,8 @@
 }
 
 // TestLeavingCancelsRequests guards against requests that keep running after their
-// caller has ended its sending direction, also in the middle of a further header, or
-// has reset the connection.
+// caller has ended its sending direction, also in the middle of a further header or
+// behind a malformed request, or has reset the connection.
 func TestLeavingCancelsRequests(t *testing.T) {
 	halfClose := func(c *net.TCPConn) error { return c.CloseWrite() }
 	reset := func(c *net.TCPConn) error {
@@ -93,6 +93,8 @@
 		{"half-close in a header", "GET / HT", halfClose},
 		{"reset", "", reset},
 		{"reset in a header", "GET / HT", reset},
+		{"half-close behind a malformed request", "nonsense\r\n\r\n", halfClose},
+		{"reset behind a malformed request", "nonsense\r\n\r\n", reset},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			began, ended := make(chan struct{}), make(chan error, 1)
--- a/node/internal/pipeline/read.go
+++ b/node/internal/pipeline/read.go
@@ -176,6 +176,7 @@
 		c.cancel()
 		return
 	}
+	c.awaitLeaving()
 	if !c.waitFor(previous) || c.hasSentFinal() {
 		return
 	}
