peer: the test of cut links allows notRun where the owner ran nothing

TestLinkCutWithinResponseIsNoAnswer failed once in a full run ("cut after 54 bytes: refusal notRun: unreachable"). Shown beside a load of 30 on 8 cores, four copies at a time: "cut after 0 bytes" fails so, and listeners fail with "address already in use", as the machine is out of ports; dials fail the same way. Nothing was sent then, so notRun is true, and the check asked for more than the promise.

The check now knows whether the owner ran the call: notRun after a run fails as before, and at least half of the calls must reach the owner.

--- a/node/internal/peer/cutlink_test.go
+++ b/node/internal/peer/cutlink_test.go
@@ -61,7 +61,7 @@
 // owner's node ended within the header or the body of the response.
 func TestLinkCutWithinResponseIsNoAnswer(t *testing.T) {
 	long := strings.Repeat("y", 300<<10)
-	owner := func(_ context.Context, c *relay.Call) (*relay.Response, *outcome.Refusal) {
+	run := func(c *relay.Call) (*relay.Response, *outcome.Refusal) {
 		if err := c.Body.Buffer(relay.MaxWholeBodyBytes); err != nil {
 			return nil, relay.NotRun(outcome.ReasonCancelled)
 		}
@@ -83,10 +83,15 @@
 		{"body of a long response", "/long", 0, long, 30 << 10, 400 << 10},
 		{"response to an upload", "/short", 100 << 10, "short", 1, 500},
 	} {
-		var complete atomic.Int64
+		var complete, started atomic.Int64
 		var calls sync.WaitGroup
 		for limit := int64(0); limit < k.last; limit += k.step {
-			n := start(t, owner)
+			var ran atomic.Bool
+			n := start(t, func(_ context.Context, c *relay.Call) (*relay.Response, *outcome.Refusal) {
+				ran.Store(true)
+				started.Add(1)
+				return run(c)
+			})
 			to := &wirev1.Node{Incarnation: 2, PeerAddress: newCutLink(t, n.node.GetPeerAddress(), limit)}
 			c := &relay.Call{ID: "id", Sending: "sending", Upstream: "u", Method: "POST", URI: k.uri, Host: "h", Deadline: boottime.Clock{}.Now().Add(time.Second), Body: &relay.Body{}}
 			if k.body > 0 {
@@ -95,7 +100,7 @@
 			calls.Go(func() {
 				answer, refusal := n.client.Do(t.Context(), to, c)
 				if answer == nil {
-					if k.body == 0 && refusal.Outcome != outcome.OutcomeUnknown {
+					if k.body == 0 && refusal.Outcome != outcome.OutcomeUnknown && ran.Load() {
 						t.Errorf("%s, cut after %d bytes: refusal %+v, want the outcome unknown", k.name, limit, refusal)
 					}
 					return
@@ -112,6 +117,10 @@
 			})
 		}
 		calls.Wait()
+		// A call may find its connection ended before it was sent, and has not run then.
+		if got, all := started.Load(), (k.last+k.step-1)/k.step; got < all/2 {
+			t.Errorf("%s: %d of %d calls reached the owner, want at least half", k.name, got, all)
+		}
 		// The header of a long response always ends before its body is complete.
 		if none := k.last < int64(len(k.want)); (complete.Load() == 0) != none {
 			t.Errorf("%s: %d of the responses were complete, want none: %v", k.name, complete.Load(), none)
