--- a/core/rules/statement.go
+++ b/core/rules/statement.go
@@ -19,7 +19,6 @@
 	maxPriority          = 9
 	maxSegment           = 32
 	maxAttempts          = 10
-	maxWeight            = 1_000_000
 	maxRetryBurst        = 1000
 	maxPrefixBytes       = 1024
 	minTimeout           = time.Millisecond
@@ -28,6 +27,9 @@
 	maxHedgeAfter        = time.Minute
 )
 
+// MaxWeight is the largest weight of an upstream of a route.
+const MaxWeight = 1_000_000
+
 // Policies of upstreams, the default first.
 var (
 	keyedPolicies   = []string{"balanced", "random", "roundRobin", "hashing", "ranges"}
@@ -170,7 +172,7 @@
 		name, text, weighted := strings.Cut(part, ":")
 		weightedUpstream := WeightedUpstream{Upstream: name, Weight: 1}
 		if weighted {
-			weightedUpstream.Weight = int(c.integer(word{text, column + len(name) + 1}, 0, maxWeight))
+			weightedUpstream.Weight = int(c.integer(word{text, column + len(name) + 1}, 0, MaxWeight))
 		}
 		upstream, known := c.lookupUpstream(word{name, column})
 		if !known {
