control/internal/disk: sync each removal of a segment

A member that lost power while it removed two or more old segments could come back with the oldest of them and without the next. Such a gap counts as damage: it erased its folder and joined as a new member. The folder was synced once, after all removals, and names that are not synced may come back in any combination. Each removal is durable before the next one now.

The fault disk keeps any subset of the changes of names that were not synced.

--- a/control/internal/disk/disk.go
+++ b/control/internal/disk/disk.go
@@ -272,14 +272,16 @@
 			}
 		}
 	}
+	// Each removal is durable before the next one. If power was lost, the folder could
+	// otherwise lack a segment and still have an older one.
 	for d.canRemoveOldest(firstIndex) {
 		if err := d.files.Remove(segmentName(d.segments[0].sequence)); err != nil {
 			return fmt.Errorf("remove segment: %w", err)
 		}
 		d.segments = d.segments[1:]
-	}
-	if err := d.files.SyncDir(); err != nil {
-		return fmt.Errorf("sync data folder: %w", err)
+		if err := d.files.SyncDir(); err != nil {
+			return fmt.Errorf("sync data folder: %w", err)
+		}
 	}
 	return nil
 }
--- a/control/internal/disk/memfs_test.go
+++ b/control/internal/disk/memfs_test.go
@@ -16,10 +16,13 @@
 var errCrashed = errors.New("crashed")
 
 // memFS is a file system in memory that can simulate a crash. Names are durable
-// after SyncDir, contents after Sync.
+// after SyncDir, contents after Sync. Before, any of them may be durable.
 type memFS struct {
 	current map[string]*inode
 	durable map[string]*inode
+	// changes are the changes of names since the last SyncDir. Each may be durable
+	// without those before it.
+	changes []func(names map[string]*inode)
 	locked  bool
 	// operations counts the calls that change something. They fail once more
 	// than failAt were made; a negative failAt means never.
@@ -39,14 +42,25 @@
 	}
 }
 
-// crash returns the files as a restarted process finds them: the durable names
-// with their synced contents. A part of the contents that were not synced may
-// follow, with its end zeroed or not.
+// crash returns the files as a restarted process finds them: the durable names,
+// with some of the changes that were not synced, and their synced contents. A part
+// of the contents that were not synced may follow, with its end zeroed or not.
 func (m *memFS) crash() *memFS {
+	return m.crashKeeping(m.random.Uint64())
+}
+
+// crashKeeping is like crash. Of the changes of names that were not synced, it keeps
+// those whose bit is set.
+func (m *memFS) crashKeeping(bits uint64) *memFS {
 	next := newMemFS(m.random.Uint64())
-	names := slices.Sorted(maps.Keys(m.durable))
-	for _, name := range names {
-		n := m.durable[name]
+	durable := maps.Clone(m.durable)
+	for i, change := range m.changes {
+		if bits>>i&1 != 0 {
+			change(durable)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(durable)) {
+		n := durable[name]
 		data := bytes.Clone(n.synced)
 		if rest, ok := bytes.CutPrefix(n.data, n.synced); ok && len(rest) > 0 {
 			part := bytes.Clone(rest[:m.random.IntN(len(rest)+1)])
@@ -79,12 +93,19 @@
 	return nil
 }
 
+// change changes names. The change is durable after SyncDir.
+func (m *memFS) change(do func(names map[string]*inode)) {
+	do(m.current)
+	m.changes = append(m.changes, do)
+}
+
 func (m *memFS) Create(name string) (disk.File, error) {
 	if err := m.operation(); err != nil {
 		return nil, err
 	}
-	m.current[name] = &inode{}
-	return &memFile{m, m.current[name]}, nil
+	n := &inode{}
+	m.change(func(names map[string]*inode) { names[name] = n })
+	return &memFile{m, n}, nil
 }
 
 func (m *memFS) Append(name string) (disk.File, error) {
@@ -111,8 +132,11 @@
 	if err := m.operation(); err != nil {
 		return err
 	}
-	m.current[to] = m.current[from]
-	delete(m.current, from)
+	n := m.current[from]
+	m.change(func(names map[string]*inode) {
+		names[to] = n
+		delete(names, from)
+	})
 	return nil
 }
 
@@ -120,7 +144,7 @@
 	if err := m.operation(); err != nil {
 		return err
 	}
-	delete(m.current, name)
+	m.change(func(names map[string]*inode) { delete(names, name) })
 	return nil
 }
 
@@ -128,7 +152,7 @@
 	if err := m.operation(); err != nil {
 		return err
 	}
-	m.durable = maps.Clone(m.current)
+	m.durable, m.changes = maps.Clone(m.current), nil
 	return nil
 }
 
