pipeline: a write deadline bounds its own response only

A caller that pipelined requests could lose the connection before the first response: the handler of a later request, done earlier, set its write deadline on the connection, and it passed while the first still ran. The time now counts from when all earlier responses were sent.

TestWriteDeadlineBoundsOwnResponse, with a deadline of 50 ms for the second of two requests and 100 ms until the first is ready: before, "unexpected EOF" in place of the first response; now both arrive, 50 of 50 runs.

--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -42,6 +42,9 @@
 	contentLength int64
 	written       int64
 	chunkWriter   io.WriteCloser
+	// writeTimeout is the time to send the response once all earlier ones were sent,
+	// 0 for no bound.
+	writeTimeout time.Duration
 
 	mu sync.Mutex
 	// closeAfter is true if the connection is closed after this response.
@@ -153,8 +156,18 @@
 	}
 }
 
-// SetWriteDeadline sets the deadline for sending the response.
-func (w *writer) SetWriteDeadline(at time.Time) error { return w.c.nc.SetWriteDeadline(at) }
+// SetWriteDeadline sets the deadline for sending the response. While earlier
+// responses are being sent, it only sets how long sending this one may take.
+func (w *writer) SetWriteDeadline(at time.Time) error {
+	if w.headerSent {
+		return w.c.nc.SetWriteDeadline(at)
+	}
+	w.writeTimeout = 0
+	if !at.IsZero() {
+		w.writeTimeout = max(time.Until(at), 1)
+	}
+	return nil
+}
 
 // EnableFullDuplex does nothing: the request body may always be read after the
 // response has begun.
@@ -187,6 +200,9 @@
 		return w.fail(context.Canceled)
 	}
 	w.headerSent = true
+	if w.writeTimeout > 0 {
+		_ = w.c.nc.SetWriteDeadline(time.Now().Add(w.writeTimeout))
+	}
 	chunked := w.hasBody() && w.contentLength < 0
 	if chunked && !w.r.ProtoAtLeast(1, 1) {
 		w.setCloseAfter()
