pipeline: a write deadline ends with its response

A caller that waits for 100 Continue on a connection that had been idle for over 30 s got no answer: the connection was closed, because the write deadline of the response before still applied and had passed. It is removed once the response is sent, as net/http does.

--- a/node/internal/pipeline/deadline_test.go
+++ b/node/internal/pipeline/deadline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -38,3 +39,31 @@
 		}
 	}
 }
+
+// TestWriteDeadlineEndsWithResponse guards against a 100 Continue that is not sent,
+// so that an upload is refused, because the write deadline of the response before it
+// on the connection has passed.
+func TestWriteDeadlineEndsWithResponse(t *testing.T) {
+	s := &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(shortDeadline)); err != nil {
+				t.Errorf("set write deadline: %v", err)
+			}
+		}
+		body, err := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %v", r.URL.Path, body, err)
+	})}
+	c := start(t, s)()
+	br := bufio.NewReader(c)
+	send(t, c, get("/first"))
+	read(t, br, "GET")
+	time.Sleep(2 * shortDeadline)
+	send(t, c, "PUT /second HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	if r, err := http.ReadResponse(br, nil); err != nil || r.StatusCode != http.StatusContinue {
+		t.Fatalf("got %v, %v, want 100 Continue", r, err)
+	}
+	send(t, c, "body")
+	if _, body := read(t, br, "PUT"); body != "/second body <nil>" {
+		t.Errorf("got %q, want the body of the second request without an error", body)
+	}
+}
--- a/node/internal/pipeline/writer.go
+++ b/node/internal/pipeline/writer.go
@@ -84,6 +84,9 @@
 	if failed {
 		w.c.abort()
 	}
+	if w.headerSent {
+		_ = w.c.nc.SetWriteDeadline(time.Time{})
+	}
 	// The count must be right before the next response is sent, which is the last
 	// one if no other request is in flight.
 	w.c.requestEnded(!failed && w.shouldClose())
