caller: a response may last as long as its request

A response that took longer than 30 s was cut, though its route and its caller waited for 60 s: the write deadline was set once, when the response began, for HTTP/1.1 and for HTTP/2. Each write is now bounded by the request's deadline, or by 30 s from then if that is later. The link between nodes has no such bound; its calls end at the request's deadline.

WriteTimeout is a setting of the handler.

--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -45,8 +45,9 @@
 	// many again, so that the requests that wait for them can complete.
 	DefaultMaxInFlight = 4096
 	overloadRetryAfter = 100 * time.Millisecond
-	// writeTimeout bounds the time to write the response to a caller.
-	writeTimeout = 30 * time.Second
+	// DefaultWriteTimeout bounds each write of a response to a caller, unless the
+	// deadline of the request is later.
+	DefaultWriteTimeout = 30 * time.Second
 	// maxStreams bounds the concurrent requests of one HTTP/2 connection. Each may
 	// have a header of up to maxHeaderBytes.
 	maxStreams        = 250
@@ -98,9 +99,11 @@
 	// under a request id, and false if there is none. Nil means that nested calls
 	// are known by their depth only.
 	ParentUrgency func(requestID string) (int, bool)
-	// HeaderTimeout and BodyTimeout are described at DefaultHeaderTimeout.
+	// HeaderTimeout and BodyTimeout are described at DefaultHeaderTimeout, and
+	// WriteTimeout at DefaultWriteTimeout.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
+	WriteTimeout  time.Duration
 	// MaxInFlight, MaxConnections and IdleTimeout are described at
 	// DefaultMaxInFlight, DefaultMaxConnections and DefaultIdleTimeout.
 	MaxInFlight    int
@@ -141,6 +144,7 @@
 	}
 	cfg.HeaderTimeout = cmp.Or(cfg.HeaderTimeout, DefaultHeaderTimeout)
 	cfg.BodyTimeout = cmp.Or(cfg.BodyTimeout, DefaultBodyTimeout)
+	cfg.WriteTimeout = cmp.Or(cfg.WriteTimeout, DefaultWriteTimeout)
 	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
 	cfg.MaxConnections = cmp.Or(cfg.MaxConnections, DefaultMaxConnections)
 	cfg.IdleTimeout = cmp.Or(cfg.IdleTimeout, DefaultIdleTimeout)
@@ -220,7 +224,7 @@
 	}
 	defer func() { h.bodyMemory.release(q.readAheadBytes) }()
 	response, refusal := q.serve()
-	_ = q.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w = q.timedWriter()
 	q.closeUnlessBodyRead()
 	if refusal != nil {
 		refusal.RequestID = q.call.ID
