node: test servers stop announcing when their node has ended

TestUploadThatRunsIsNotRefused failed once in a full run: "announcement: status 405, want 200: only GET and HEAD", and some with status 421. The text is that of a listener for operators, so another listener had the port of a killed node, to which its server went on announcing until the end of the test.

--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -179,7 +179,7 @@
 			return
 		}
 		defer func() { _ = r.Body.Close() }()
-		if r.StatusCode != http.StatusOK {
+		if r.StatusCode != http.StatusOK && ctx.Err() == nil {
 			content, _ := io.ReadAll(r.Body)
 			t.Errorf("announcement: status %d, want 200: %s", r.StatusCode, content)
 		}
@@ -234,6 +234,8 @@
 	}
 	go func() {
 		r.done <- n.Run(ctx)
+		// Ends the announcements: another listener may get the port of a killed node.
+		cancel()
 		close(r.ended)
 	}()
 	if b != nil {
