--- a/node/node.go
+++ b/node/node.go
@@ -37,10 +37,6 @@
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
-// drainPollInterval is the time between two checks whether all partitions have
-// been moved away.
-const drainPollInterval = 20 * time.Millisecond
-
 // bytesPerMegabit converts a rate in Mbit/s to bytes/s.
 const bytesPerMegabit = 1e6 / 8
 
@@ -298,85 +294,3 @@
 	n.peers.Close()
 	return err
 }
-
-// drain stops the node in an order that causes no request to fail. First the
-// node gets no new partitions and no more requests from other nodes, then no
-// new callers. At the end the requests in flight complete.
-func (n *Node) drain() {
-	n.draining.Store(true)
-	startTime := boottime.Clock{}.Now()
-	keepsServer := n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil
-	if n.cfg.StopTimeout > 0 {
-		n.owner.StopAt(startTime.Add(n.cfg.StopTimeout))
-		stop := caller.Stop{End: startTime.Add(n.cfg.StopTimeout - finalResponseTime), ClosesAt: startTime}
-		if keepsServer {
-			stop.ClosesAt = startTime.Add(n.cfg.DrainNotice)
-		}
-		n.callers.StopAt(stop)
-	}
-	if keepsServer {
-		// The backend server keeps running, and the next node process on this VM
-		// takes over. Callers would find the port closed until that process listens,
-		// so they get time to see that the node is not ready.
-		time.Sleep(n.cfg.DrainNotice)
-		n.shutDown(startTime)
-		return
-	}
-	n.session.Drain()
-	n.cfg.Log.Info().Int("partitions", n.owner.Partitions()).Msg("draining")
-	n.waitForMoves()
-	n.shutDown(startTime)
-}
-
-// finalResponseTime is the time before the end of a stop at which the requests of
-// callers that still wait are refused, so that none ends without a response.
-const finalResponseTime = 300 * time.Millisecond
-
-// shutDown closes each listener and waits for its requests to complete, until
-// the timeout of a stop that began at startTime.
-func (n *Node) shutDown(startTime time.Time) {
-	remaining := n.cfg.DrainTimeout
-	if n.cfg.StopTimeout > 0 {
-		remaining = n.cfg.StopTimeout - boottime.Clock{}.Now().Sub(startTime)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	if s, ok := n.servers[listenerCallers].(interface{ EndRequests() }); ok {
-		ending := time.AfterFunc(remaining-finalResponseTime, s.EndRequests)
-		defer ending.Stop()
-	}
-	for _, i := range []int{listenerCallers, listenerCallersTLS, listenerPeer, listenerBackend} {
-		if n.servers[i] == nil {
-			continue
-		}
-		if err := n.servers[i].Shutdown(ctx); err != nil {
-			n.cfg.Log.Warn().Err(err).Str("listener", n.listeners[i].Addr().String()).Msg("requests in flight were aborted at the end of the drain timeout")
-		}
-	}
-}
-
-// waitForMoves waits until control has moved all partitions away and publishes
-// this node as leaving, so that other nodes no longer select it. A partition
-// that is released counts until control has assigned it: if the lease were
-// returned before control has the report, the request ids and the handover would
-// be lost. It waits for at most Config.DrainTimeout.
-func (n *Node) waitForMoves() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
-	defer cancel()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for {
-		t := n.view.Table()
-		self := t.Node(n.view.Identity().Incarnation)
-		moved := n.owner.Partitions() == 0 && len(n.owner.Released(t)) == 0
-		if self == nil || moved && t.Leaving(self) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			n.cfg.Log.Warn().Int("partitions", n.owner.Partitions()).Msg("drain timeout ended before all partitions were moved away")
-			return
-		case <-ticker.C:
-		}
-	}
-}
