peer: a stopping server identifies new connections before it ends them

Callers saw: 502 (connectionLost, outcome unknown) at the deadline for a request that must not run twice, was sent as its owner's node began to stop, and never ran. Cause: the stop closed connections whose first bytes had not arrived, and those that only the kernel had accepted. A call sent on one of them was dropped unread, and the settle requests of the calling node found the port closed. Change: a stopping server accepts what the kernel holds for 50 ms more, identifies new connections, serves their calls and sends goAway, as on connections it knew. Each connection has goAwayTimeout of its own to confirm. A connection that arrives after the last accept and before the close is still reset.

--- a/node/internal/peer/export_test.go
+++ b/node/internal/peer/export_test.go
@@ -28,6 +28,29 @@
 	FrameRefusal  = byte(frameRefusal)
 )
 
+// WaitUnidentified waits until a server has a number of connections whose first bytes
+// have not arrived.
+func WaitUnidentified(s *Server, count int) {
+	waitFor(s, func() bool { return len(s.unidentified) == count })
+}
+
+// WaitStopping waits until the shutdown of a server has begun.
+func WaitStopping(s *Server) {
+	waitFor(s, func() bool { return s.stopping })
+}
+
+func waitFor(s *Server, condition func() bool) {
+	for {
+		s.mu.Lock()
+		done := condition()
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // SetClass exports setClass for tests.
 var SetClass = setClass
 
--- a/node/internal/peer/listen.go
+++ b/node/internal/peer/listen.go
@@ -26,6 +26,10 @@
 // treated as lost, like a node that does not respond to a ping.
 const goAwayTimeout = PingAfter + PingTimeout
 
+// backlogTimeout is the time for which a stopping server still accepts the
+// connections that the kernel has established. Calls may have been sent on them.
+const backlogTimeout = 50 * time.Millisecond
+
 // Server serves framed connections and HTTP/2 on one listener. It distinguishes
 // them by the first bytes of a connection. Use NewServer.
 type Server struct {
@@ -38,9 +42,14 @@
 	// bytes have not arrived yet.
 	framedConns  map[*serverConn]struct{}
 	unidentified map[net.Conn]struct{}
-	listener     net.Listener
-	stopping     bool
-	running      sync.WaitGroup
+	listener     *monitoredListener
+	// accepted is closed when no further connection is accepted. It is nil before
+	// Serve.
+	accepted chan struct{}
+	// stopping means that connections get a goAway frame, closed that they are
+	// closed.
+	stopping, closed bool
+	running          sync.WaitGroup
 }
 
 // NewServer returns a server for the handler with the limits of connections
@@ -56,19 +65,22 @@
 
 // Serve accepts connections until Shutdown or Close, and then returns
 // http.ErrServerClosed. It must be called only once.
-func (s *Server) Serve(l net.Listener) error {
-	l = &monitoredListener{Listener: l, connections: &s.h.connections}
+func (s *Server) Serve(nl net.Listener) error {
+	l := &monitoredListener{Listener: nl, connections: &s.h.connections}
 	httpListener := &handoffListener{Listener: l, conns: make(chan net.Conn), closed: make(chan struct{})}
 	s.mu.Lock()
-	s.listener = l
-	stopping := s.stopping
-	s.mu.Unlock()
-	if stopping {
+	if s.stopping {
+		s.mu.Unlock()
 		return http.ErrServerClosed
 	}
+	s.listener, s.accepted = l, make(chan struct{})
+	s.mu.Unlock()
 	httpEnded := make(chan error, 1)
 	go func() { httpEnded <- s.http.Serve(httpListener) }()
 	err := s.accept(l, httpListener)
+	// After acceptBacklog, the listener is still open.
+	_ = l.Close()
+	close(s.accepted)
 	_ = httpListener.Close()
 	<-httpEnded
 	s.mu.Lock()
@@ -97,24 +109,31 @@
 // and passes others to the HTTP/2 server.
 func (s *Server) dispatch(nc net.Conn, httpListener *handoffListener) {
 	s.mu.Lock()
-	if s.stopping {
+	if s.closed {
 		s.mu.Unlock()
 		_ = nc.Close()
 		return
 	}
+	timeout := headerTimeout
+	if s.stopping {
+		timeout = goAwayTimeout
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(timeout))
 	s.unidentified[nc] = struct{}{}
 	s.mu.Unlock()
 	first := make([]byte, len(preface))
-	_ = nc.SetReadDeadline(time.Now().Add(headerTimeout))
 	_, err := io.ReadFull(nc, first)
-	_ = nc.SetReadDeadline(time.Time{})
 	framed := err == nil && string(first) == preface
 	s.mu.Lock()
 	delete(s.unidentified, nc)
+	_ = nc.SetReadDeadline(time.Time{})
 	var l *serverConn
-	if framed && !s.stopping {
+	if framed && !s.closed {
 		l = newServerConn(s.h, s.workers, nc)
 		s.framedConns[l] = struct{}{}
+		if s.stopping {
+			l.goAway()
+		}
 	}
 	s.mu.Unlock()
 	switch {
@@ -130,23 +149,23 @@
 	}
 }
 
-// beginStop closes the listener and the unidentified connections, and returns
-// the framed ones.
-func (s *Server) beginStop() []*serverConn {
+// beginStop stops the listener and sends goAway frames on the framed connections.
+// Calls may have been sent on connections that are not accepted or not identified
+// yet: were they closed, the calling nodes could not learn that these calls have
+// not run. They are identified first.
+func (s *Server) beginStop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
 	if s.listener != nil {
-		_ = s.listener.Close()
+		s.listener.acceptBacklog()
 	}
 	for nc := range s.unidentified {
-		_ = nc.Close()
+		_ = nc.SetReadDeadline(time.Now().Add(goAwayTimeout))
 	}
-	conns := make([]*serverConn, 0, len(s.framedConns))
 	for l := range s.framedConns {
-		conns = append(conns, l)
+		l.goAway()
 	}
-	return conns
 }
 
 // Shutdown notifies the other nodes to send no more calls. It returns when the
@@ -154,16 +173,7 @@
 // unresponsive nodes: otherwise a lost node would leave the keys of this node
 // without an owner until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	conns := s.beginStop()
-	for _, l := range conns {
-		l.send(frameGoAway, 0)
-	}
-	unresponsive := time.AfterFunc(goAwayTimeout, func() {
-		for _, l := range conns {
-			l.closeWhenIdle()
-		}
-	})
-	defer unresponsive.Stop()
+	s.beginStop()
 	// After a GOAWAY the calling node cannot ping an HTTP/2 connection any more, and
 	// both sides would take it for half-open while calls run on it. The GOAWAY is
 	// therefore sent only once they have ended.
@@ -174,6 +184,7 @@
 	err := s.http.Shutdown(ctx)
 	ended := make(chan struct{})
 	go func() {
+		s.waitAccepted()
 		s.running.Wait()
 		s.workers.close()
 		s.workers.running.Wait()
@@ -187,11 +198,30 @@
 	}
 }
 
+// waitAccepted waits until no further connection is accepted.
+func (s *Server) waitAccepted() {
+	s.mu.Lock()
+	accepted := s.accepted
+	s.mu.Unlock()
+	if accepted != nil {
+		<-accepted
+	}
+}
+
 // Close closes all connections immediately.
 func (s *Server) Close() error {
-	for _, l := range s.beginStop() {
+	s.mu.Lock()
+	s.stopping, s.closed = true, true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for nc := range s.unidentified {
+		_ = nc.Close()
+	}
+	for l := range s.framedConns {
 		l.close()
 	}
+	s.mu.Unlock()
 	s.workers.close()
 	return s.http.Close()
 }
--- a/node/internal/peer/server.go
+++ b/node/internal/peer/server.go
@@ -125,6 +125,15 @@
 	return l.connections.add(nc, "", nil), nil
 }
 
+// acceptBacklog makes Accept fail once it has returned the connections that the
+// kernel has established, or at once if the listener has no deadlines.
+func (l *monitoredListener) acceptBacklog() {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || d.SetDeadline(time.Now().Add(backlogTimeout)) != nil {
+		_ = l.Close()
+	}
+}
+
 // Run closes half-open connections that have calls in flight, until the context
 // ends.
 func (h *Handler) Run(ctx context.Context) {
--- a/node/internal/peer/serverconn.go
+++ b/node/internal/peer/serverconn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -123,6 +124,13 @@
 	return nil
 }
 
+// goAway notifies the other node to send no more calls. The connection is closed
+// without its confirmation after goAwayTimeout.
+func (l *serverConn) goAway() {
+	l.send(frameGoAway, 0)
+	time.AfterFunc(goAwayTimeout, l.closeWhenIdle)
+}
+
 // closeWhenIdle closes the connection once its calls have ended. It is called
 // when the other node sends no more calls or does not respond.
 func (l *serverConn) closeWhenIdle() {
