node: test of a stop while no backend server has keys

Requests that a new process holds until a backend server has their keys are answered with notRun when the process is stopped, with StopTimeout and without. The test passed before; no test had covered a stop in this state.

--- a/node/stopcalls_test.go
+++ b/node/stopcalls_test.go
@@ -103,3 +103,32 @@
 		})
 	}
 }
+
+// TestStopOfANodeWithoutOwners guards against requests that a new process has taken
+// while no backend server has keys, and that end without a response when it is stopped.
+func TestStopOfANodeWithoutOwners(t *testing.T) {
+	for _, stopTimeout := range []time.Duration{0, time.Second} {
+		t.Run(fmt.Sprint("stop timeout ", stopTimeout), func(t *testing.T) {
+			n := startNode(t, newControl(t, testRules), "new", nil, func(cfg *node.Config) {
+				cfg.WithoutLease, cfg.TakesOver, cfg.DrainNotice, cfg.DrainTimeout, cfg.StopTimeout = true, true, time.Second, time.Second, stopTimeout
+			})
+			eventually(t, "node has rules", n.Ready)
+			var group sync.WaitGroup
+			for i := range 8 {
+				group.Go(func() {
+					deadline := []string{"300", "5000"}[i%2]
+					a := send("POST", n.url+"/applications/k", map[string]string{"Jujubeknot-Deadline": deadline}, nil)
+					if a.err != nil || a.refusal.Outcome != "notRun" {
+						t.Errorf("request %d: status %d refusal %+v error %v, want notRun", i, a.status, a.refusal, a.err)
+					}
+				})
+			}
+			eventually(t, "requests wait", func() bool { return vars(t, n)["inFlight"].(float64) == 8 })
+			n.stop()
+			group.Wait()
+			if err := <-n.done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
