node: a stopping node serves callers until the calls of other nodes have ended

Callers saw: 502 from a backend server whose nested call found the port of the node beside it closed, in a stop of that node alone with TakesOver and DrainNotice. Cause: the listener for callers, where the backend server sends its nested calls, was closed after DrainNotice, while calls of other nodes still ran at that server. Evidence: TestNestedCallsOfCallsInAStop failed 5 of 5 times: connection refused. Change: first the calls of other nodes end, then the listeners for callers close, at the latest when waiting requests are refused. What callers send meanwhile is taken only if its deadline is before the end of the stop, now also without StopTimeout. Measured: the test passes 10 of 10 times. Nested calls of requests that the stopping node took from callers itself still find the port closed.

--- a/node/stop.go
+++ b/node/stop.go
@@ -47,12 +47,16 @@
 }
 
 // shutDown closes the listeners and waits for their requests to complete, until
-// the timeout of a stop that began at startTime. Each listener has all of that time,
-// so that a connection that does not end takes none from the others.
+// the timeout of a stop that began at startTime. Callers are served until the calls
+// of other nodes have ended: the backend server sends the nested calls of these to
+// this node. A request that could last beyond the stop is refused.
 func (n *Node) shutDown(startTime time.Time) {
+	now := boottime.Clock{}.Now()
 	remaining := n.cfg.DrainTimeout
 	if n.cfg.StopTimeout > 0 {
-		remaining = n.cfg.StopTimeout - boottime.Clock{}.Now().Sub(startTime)
+		remaining = n.cfg.StopTimeout - now.Sub(startTime)
+	} else {
+		n.callers.StopAt(caller.Stop{End: now.Add(remaining - finalResponseTime), ClosesAt: now})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
@@ -60,11 +64,19 @@
 		ending := time.AfterFunc(remaining-finalResponseTime, s.EndRequests)
 		defer ending.Stop()
 	}
-	requests := tasks.New(3)
-	requests.Go(ctx, "calls of nodes", n.shutDownListener(listenerPeer))
+	calls := tasks.New(1)
+	calls.Go(ctx, "calls of nodes", n.shutDownListener(listenerPeer))
+	callersEnd := time.NewTimer(remaining - finalResponseTime)
+	defer callersEnd.Stop()
+	select {
+	case result := <-calls.Results():
+		_ = calls.Ack(result)
+	case <-callersEnd.C:
+	}
+	requests := tasks.New(2)
 	requests.Go(ctx, "callers", n.shutDownListener(listenerCallers))
 	requests.Go(ctx, "callers with TLS", n.shutDownListener(listenerCallersTLS))
-	_ = requests.Wait()
+	_, _ = requests.Wait(), calls.Wait()
 	_ = n.shutDownListener(listenerBackend)(ctx)
 }
 
--- a/node/stopcalls_test.go
+++ b/node/stopcalls_test.go
@@ -104,6 +104,41 @@
 	}
 }
 
+// TestNestedCallsOfCallsInAStop guards against a stopping node that refuses the connections
+// of the backend server beside it while that server runs calls of other nodes, which
+// need its nested calls.
+func TestNestedCallsOfCallsInAStop(t *testing.T) {
+	const notice = 200 * time.Millisecond
+	owner, entry, server := startStopping(t, func(cfg *node.Config) { cfg.DrainNotice, cfg.StopTimeout = notice, 6*time.Second })
+	started, proceed := make(chan struct{}), make(chan struct{})
+	server.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) != "parent" {
+			_, _ = io.WriteString(w, "nested")
+			return
+		}
+		close(started)
+		<-proceed
+		a := send("GET", owner.url+"/applications/k", map[string]string{"Jujubeknot-Depth": "1", "Jujubeknot-Deadline": "1000"}, nil)
+		if a.status != 200 {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+		_, _ = fmt.Fprint(w, a.body, a.err)
+	})
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- send("POST", entry.url+"/applications/k", map[string]string{idHeader: "parent", "Jujubeknot-Deadline": "4000"}, nil)
+	}()
+	<-started
+	owner.stop()
+	eventually(t, "the owner stops", func() bool { return !owner.Ready() })
+	time.Sleep(notice + 500*time.Millisecond)
+	close(proceed)
+	if a := <-answers; a.status != 200 || a.body != "nested<nil>" {
+		t.Errorf("status %d body %q error %v, want 200 and the response to the nested call", a.status, a.body, a.err)
+	}
+	<-owner.ended
+}
+
 // TestStopOfANodeWithoutOwners guards against requests that a new process has taken
 // while no backend server has keys, and that end without a response when it is stopped.
 func TestStopOfANodeWithoutOwners(t *testing.T) {
