peer: a stop does not wait a second for idle HTTP/2 connections

A stop took 1.05 to 1.09 s longer if another node had an HTTP/2 connection open, as after each upload: Go's server closes it a second after its GOAWAY unless the other side does. The process ended that much later, and its keys had no owner meanwhile.

No call runs on these connections any more (http2Calls), so they get 150 ms for the last responses to leave and are closed then.

--- a/node/internal/peer/listen.go
+++ b/node/internal/peer/listen.go
@@ -30,6 +30,10 @@
 // connections that the kernel has established. Calls may have been sent on them.
 const backlogTimeout = 50 * time.Millisecond
 
+// http2CloseTimeout is the time for which a stopping server waits for HTTP/2
+// connections without calls to be closed by the other node.
+const http2CloseTimeout = 150 * time.Millisecond
+
 // Server serves framed connections and HTTP/2 on one listener. It distinguishes
 // them by the first bytes of a connection. Use NewServer.
 type Server struct {
@@ -181,7 +185,7 @@
 	case <-s.h.http2Calls.close():
 	case <-ctx.Done():
 	}
-	err := s.http.Shutdown(ctx)
+	err := s.shutDownHTTP2(ctx)
 	ended := make(chan struct{})
 	go func() {
 		s.waitAccepted()
@@ -198,6 +202,19 @@
 	}
 }
 
+// shutDownHTTP2 closes the HTTP/2 connections, on which no calls run any more. Their
+// last responses have http2CloseTimeout to leave. Left to itself, the HTTP/2 server
+// waits a second for the other node to close.
+func (s *Server) shutDownHTTP2(ctx context.Context) error {
+	closing, cancel := context.WithTimeout(ctx, http2CloseTimeout)
+	defer cancel()
+	err := s.http.Shutdown(closing)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return s.http.Close()
+}
+
 // waitAccepted waits until no further connection is accepted.
 func (s *Server) waitAccepted() {
 	s.mu.Lock()
