--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -93,18 +93,17 @@
 // until the lease expires. The backend server may be running them although it is taken
 // for lost or replaced: one that stops closes its listener first. The calls of a server
 // that has ended fail at once. Those of a silent one may take until their deadlines,
-// so they are waited for only while it can hold keys.
+// and meanwhile the lease, and with it the grants of that server, would be extended. They
+// are not waited for.
 func (i *incarnation) completeCalls(ctx context.Context) {
 	s := i.s
+	completed := s.cfg.Owner.CloseLease()
+	if s.cfg.Backend.Unresponsive() {
+		return
+	}
 	i.mu.Lock()
 	until := i.holder.Expiry()
 	i.mu.Unlock()
-	if s.cfg.GrantsByHeartbeat && s.cfg.Backend.Unresponsive() {
-		if grantsEnd := s.cfg.Backend.HoldsUntil(); grantsEnd.Before(until) {
-			until = grantsEnd
-		}
-	}
-	completed := s.cfg.Owner.CloseLease()
 	timer := time.NewTimer(until.Sub(s.cfg.Clock.Now()))
 	defer timer.Stop()
 	select {
