backend: a response of a replaced process does not replace the new one

A backend server that is restarted at its address completes what the earlier process runs. Each response of that process has its boot id, which differs from the announced one, so the node took the new process for restarted: its idle connections were closed, its limits were reset, control was told the earlier boot id, and the next announcement did the same once more.

A response counts as contact with the announced process only if its connection is of the pool's current generation.

--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -160,7 +160,11 @@
 	if a.s.cfg.Dialect != nil {
 		return a.runDialect(ctx)
 	}
-	a.s.recordResponse(x.response.Header.Get(headers.BootID))
+	if a.s.pool.isCurrent(x.c) {
+		// A response of a process that has been replaced says nothing about the
+		// announced one.
+		a.s.recordResponse(x.response.Header.Get(headers.BootID))
+	}
 	a.s.unreachable.Store(false)
 	if id := x.response.Header.Get(headers.RequestID); id != "" && id != a.call.BackendRequestID() {
 		return nil, a.fail(ctx, errMismatchedID)
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -224,6 +224,13 @@
 	_ = c.nc.Close()
 }
 
+// isCurrent reports whether a connection belongs to the current generation.
+func (p *pool) isCurrent(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.generation == p.generation
+}
+
 // warm closes idle connections that the backend server has closed and opens new
 // ones until want connections are open.
 func (p *pool) warm(ctx context.Context, want int) {
--- a/node/lostserver_test.go
+++ b/node/lostserver_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -83,3 +85,79 @@
 		})
 	}
 }
+
+// restartOn starts another process of the server at the address of the earlier one,
+// which has closed its listener.
+func (b *backendServer) restartOn(t *testing.T, bootID string) *backendServer {
+	t.Helper()
+	next := newBackend(t, b.name, b.upstream)
+	next.bootID = bootID
+	l, err := net.Listen("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.address = b.address
+	go func() { _ = next.server.Serve(l) }()
+	return next
+}
+
+// TestLateResponseOfEarlierProcess guards against a response of a process that has been
+// replaced, which makes the node take the new one for restarted, close its connections
+// and reset its limits.
+func TestLateResponseOfEarlierProcess(t *testing.T) {
+	c := newControl(t, testRules)
+	server := newBackend(t, "server1", "documents")
+	first := startNode(t, c, "first", nil, nil)
+	ctx := t.Context()
+	announce := func(b *backendServer) {
+		b.announce(ctx, t, first.Addresses().Backend, b.address)
+	}
+	server.announceOnce(t, first.Addresses().Backend)
+	eventually(t, "node serves", func() bool { return send("GET", first.url+"/documents/k", nil, nil).status == 200 })
+	warm(first.url + "/documents/warm")
+	started, release := make(chan struct{}, 4), make(chan struct{})
+	server.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-release
+		_, _ = w.Write([]byte("stored"))
+	})
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- send("POST", first.url+"/documents/k", map[string]string{"Jujubeknot-Deadline": "9000"}, nil)
+	}()
+	<-started
+	go func() { _ = server.server.Shutdown(ctx) }()
+	eventually(t, "the listener is closed", func() bool {
+		nc, err := net.Dial("tcp", server.address)
+		if err == nil {
+			_ = nc.Close()
+		}
+		return err != nil
+	})
+	next := server.restartOn(t, "boot-2")
+	announce(next)
+	eventually(t, "the new process is announced", func() bool { return countLines(first, `"backend server announced"`) >= 2 })
+	restarts := countLines(first, `"backend server restarted"`)
+	close(release)
+	if a := <-answers; a.status != 200 || a.body != "stored" {
+		t.Errorf("call to the earlier process: status %d refusal %+v error %v, want 200", a.status, a.refusal, a.err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if now := countLines(first, `"backend server restarted"`); now != restarts {
+		t.Errorf("the node saw %d restarts after the response of the earlier process, want 0", now-restarts)
+	}
+}
+
+// countLines returns how many lines of a node's log contain text.
+func countLines(n *runningNode, text string) int { return strings.Count(n.log.String(), text) }
+
+// announceOnce announces the backend server once.
+func (b *backendServer) announceOnce(t *testing.T, to net.Addr) {
+	t.Helper()
+	body := fmt.Sprintf(`{"name":%q,"upstream":%q,"address":%q,"bootId":%q,"slots":6,"connections":20,"checksFences":true}`, b.name, b.upstream, b.address, b.bootID)
+	r, err := http.Post("http://"+to.String()+"/v1/announce", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+}
