controlclient: calls in flight are waited for while the lease is extended

Calls were waited for until the lease expired as it stood at the loss, although renewals extended it, and the grants with it, meanwhile.

The wait ends with the calls, which their deadlines bound, with the lease or with the process.

--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -89,8 +89,8 @@
 	return reason
 }
 
-// completeCalls admits no further keyed calls and waits for those in flight, at most
-// until the lease expires. The backend server may be running them although it is taken
+// completeCalls admits no further keyed calls and waits for those in flight, while the
+// lease is extended. The backend server may be running them although it is taken
 // for lost or replaced: one that stops closes its listener first. The calls of a server
 // that has ended fail at once. Those of a silent one may take until their deadlines,
 // and meanwhile the lease, and with it the grants of that server, would be extended. They
@@ -101,14 +101,8 @@
 	if s.cfg.Backend.Unresponsive() {
 		return
 	}
-	i.mu.Lock()
-	until := i.holder.Expiry()
-	i.mu.Unlock()
-	timer := time.NewTimer(until.Sub(s.cfg.Clock.Now()))
-	defer timer.Stop()
 	select {
 	case <-completed:
-	case <-timer.C:
 	case <-i.ended:
 	case <-ctx.Done():
 	}
--- a/node/lostserver_test.go
+++ b/node/lostserver_test.go
@@ -86,6 +86,41 @@
 	}
 }
 
+// TestServerWithoutListenerCompletesLongCalls guards against calls that are cancelled in
+// the middle of their run, because the backend server has closed its listener and the
+// calls last longer than the lease did at that time, although the lease is extended.
+func TestServerWithoutListenerCompletesLongCalls(t *testing.T) {
+	c, first, second, server, silence := startTwo(t)
+	before := c.ownerOf(0)
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	server.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-release
+		_, _ = w.Write([]byte("stored"))
+	})
+	var callers sync.WaitGroup
+	for i, n := range []*runningNode{first, second} {
+		callers.Go(func() {
+			a := send("POST", fmt.Sprint(n.url, "/applications/k", i), map[string]string{idHeader: fmt.Sprint("long", i), "Jujubeknot-Deadline": "9000"}, nil)
+			if a.status != 200 || a.body != "stored" {
+				t.Errorf("status %d refusal %+v error %v, want 200", a.status, a.refusal, a.err)
+			}
+		})
+	}
+	for range 2 {
+		<-started
+	}
+	silence()
+	go func() { _ = server.server.Shutdown(t.Context()) }()
+	// Several leases, which last 1.5 s.
+	time.Sleep(5 * time.Second)
+	if c.ownerOf(0) != before {
+		t.Error("the partition has another owner while the server runs its calls")
+	}
+	close(release)
+	callers.Wait()
+}
+
 // restartOn starts another process of the server at the address of the earlier one,
 // which has closed its listener.
 func (b *backendServer) restartOn(t *testing.T, bootID string) *backendServer {
