owner: a closed lease grants no keys

Between CloseLease and EndLease the node stays registered, so control may assign it more partitions, and the backend server may send heartbeats. Their responses granted the added partitions for the rest of the lease, which is returned as soon as the calls in flight have ended: another server could be granted them while this one held them.

TestClosedLeaseGrantsNothing failed before and passes.

--- a/node/internal/owner/heartbeats.go
+++ b/node/internal/owner/heartbeats.go
@@ -158,7 +158,7 @@
 			p.state = stateReleasing
 			close(p.halt)
 		}
-		if p.state != stateServing {
+		if p.state != stateServing || s.lease.closing {
 			continue
 		}
 		if !p.held {
