owner, controlclient: only calls without a response are waited for beyond a lease

Calls in flight are waited for until the lease expires as it stood at the loss; from then on only those that the server has not answered, whose deadlines bound them.

--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -89,20 +89,33 @@
 	return reason
 }
 
-// completeCalls admits no further keyed calls and waits for those in flight, while the
-// lease is extended. The backend server may be running them although it is taken
-// for lost or replaced: one that stops closes its listener first. The calls of a server
-// that has ended fail at once. Those of a silent one may take until their deadlines,
-// and meanwhile the lease, and with it the grants of that server, would be extended. They
-// are not waited for.
+// completeCalls admits no further keyed calls and waits for those in flight. The backend
+// server may be running them although it is taken for lost or replaced: one that stops
+// closes its listener first. The calls of a server that has ended fail at once. Those of
+// a silent one may take until their deadlines, and meanwhile the lease, and with it the
+// grants of that server, would be extended. They are not waited for.
 func (i *incarnation) completeCalls(ctx context.Context) {
 	s := i.s
-	completed := s.cfg.Owner.CloseLease()
+	ended, answered := s.cfg.Owner.CloseLease()
 	if s.cfg.Backend.Unresponsive() {
 		return
 	}
+	i.mu.Lock()
+	expiry := i.holder.Expiry()
+	i.mu.Unlock()
+	timer := time.NewTimer(expiry.Sub(s.cfg.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return
+	case <-timer.C:
+	case <-i.ended:
+	case <-ctx.Done():
+	}
+	// The lease has been extended. What is left may be responses that a caller does not
+	// read, and these must not keep the keys from other owners.
 	select {
-	case <-completed:
+	case <-answered:
 	case <-i.ended:
 	case <-ctx.Done():
 	}
--- a/node/internal/owner/closelease_test.go
+++ b/node/internal/owner/closelease_test.go
@@ -19,7 +19,8 @@
 		return &wirev1.Assignment{Upstream: "desk", Partition: number, Owner: incarnation, Epoch: 2, SinceIndex: index}
 	}
 	s := registered(t, heartbeat, incarnation, 16, assignment(3, 150))
-	<-s.CloseLease()
+	ended, _ := s.CloseLease()
+	<-ended
 	table, err := routing.New().With(&wirev1.Update{
 		Index: 310, Snapshot: true,
 		Rules:       &wirev1.RulesRevision{Revision: 1, Text: fmt.Sprintf("upstream desk keyed keys=numbers policy=ranges partitions=%d # a: b\n", 16)},
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -51,10 +51,9 @@
 	mu         sync.Mutex
 	lease      *leaseContext
 	partitions map[PartitionID]*partition
-	// activeCalls is the number of calls in flight for all partitions, those of
-	// earlier leases included. idle is closed when it reaches 0.
-	activeCalls int
-	idle        chan struct{}
+	// activeCalls counts the calls in flight for all partitions, those of earlier
+	// leases included. pendingCalls counts those of them that have no response yet.
+	activeCalls, pendingCalls callCount
 	// released are the released partitions. Each is reported until the table shows
 	// a higher epoch for it.
 	released map[PartitionID]*wirev1.ReleasedPartition
@@ -134,7 +133,7 @@
 	if refusal := r.admit(ctx); refusal != nil {
 		return nil, refusal
 	}
-	response, refusal := r.do(ctx)
+	response, refusal := r.doPending(ctx)
 	if refusal != nil {
 		r.end()
 		return nil, refusal
@@ -228,6 +227,21 @@
 	return nil
 }
 
+// doPending runs the call. A keyed call counts as pending until it has a response.
+func (r *execution) doPending(ctx context.Context) (*relay.Response, *outcome.Refusal) {
+	if r.partition != nil {
+		r.s.countPending((*callCount).add)
+		defer r.s.countPending((*callCount).done)
+	}
+	return r.do(ctx)
+}
+
+func (s *Server) countPending(change func(*callCount)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.pendingCalls)
+}
+
 func (r *execution) do(ctx context.Context) (*relay.Response, *outcome.Refusal) {
 	if !r.call.Idempotent && r.call.IDFromCaller {
 		// An earlier sending may have run. The request table must be checked before
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -92,7 +92,7 @@
 	}
 	p.active++
 	p.count++
-	s.activeCalls++
+	s.activeCalls.add()
 	return p, nil
 }
 
@@ -105,11 +105,7 @@
 		close(p.idle)
 		p.idle = nil
 	}
-	s.activeCalls--
-	if s.activeCalls == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
+	s.activeCalls.done()
 }
 
 // permit checks the lease and the partition again, immediately before the first
@@ -218,9 +214,10 @@
 }
 
 // CloseLease admits no further keyed calls under the lease. Queued ones leave the
-// queue. The returned channel is closed when those in flight have ended. The lease
-// itself goes on until EndLease.
-func (s *Server) CloseLease() <-chan struct{} {
+// queue. Of the returned channels, ended is closed when those in flight have ended, and
+// answered when the backend server has answered them. The lease itself goes on until
+// EndLease.
+func (s *Server) CloseLease() (ended, answered <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lease.closing = true
@@ -230,15 +227,7 @@
 			p.state = stateReleasing
 		}
 	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	idle := s.idle
-	if s.activeCalls == 0 {
-		close(s.idle)
-		s.idle = nil
-	}
-	return idle
+	return s.activeCalls.whenNone(), s.pendingCalls.whenNone()
 }
 
 // EndLease ends the lease. Queued keyed calls leave the queue, keyed calls in
--- a/node/lostserver_test.go
+++ b/node/lostserver_test.go
@@ -121,6 +121,18 @@
 	callers.Wait()
 }
 
+// TestUnreadResponseHoldsNoKeys guards against keys that stay without an owner after the
+// end of a backend server, because a caller does not read the response that it had begun.
+func TestUnreadResponseHoldsNoKeys(t *testing.T) {
+	c, first, _, server, silence := startTwo(t)
+	before := c.ownerOf(0)
+	server.setHandler(serveEndless)
+	holdCaller(t, first)
+	silence()
+	_ = server.server.Close()
+	eventually(t, "another owner", func() bool { return c.ownerOf(0) != before })
+}
+
 // restartOn starts another process of the server at the address of the earlier one,
 // which has closed its listener.
 func (b *backendServer) restartOn(t *testing.T, bootID string) *backendServer {
