controlclient: releases are reported without a bounded channel

Cause: each release sent its result to a channel of 1,024 places. reportLoop reads it, and is in a call for up to a second; it ends with the loops of the lease. A release that found the channel full then waited for incarnation.ended, which a stop does not close, and Node.Run waits for the goroutines of releases.

Evidence: in the kept log one heartbeat revoked 1,512 partitions, control got the report of one of them, and the lease was neither renewed nor returned afterwards.

Why it works: the loop reads completed releases from the owner anyway. It is now only woken, and put off releases are kept in a list, so that no release waits for the loop.

--- a/node/control_test.go
+++ b/node/control_test.go
@@ -45,6 +45,10 @@
 	nextRenewal   chan struct{}
 	// failReports is the number of the next reports of releases that get an error.
 	failReports int
+	// holdReports leaves reports of releases without a response, and heldReports
+	// counts them.
+	holdReports bool
+	heldReports int
 	// renewals is the number of renewals received.
 	renewals int
 	// keyed has the number of partitions of each keyed upstream.
@@ -233,9 +237,16 @@
 	return 0
 }
 
-func (c *fakeControl) Released(_ context.Context, r *connect.Request[wirev1.ReleasedRequest]) (*connect.Response[wirev1.ReleasedResponse], error) {
+func (c *fakeControl) Released(ctx context.Context, r *connect.Request[wirev1.ReleasedRequest]) (*connect.Response[wirev1.ReleasedResponse], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.holdReports {
+		c.heldReports++
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return nil, ctx.Err()
+	}
 	if c.failReports > 0 {
 		c.failReports--
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeknot/jujubeknot/core/lease"
-	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	"github.com/jujubeknot/jujubeknot/wire/tasks"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
@@ -25,7 +24,7 @@
 	interval time.Duration
 	// loadSince is the time of the last load report.
 	loadSince time.Time
-	reports   chan owner.Release
+	releases  *releases
 
 	mu       sync.Mutex
 	holder   lease.Holder
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -259,7 +259,7 @@
 	i := &incarnation{
 		s: s, number: r.GetIncarnation(), secret: node.GetPeerSecret(), server: node.GetBackendServer(),
 		interval: time.Duration(r.GetRenewIntervalMs()) * time.Millisecond, ended: make(chan struct{}), reportSoon: make(chan struct{}, 1),
-		loadSince: s.cfg.Clock.Now(), reports: make(chan owner.Release, 1024),
+		loadSince: s.cfg.Clock.Now(), releases: newReleases(),
 		extended: make(chan struct{}, 1),
 	}
 	if i.interval <= 0 {
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -10,17 +10,10 @@
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/routing"
 	"github.com/jujubeknot/jujubeknot/core/rules"
-	"github.com/jujubeknot/jujubeknot/node/internal/owner"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
 )
 
-const (
-	// reportInterval is the time after which a release is reported again.
-	reportInterval = 200 * time.Millisecond
-	reportTimeout  = time.Second
-)
-
 // watchLoop keeps a watch stream of the replicated state open. It changes to
 // another member when the leader changes.
 func (i *incarnation) watchLoop(ctx context.Context) {
@@ -79,12 +72,7 @@
 		return
 	}
 	for _, r := range u.GetReleases() {
-		s.cfg.Owner.Release(context.WithoutCancel(ctx), r, func(r owner.Release) {
-			select {
-			case i.reports <- r:
-			case <-i.ended:
-			}
-		})
+		s.cfg.Owner.Release(context.WithoutCancel(ctx), r, i.releases.add)
 	}
 }
 
@@ -165,46 +153,3 @@
 	}
 	return m
 }
-
-// reportLoop reports releases at once. It repeats those that the table does not
-// show yet, because the report or the leader may have been lost.
-func (i *incarnation) reportLoop(ctx context.Context) {
-	var deferred []*wirev1.ReleasedPartition
-	// repeat fires reportInterval after a report. It is nil if there is nothing to
-	// repeat.
-	var repeat <-chan time.Time
-	for {
-		var finished []owner.Release
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-i.reports:
-			finished = append(finished, r)
-		case <-repeat:
-		}
-		repeat = nil
-		for len(i.reports) > 0 {
-			finished = append(finished, <-i.reports)
-		}
-		request := &wirev1.ReleasedRequest{Incarnation: i.number, Partitions: deferred}
-		for _, r := range finished {
-			if r.Partition.GetPutOff() {
-				request.Partitions = append(request.Partitions, r.Partition)
-			}
-		}
-		deferred = request.Partitions
-		for _, p := range i.s.cfg.Owner.Released(i.s.cfg.View.Table()) {
-			request.Partitions = append(request.Partitions, p)
-			request.MovedRequests = append(request.MovedRequests, movedRequests(p, i.s.cfg.Owner.Records(p)))
-		}
-		if len(request.Partitions) == 0 {
-			continue
-		}
-		repeat = time.After(reportInterval)
-		if _, err := call(ctx, i.s, reportTimeout, request, wirev1connect.ControlClient.Released); err != nil {
-			i.s.cfg.Log.Warn().Err(err).Int("partitions", len(request.Partitions)).Msg("report of releases failed")
-			continue
-		}
-		deferred = nil
-	}
-}
--- a/node/lostserver_test.go
+++ b/node/lostserver_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/jujubeknot/jujubeknot/node"
 )
 
 // ownerOf returns the owner of a partition of applications.
@@ -23,13 +25,18 @@
 // silence ends the announcements of the server.
 func startTwo(t *testing.T) (c *fakeControl, first, second *runningNode, server *backendServer, silence func()) {
 	t.Helper()
-	c = newControl(t, testRules)
+	return startTwoWith(t, testRules, nil)
+}
+
+func startTwoWith(t *testing.T, rules string, change func(*node.Config)) (c *fakeControl, first, second *runningNode, server *backendServer, silence func()) {
+	t.Helper()
+	c = newControl(t, rules)
 	server = newBackend(t, "server1", "applications")
-	first = startNode(t, c, "first", nil, nil)
+	first = startNode(t, c, "first", nil, change)
 	ctx, silence := context.WithCancel(t.Context())
 	server.announce(ctx, t, first.Addresses().Backend, server.address)
 	eventually(t, "node serves", func() bool { return send("GET", first.url+"/applications/k", nil, nil).status == 200 })
-	second = startNode(t, c, "second", newBackend(t, "server2", "applications"), nil)
+	second = startNode(t, c, "second", newBackend(t, "server2", "applications"), change)
 	eventually(t, "the other node is registered", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
