peer: the owner's node does not end a call before its deadline

Cause: the remaining time of a call is sent between nodes in milliseconds, rounded down, so that the owner's node gave a call up to 1 ms less than its caller had.

Evidence: the call of the log went through two nodes, and its run was cut in the millisecond in which it was due.

Why it works: the time is rounded up; the entry node still ends the call at its own deadline. Jujubeknot-Request-Deadline-Ms towards backend servers stays rounded down.

--- a/node/internal/peer/call.go
+++ b/node/internal/peer/call.go
@@ -37,7 +37,8 @@
 	appendNumber(uint64(c.Partition), 10)
 	appendNumber(c.Epoch, 10)
 	appendNumber(c.KeyHash, 16)
-	appendNumber(uint64(max(remaining.Milliseconds(), 1)), 10)
+	// Rounded up, so that the owner's node does not end the call before its deadline.
+	appendNumber(uint64((max(remaining, 1)+time.Millisecond-1)/time.Millisecond), 10)
 	appendNumber(uint64(c.Depth), 10)
 	appendNumber(uint64(c.Priority), 10)
 	appendNumber(boolToUint(c.Idempotent)|boolToUint(c.IDFromCaller)<<1, 10)
--- a/node/internal/peer/call_test.go
+++ b/node/internal/peer/call_test.go
@@ -49,6 +49,23 @@
 	})
 }
 
+// TestOwnerHasTheWholeDeadline guards against an owner's node that ends a call before the
+// deadline of its caller, because a part of a millisecond is lost between nodes.
+func TestOwnerHasTheWholeDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		left := time.Duration(rapid.Int64Range(1, int64(time.Minute)).Draw(t, "left"))
+		c := relay.Call{ID: "id", Sending: "sending", Upstream: "applications", Deadline: now.Add(left)}
+		got, err := peer.DecodeCall(peer.EncodeCall(&c, left), now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := got.Deadline.Sub(c.Deadline); d < 0 || d >= time.Millisecond {
+			t.Fatalf("deadline of the owner %v after the caller's, want 0 to 1 ms", d)
+		}
+	})
+}
+
 // TestClassReachesOwner guards against the kind or the parent of a call that is lost
 // between nodes, in frames or over HTTP/2, and against a call that is refused or
 // taken for a nested one because its class cannot be read.
