pipeline: callers over HTTP/2 delay no shutdown

What callers saw: while a caller over HTTP/2 had a request running at a stopping node, the port went on accepting connections, and callers over HTTP/1.1 were not told to close theirs, until that request or the stop had ended.

Cause: Shutdown waited for the HTTP/2 server before it did anything else.

Why it works: the HTTP/2 server is shut down beside the HTTP/1.1 connections. Its own connections are still closed only after it.

--- a/node/internal/pipeline/server.go
+++ b/node/internal/pipeline/server.go
@@ -168,10 +168,8 @@
 // have arrived whole complete. It returns when no connection is open or the context
 // ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	http2Ended := s.shutdownHTTP2(ctx)
 	var http2Err error
-	if s.HTTP2 != nil {
-		http2Err = s.HTTP2.Shutdown(ctx)
-	}
 	ticker := time.NewTicker(shutdownPoll)
 	defer ticker.Stop()
 	for {
@@ -180,21 +178,36 @@
 		// take a while, and responses that are sent meanwhile must already
 		// state that they are the last.
 		endReads(list)
-		for _, c := range list {
-			c.closePassed()
-		}
-		if len(list) == 0 {
-			s.closeHTTP2()
-			return http2Err
+		if http2Ended == nil {
+			for _, c := range list {
+				c.closePassed()
+			}
+			if len(list) == 0 {
+				s.closeHTTP2()
+				return http2Err
+			}
 		}
 		select {
 		case <-ctx.Done():
 			return cmp.Or(http2Err, ctx.Err())
+		case http2Err = <-http2Ended:
+			http2Ended = nil
 		case <-ticker.C:
 		}
 	}
 }
 
+// shutdownHTTP2 begins the shutdown of the HTTP/2 server. The returned channel
+// receives its result. It is nil if there is no such server.
+func (s *Server) shutdownHTTP2(ctx context.Context) <-chan error {
+	if s.HTTP2 == nil {
+		return nil
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.HTTP2.Shutdown(ctx) }()
+	return ended
+}
+
 // endReads makes the requests that have arrived whole the last ones of their
 // connections.
 func endReads(list []*conn) {
--- a/node/internal/pipeline/shutdown_test.go
+++ b/node/internal/pipeline/shutdown_test.go
@@ -226,3 +226,54 @@
 		t.Errorf("Shutdown: %v", err)
 	}
 }
+
+// TestHTTP2CallersDelayNoShutdown guards against a shutdown that accepts connections and
+// requests of callers over HTTP/1.1 until the requests over HTTP/2 have ended.
+func TestHTTP2CallersDelayNoShutdown(t *testing.T) {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	began, release := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(began)
+			<-release
+		}
+	})
+	s := &pipeline.Server{Handler: handler, HTTP2: &http.Server{Handler: handler, Protocols: protocols}}
+	connect := start(t, s)
+	idle := connect()
+	br := bufio.NewReader(idle)
+	send(t, idle, get("/first"))
+	read(t, br, "GET")
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	status := make(chan int, 1)
+	go func() {
+		r, err := client.Get("http://" + idle.RemoteAddr().String() + "/long")
+		if err != nil {
+			t.Errorf("request over HTTP/2: %v", err)
+			status <- 0
+			return
+		}
+		_ = r.Body.Close()
+		status <- r.StatusCode
+	}()
+	<-began
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		ended <- s.Shutdown(ctx)
+	}()
+	// The idle connection is closed although the other request still runs.
+	_ = idle.SetDeadline(time.Now().Add(waitTimeout / 2))
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: got %v, want its end", err)
+	}
+	close(release)
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("request over HTTP/2: status %d, want 200", got)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
