caller, node: requests over HTTP/2 and TLS get a response at the end of a stop

EndRequests did this for HTTP/1.1 only; the servers of net/http, which serve HTTP/2 and TLS, had no way to do it.

Why it works: the requests of these servers have a common base context, which the same timer ends. TLS has the same context and no test of its own.

--- a/node/internal/caller/handler.go
+++ b/node/internal/caller/handler.go
@@ -123,6 +123,10 @@
 	unreachable UnreachableNodes
 	// stop is nil until the node stops.
 	stop atomic.Pointer[Stop]
+	// requests is the context of the requests that net/http serves. cancelRequests
+	// ends it.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 
 	mu        sync.Mutex
 	upstreams map[string]*upstreamState
@@ -148,7 +152,9 @@
 	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
 	cfg.MaxConnections = cmp.Or(cfg.MaxConnections, DefaultMaxConnections)
 	cfg.IdleTimeout = cmp.Or(cfg.IdleTimeout, DefaultIdleTimeout)
-	return &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstreamState{}}
+	h := &Handler{cfg: cfg, ids: newIDSource(), upstreams: map[string]*upstreamState{}}
+	h.requests, h.cancelRequests = context.WithCancel(context.Background())
+	return h
 }
 
 // request is the state of a caller's request at the entry node.
--- a/node/internal/caller/server.go
+++ b/node/internal/caller/server.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"context"
+	"net"
 	"net/http"
 
 	"github.com/jujubeknot/jujubeknot/node/internal/pipeline"
@@ -15,6 +17,7 @@
 	return &http.Server{
 		Handler: h.callerHandler(), Protocols: protocols, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: h.cfg.HeaderTimeout, IdleTimeout: h.cfg.IdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return h.requests },
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindowBytes,
 			MaxReceiveBufferPerConnection: 4 * streamWindowBytes,
--- a/node/internal/caller/stop.go
+++ b/node/internal/caller/stop.go
@@ -20,6 +20,11 @@
 // its caller would not know whether it ran.
 func (h *Handler) StopAt(s Stop) { h.stop.Store(&s) }
 
+// EndRequests cancels the requests of the servers that Server has returned, so that they
+// get a response before the node closes their connections. It does not include the
+// requests over HTTP/1.1 of a PipelineServer.
+func (h *Handler) EndRequests() { h.cancelRequests() }
+
 // refuseBeyondStop returns a refusal if the request may last longer than the node. The
 // caller is to come back, on another connection, once other nodes take its requests.
 func (q *request) refuseBeyondStop() *outcome.Refusal {
--- a/node/stop.go
+++ b/node/stop.go
@@ -60,10 +60,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
-	if s, ok := n.servers[listenerCallers].(interface{ EndRequests() }); ok {
-		ending := time.AfterFunc(remaining-finalResponseTime, s.EndRequests)
-		defer ending.Stop()
-	}
+	ending := time.AfterFunc(remaining-finalResponseTime, n.endRequests)
+	defer ending.Stop()
 	calls := tasks.New(1)
 	calls.Go(ctx, "calls of nodes", n.shutDownListener(listenerPeer))
 	callersEnd := time.NewTimer(remaining - finalResponseTime)
@@ -80,6 +78,14 @@
 	_ = n.shutDownListener(listenerBackend)(ctx)
 }
 
+// endRequests makes the requests of callers that still run end with a response.
+func (n *Node) endRequests() {
+	n.callers.EndRequests()
+	if s, ok := n.servers[listenerCallers].(interface{ EndRequests() }); ok {
+		s.EndRequests()
+	}
+}
+
 // shutDownListener returns a task that closes a listener and waits for its requests
 // to complete. It logs a failure.
 func (n *Node) shutDownListener(i int) func(context.Context) error {
