membership: a change that is not complete is not logged as done

What operators saw: "members changed" without an error for a change that had not come about within 500 ms, and at the level of information for one that failed.

Cause: the time-out, which is expected while a new member copies the log, was set to no error, and one line was written for all results.

Why it works: the three results have a message each; a failure is a warning.

--- a/control/internal/membership/membership.go
+++ b/control/internal/membership/membership.go
@@ -66,11 +66,15 @@
 		add = &wirev1.Member{Id: change.Add.ID, Address: change.Add.Address, AvailabilityZone: change.Add.AvailabilityZone}
 	}
 	_, err := config.Log.ChangeMembers(ctx, add, change.Remove)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = nil
+	line, message := config.Logger.Info(), "members changed"
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		message = "change of members not complete yet"
+	case err != nil:
+		line, message = config.Logger.Warn().Err(err), "change of members failed"
 	}
-	config.Logger.Info().Err(err).Uint64("added", add.GetId()).Str("address", add.GetAddress()).Uint64("removed", change.Remove).
-		Str("reason", string(change.Reason)).Msg("members changed")
+	line.Uint64("added", add.GetId()).Str("address", add.GetAddress()).Uint64("removed", change.Remove).
+		Str("reason", string(change.Reason)).Msg(message)
 }
 
 // viewOf returns the input for the decision of members.NextChange.
