--- a/control/internal/replica/config.go
+++ b/control/internal/replica/config.go
@@ -18,11 +18,15 @@
 	// limits the entries that are read at a restart.
 	DefaultSnapshotEntries = 10_000
 	// DefaultSnapshotBytes is the size of the log between two snapshots, in
-	// bytes.
-	DefaultSnapshotBytes = 32 << 20
+	// bytes. It limits the log in memory and on disk together with
+	// DefaultKeepBytes.
+	DefaultSnapshotBytes = 16 << 20
 	// DefaultKeepEntries is the number of entries kept before a snapshot, so that
 	// a member that was absent for a short time can catch up without a snapshot.
 	DefaultKeepEntries = 1_000
+	// DefaultKeepBytes limits the size of the entries kept before a snapshot, in
+	// bytes. A member that lacks more gets the snapshot.
+	DefaultKeepBytes = 8 << 20
 	// DefaultConfirmInterval is the minimum time between two quorum rounds for
 	// Log.Confirm.
 	DefaultConfirmInterval = 10 * time.Millisecond
@@ -73,6 +77,7 @@
 	SnapshotEntries    uint64
 	SnapshotBytes      int
 	KeepEntries        uint64
+	KeepBytes          int
 	ConfirmInterval    time.Duration
 	StopTimeout        time.Duration
 	SegmentBytes       int64
@@ -98,6 +103,7 @@
 	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
 	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
 	c.KeepEntries = cmp.Or(c.KeepEntries, DefaultKeepEntries)
+	c.KeepBytes = cmp.Or(c.KeepBytes, DefaultKeepBytes)
 	c.ConfirmInterval = cmp.Or(c.ConfirmInterval, DefaultConfirmInterval)
 	c.StopTimeout = cmp.Or(c.StopTimeout, DefaultStopTimeout)
 	return c
--- a/control/internal/replica/loop.go
+++ b/control/internal/replica/loop.go
@@ -280,7 +280,7 @@
 		return nil, fmt.Errorf("encode snapshot: %w", s.err)
 	}
 	l.logger.Info().Uint64("index", s.index).Int("bytes", len(s.data)).Msg("compacting the log with a snapshot")
-	return append(batch, raft.Compact{Index: s.index, Data: s.data, Keep: l.config.KeepEntries}), nil
+	return append(batch, raft.Compact{Index: s.index, Data: s.data, Keep: l.config.KeepEntries, KeepBytes: l.config.KeepBytes}), nil
 }
 
 // rejectionError returns the error for a request that the log rejected.
--- a/core/raft/event.go
+++ b/core/raft/event.go
@@ -45,12 +45,14 @@
 
 // Compact replaces the log up to Index with a snapshot, whose Data is the
 // applied state at Index. The last Keep entries up to Index are retained for
-// followers that are slightly behind. Step panics if Index is above the applied
-// index.
+// followers that are slightly behind, but no more than fit into KeepBytes with
+// their encoded size. KeepBytes 0 means no limit on their size. Step panics if
+// Index is above the applied index.
 type Compact struct {
-	Index uint64
-	Data  []byte
-	Keep  uint64
+	Index     uint64
+	Data      []byte
+	Keep      uint64
+	KeepBytes int
 }
 
 // TransferLeadership asks the leader to transfer leadership to the voter with
--- a/core/raft/group_test.go
+++ b/core/raft/group_test.go
@@ -42,9 +42,9 @@
 	return g.nextID
 }
 
-func (g *group) compact(p *process, keep uint64) {
+func (g *group) compact(p *process, keep uint64, keepBytes int) {
 	if count := uint64(len(p.applied)); count > 0 {
-		g.step(p, raft.Compact{Index: count, Data: encodeState(p.applied), Keep: keep})
+		g.step(p, raft.Compact{Index: count, Data: encodeState(p.applied), Keep: keep, KeepBytes: keepBytes})
 	}
 }
 
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -72,6 +72,21 @@
 	l.entries = l.entries[:index-l.baseIndex-1]
 }
 
+// firstKept returns the index of the first of at most count entries up to and
+// including an index that fit into maxBytes with their encoded size, or the
+// index after it if there are none. maxBytes 0 means no limit on the size.
+func (l *entryLog) firstKept(index, count uint64, maxBytes int) uint64 {
+	first, size := index+1, 0
+	for first > l.baseIndex+1 && index+1-first < count {
+		size += proto.Size(l.entries[first-1-l.baseIndex-1])
+		if maxBytes > 0 && size > maxBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // compact removes the entries up to and including an index, which becomes the
 // base.
 func (l *entryLog) compact(index uint64) {
--- a/core/raft/member.go
+++ b/core/raft/member.go
@@ -310,8 +310,6 @@
 	for len(m.memberships) > 1 && m.memberships[1].index <= e.Index {
 		m.memberships = m.memberships[1:]
 	}
-	if e.Index > e.Keep {
-		m.log.compact(e.Index - e.Keep)
-	}
+	m.log.compact(m.log.firstKept(e.Index, e.Keep, e.KeepBytes) - 1)
 	m.persistSnapshot = &PersistSnapshot{Snapshot: m.snapshot, FirstIndex: m.log.baseIndex + 1}
 }
--- a/core/raft/property_test.go
+++ b/core/raft/property_test.go
@@ -95,7 +95,7 @@
 	case "read":
 		g.read(p)
 	case "compact":
-		g.compact(p, rapid.Uint64Range(0, 5).Draw(t, "keep"))
+		g.compact(p, rapid.Uint64Range(0, 5).Draw(t, "keep"), rapid.SampledFrom([]int{0, 50}).Draw(t, "keepBytes"))
 	case "transfer":
 		g.step(p, raft.TransferLeadership{})
 	case "add":
--- a/core/raft/scenario_test.go
+++ b/core/raft/scenario_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jujubeknot/jujubeknot/core/raft"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -233,3 +235,37 @@
 		t.Fatalf("read of the old leader: rejection %+v, want one that names leader %d", rejection, next.id)
 	}
 }
+
+// TestLargeEntriesAreNotKeptBeforeSnapshot guards against a log of large entries
+// that grows with their number, in memory and on disk. It also guards against a
+// follower that lacks such entries and gets nothing.
+func TestLargeEntriesAreNotKeptBeforeSnapshot(t *testing.T) {
+	g := newGroup(t, 1, 3)
+	leader := g.elect(1, 2, 3)
+	g.connect(1, 2)
+	const count, size, keepBytes = 50, 1000, 5000
+	for range count {
+		g.nextID++
+		g.step(leader, raft.Propose{ID: g.nextID, Data: make([]byte, size)})
+		g.run(20 * time.Millisecond)
+	}
+	last := uint64(len(leader.applied))
+	if g.lastAcknowledged != last || last < count {
+		t.Fatalf("%d entries are acknowledged, %d applied, want at least %d: %s", g.lastAcknowledged, last, count, g.describeMembers())
+	}
+	g.step(leader, raft.Compact{Index: last, Data: encodeState(leader.applied), Keep: 1000, KeepBytes: keepBytes})
+	kept := 0
+	for _, e := range leader.disk.Entries {
+		kept += proto.Size(e)
+	}
+	if kept > keepBytes || kept < keepBytes-2*size {
+		t.Fatalf("%d bytes of entries are kept before the snapshot, want at most %d and no more than two entries less", kept, keepBytes)
+	}
+	g.connect(1, 2, 3)
+	g.run(2 * time.Second)
+	if got := uint64(len(g.processes[3].applied)); got < last || g.processes[3].disk.Snapshot.GetIndex() != last {
+		t.Fatalf("the follower applied %d entries and has a snapshot at %d, want %d entries from the snapshot at that index: %s",
+			got, g.processes[3].disk.Snapshot.GetIndex(), last, g.describeMembers())
+	}
+	g.healAndVerify()
+}
