--- a/control/internal/disk/disk.go
+++ b/control/internal/disk/disk.go
@@ -21,6 +21,10 @@
 type Options struct {
 	// SegmentBytes is the size in bytes at which a new log segment is started.
 	SegmentBytes int64
+	// KeepBytes limits the size of the entries that Open returns although the
+	// snapshot covers them. The segments of older ones are removed. 0 means no
+	// limit.
+	KeepBytes int
 }
 
 // Disk is an open data folder. It is not safe for concurrent use.
--- a/control/internal/disk/disk_test.go
+++ b/control/internal/disk/disk_test.go
@@ -130,7 +130,14 @@
 
 func open(t failer, files disk.FS) (*disk.Disk, disk.Contents) {
 	t.Helper()
-	d, contents, err := disk.Open(files, disk.Options{SegmentBytes: 400})
+	return openKeeping(t, files, 0)
+}
+
+// openKeeping opens a folder without the entries that the snapshot covers beyond
+// keepBytes.
+func openKeeping(t failer, files disk.FS, keepBytes int) (*disk.Disk, disk.Contents) {
+	t.Helper()
+	d, contents, err := disk.Open(files, disk.Options{SegmentBytes: 400, KeepBytes: keepBytes})
 	if err != nil {
 		t.Fatalf("open: %v", err)
 	}
@@ -157,46 +164,53 @@
 // TestCrashKeepsSynced guards against lost or invented entries after a crash. A
 // crash may happen at any operation on the file system.
 func TestCrashKeepsSynced(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		files := newMemFS(rapid.Uint64().Draw(t, "seed"))
-		d := newFormed(t, files)
-		var m model
-		for range rapid.IntRange(1, 25).Draw(t, "steps") {
-			if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
-				files.failAt = files.operations + rapid.IntRange(0, 14).Draw(t, "operations")
-			}
-			var candidates []model
-			var err error
-			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
-				var p raft.PersistSnapshot
-				if p, candidates = m.drawSnapshot(t); candidates != nil {
-					err = d.PersistSnapshot(p)
-				}
-			} else {
-				var p raft.Persist
-				p, candidates = m.drawPersist(t)
-				err = d.Persist(p)
+	rapid.Check(t, func(t *rapid.T) { checkCrashes(t, 0) })
+}
+
+// checkCrashes draws writes and crashes, and checks what the folder holds when it
+// is opened with a limit on the entries that the snapshot covers.
+func checkCrashes(t *rapid.T, keepBytes int) {
+	files := newMemFS(rapid.Uint64().Draw(t, "seed"))
+	d := newFormed(t, files)
+	var m model
+	for range rapid.IntRange(1, 25).Draw(t, "steps") {
+		if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
+			files.failAt = files.operations + rapid.IntRange(0, 14).Draw(t, "operations")
+		}
+		var candidates []model
+		var err error
+		if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
+			var p raft.PersistSnapshot
+			if p, candidates = m.drawSnapshot(t); candidates != nil {
+				err = d.PersistSnapshot(p)
 			}
-			switch {
-			case candidates == nil:
+		} else {
+			var p raft.Persist
+			p, candidates = m.drawPersist(t)
+			err = d.Persist(p)
+		}
+		switch {
+		case candidates == nil:
+			continue
+		case err == nil:
+			m = candidates[len(candidates)-1]
+			candidates = []model{m}
+			if rapid.Bool().Draw(t, "continue") {
 				continue
-			case err == nil:
-				m = candidates[len(candidates)-1]
-				candidates = []model{m}
-				if rapid.Bool().Draw(t, "continue") {
-					continue
-				}
-			case !errors.Is(err, errCrashed):
-				t.Fatalf("write failed with %v, want %v", err, errCrashed)
-			case acceptsWrite(d, files, m):
-				t.Fatalf("a write after a failed one succeeded, want an error")
 			}
-			files = files.crash()
-			var contents disk.Contents
-			d, contents = open(t, files)
-			m = matching(t, candidates, contents.Stored)
+		case !errors.Is(err, errCrashed):
+			t.Fatalf("write failed with %v, want %v", err, errCrashed)
+		case acceptsWrite(d, files, m):
+			t.Fatalf("a write after a failed one succeeded, want an error")
+		}
+		files = files.crash()
+		var contents disk.Contents
+		d, contents = openKeeping(t, files, keepBytes)
+		if keepBytes > 0 {
+			candidates = withoutCovered(candidates)
 		}
-	})
+		m = matching(t, candidates, contents.Stored)
+	}
 }
 
 // acceptsWrite reports whether a folder accepts a write after one has failed and
--- a/control/internal/disk/load.go
+++ b/control/internal/disk/load.go
@@ -42,16 +42,16 @@
 
 // load replays the log and repairs the effects of a crash.
 func (d *Disk) load(found fileListing, contents *Contents) error {
-	r, err := replayLog(d.files, found)
+	snapshot, err := readNewestSnapshot(d.files, found.snapshots)
 	if err != nil {
 		return err
 	}
-	contents.TornFile, contents.TornBytes = segmentName(r.segments[len(r.segments)-1].sequence), r.tornBytes
-	d.segments, d.hardState, d.lastEntry = r.segments, r.hardState, r.last()
-	snapshot, err := readNewestSnapshot(d.files, found.snapshots)
+	r, err := replayLog(d.files, found, func(r *replay) { r.dropCovered(snapshot.GetIndex(), d.options.KeepBytes) })
 	if err != nil {
 		return err
 	}
+	contents.TornFile, contents.TornBytes = segmentName(r.segments[len(r.segments)-1].sequence), r.tornBytes
+	d.segments, d.hardState, d.lastEntry = r.segments, r.hardState, r.last()
 	if snapshot == nil && r.base.Index > 0 || snapshot != nil && snapshot.Index < r.base.Index {
 		return gapError(segmentName(found.segments[0]), r.base.Index, snapshot.GetIndex())
 	}
@@ -65,6 +65,10 @@
 		if err := d.reset(r.base); err != nil {
 			return err
 		}
+	} else if snapshot != nil {
+		if err := d.removeObsolete(snapshot.Index, r.base.Index+1); err != nil {
+			return err
+		}
 	}
 	contents.Stored = raft.StoredState{
 		Hard: r.hardState, Snapshot: snapshot, BaseIndex: r.base.Index, BaseTerm: r.base.Term, Entries: r.entries,
@@ -84,8 +88,9 @@
 	return r.entries[p.Index-r.base.Index-1].Term == p.Term
 }
 
-// replayLog reads all segments. The newest may have a torn tail.
-func replayLog(files FS, found fileListing) (replay, error) {
+// replayLog reads all segments and calls shorten after each. The newest may have
+// a torn tail.
+func replayLog(files FS, found fileListing, shorten func(*replay)) (replay, error) {
 	var r replay
 	for i, sequence := range found.segments {
 		data, err := files.Read(segmentName(sequence))
@@ -95,6 +100,7 @@
 		if err := r.replaySegment(sequence, data, i == len(found.segments)-1); err != nil {
 			return r, err
 		}
+		shorten(&r)
 	}
 	if r.expectsNext {
 		return r, r.missingSegmentError()
--- a/control/internal/disk/segment.go
+++ b/control/internal/disk/segment.go
@@ -223,6 +223,28 @@
 	return nil
 }
 
+// dropCovered drops the oldest entries up to an index for which a snapshot
+// exists, as long as all entries up to it are over keepBytes. keepBytes 0 means
+// no limit. A later segment that replaces a dropped entry replaces all entries
+// that are left, which replayHeader allows for.
+func (r *replay) dropCovered(snapshot uint64, keepBytes int) {
+	if keepBytes == 0 || snapshot <= r.base.Index {
+		return
+	}
+	first, size := int(min(snapshot-r.base.Index, uint64(len(r.entries)))), 0
+	for first > 0 {
+		size += proto.Size(r.entries[first-1])
+		if size > keepBytes {
+			break
+		}
+		first--
+	}
+	if first > 0 {
+		r.base = Position{Index: r.entries[first-1].Index, Term: r.entries[first-1].Term}
+		r.entries = slices.Clone(r.entries[first:])
+	}
+}
+
 // fileListing has the files of a data folder by kind, each kind in ascending
 // order.
 type fileListing struct {
--- a/control/internal/replica/run.go
+++ b/control/internal/replica/run.go
@@ -137,7 +137,7 @@
 // openDisk opens the data folder and sets the member id. An empty folder gets
 // this member's identity.
 func (r *Replica) openDisk(folder uint64) error {
-	opened, contents, err := disk.Open(r.config.Files, disk.Options{SegmentBytes: r.config.SegmentBytes})
+	opened, contents, err := disk.Open(r.config.Files, disk.Options{SegmentBytes: r.config.SegmentBytes, KeepBytes: r.config.KeepBytes})
 	if err != nil {
 		return fmt.Errorf("open data folder: %w", err)
 	}
