member: large entries are sent in several requests

What was seen, by a test: 30 entries of 1 MiB that are queued for a member are sent as one request of 20 to 30 MiB in 5 of 5 runs.

Cause: a request takes up to 64 queued messages, whatever their size. A member that was away for some seconds of changes of a large configuration lacks 16 messages in flight of 1.2 MB. The whole request is encoded at the leader and read and decoded at the member, beside the entries themselves, and its time-out of 500 ms is that of a heartbeat.

Why it works: a request gets no further message once it has 4 MiB.

TestLargeEntriesAreSentInSeveralRequests fails 5 of 5 times before (20,971,958 to 31,457,938 bytes, at most 6,291,456 wanted) and passes 5 of 5.

--- a/control/internal/member/member_test.go
+++ b/control/internal/member/member_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	*member.Transport
 	server   *httptest.Server
 	received chan *wirev1.RaftMessage
+	// largestRequest is the largest encoded size of the messages of one request.
+	largestRequest atomic.Int64
 }
 
 func (s *endpoint) address() string {
@@ -38,6 +41,8 @@
 	transport, err := member.New(member.Config{
 		GroupID: group, Secret: secret, Address: s.server.Listener.Addr().String(), Logger: zerolog.Nop(), OperatorAddress: "10.0.0.7:7102",
 		Receive: func(messages []*wirev1.RaftMessage) {
+			size := proto.Size(&wirev1.StepRequest{Messages: messages})
+			s.largestRequest.Store(max(s.largestRequest.Load(), int64(size)))
 			for _, m := range messages {
 				s.received <- m
 			}
@@ -98,6 +103,27 @@
 	}
 }
 
+// TestLargeEntriesAreSentInSeveralRequests guards against one request with all
+// large entries that a member lacks, which is encoded and read as a whole and
+// takes longer than the time-out of a request.
+func TestLargeEntriesAreSentInSeveralRequests(t *testing.T) {
+	const count, limit = 30, 6 << 20
+	a, b := newEndpoint(t, "g", "s"), newEndpoint(t, "g", "s")
+	a.SetMembers([]*wirev1.Member{{Id: 2, Address: b.address()}})
+	data := make([]byte, 1<<20)
+	for i := range uint64(count) {
+		a.Send(&wirev1.RaftMessage{Kind: wirev1.RaftMessage_KIND_APPEND, From: 1, To: 2, LogIndex: i, Entries: []*wirev1.Entry{{Index: i + 1, Data: data}}})
+	}
+	for i := range uint64(count) {
+		if m := <-b.received; m.LogIndex != i {
+			t.Fatalf("message %d: got the entry after %d", i, m.LogIndex)
+		}
+	}
+	if size := b.largestRequest.Load(); size > limit {
+		t.Errorf("the largest request has %d bytes, want at most %d", size, limit)
+	}
+}
+
 // TestUnauthorizedRequestsAreRefused guards against messages of other processes
 // or of members of another group that are handled as those of a member.
 func TestUnauthorizedRequestsAreRefused(t *testing.T) {
--- a/control/internal/member/peer.go
+++ b/control/internal/member/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jujubeknot/jujubeknot/wire/headers"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
@@ -101,12 +102,18 @@
 	}
 }
 
-// appendQueued appends queued messages to a batch, up to maxBatchMessages.
+// appendQueued appends queued messages to a batch, up to maxBatchMessages and
+// until it has maxBatchBytes.
 func appendQueued(batch []*wirev1.RaftMessage, queue <-chan *wirev1.RaftMessage) []*wirev1.RaftMessage {
-	for len(batch) < maxBatchMessages {
+	size := 0
+	for _, m := range batch {
+		size += proto.Size(m)
+	}
+	for len(batch) < maxBatchMessages && size < maxBatchBytes {
 		select {
 		case m := <-queue:
 			batch = append(batch, m)
+			size += proto.Size(m)
 		default:
 			return batch
 		}
--- a/control/internal/member/transport.go
+++ b/control/internal/member/transport.go
@@ -36,6 +36,9 @@
 	maxQueuedMessages = 256
 	// maxBatchMessages limits the messages of one request.
 	maxBatchMessages = 64
+	// maxBatchBytes is the size from which a request gets no further message. It
+	// bounds the memory for a request at both ends.
+	maxBatchBytes = 4 << 20
 	// maxRequestBytes limits the body of one received request.
 	maxRequestBytes = 256 << 20
 	// maxLearnedAddresses limits the addresses stored for senders outside the
