backend: late heartbeats of an earlier life do not bring it back after a loss

Found by reading: after the announced life of a backend server was lost, its callers got no service for as long as the grants to a dead life lasted.

Cause: with the announced life lost, a heartbeat of its name was confirmed by the health path, which states the name only, and without a health path any two heartbeats were accepted. Late heartbeats of an earlier life arrive together and pass both. The next life then has the name of an announced one that is not lost, and no connection to tell it by.

Fix: an earlier start under the same name gets no confirmation from the health path, and needs heartbeats that are half an interval apart. Those of a process that runs are; late ones are not. A life whose clock was set back is therefore announced at its second heartbeat.

TestLateHeartbeatsAfterLoss: before, 2 of 3 late heartbeats accepted without a health path, 3 of 3 with one, and the next life's first one ignored; now none and accepted.

--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -92,6 +92,7 @@
 	s.claim = s.claim.with(now, b)
 	accepted := succession{
 		evidence: e, claim: s.claim, announced: s.announced != nil && !s.lost, starting: s.announced == nil && healthPath == "", lastHeartbeat: s.lastHeartbeat, holdsUntil: grantsEnd,
+		earlierStart: s.startedEarlier(b), interval: s.cfg.HeartbeatInterval,
 	}.accepts(now)
 	if !accepted && s.claim.heartbeats <= minClaimHeartbeats {
 		s.log.Warn().Str("name", b.Name).Str("life", b.Incarnation()).Str("announced", s.announced.GetBootId()).Stringer("evidence", e).
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -60,6 +60,9 @@
 	// Dialect is nil for the project's own protocol. With a dialect the backend
 	// server reports by heartbeats, and the node makes no control calls to it.
 	Dialect *dialect.Dialect
+	// HeartbeatInterval is the usual time between two heartbeats of the backend
+	// server. It is used with Dialect only.
+	HeartbeatInterval time.Duration
 	// HoldsUntil returns the time from which a backend server that reports by
 	// heartbeats holds no keys, unless another heartbeat arrives before. It is
 	// required with Dialect.
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -76,6 +76,18 @@
 	// lastHeartbeat is the time of the latest heartbeat of the announced backend
 	// server, and holdsUntil the time at which its grants end.
 	lastHeartbeat, holdsUntil time.Time
+	// earlierStart is true if the claim is of an incarnation of the same name that
+	// started before the latest one by its own clock. Either that clock was set back, or
+	// the heartbeat is a late one of an earlier process.
+	earlierStart bool
+	// interval is the usual time between two heartbeats.
+	interval time.Duration
+}
+
+// sent reports whether the heartbeats of the claim were sent one after the other.
+// Late heartbeats arrive together.
+func (s succession) sent(now time.Time) bool {
+	return s.claim.heartbeats >= minClaimHeartbeats && (!s.earlierStart || now.Sub(s.claim.since) >= s.interval/2)
 }
 
 // accepts reports whether the claim is accepted. Without evidence, it is accepted
@@ -89,7 +101,7 @@
 		return s.evidence == evidenceConfirms
 	case s.starting:
 		return true
-	case s.claim.heartbeats < minClaimHeartbeats:
+	case !s.sent(now):
 		return false
 	default:
 		return !s.announced || now.After(s.holdsUntil) && !s.lastHeartbeat.After(s.claim.since)
@@ -102,13 +114,14 @@
 // distinguished by the connections to the earlier one, which end with its process.
 func (s *Server) evidenceFor(ctx context.Context, b dialect.Heartbeat, healthPath string) evidence {
 	s.mu.Lock()
-	sameName := s.announced != nil && !s.lost && s.announced.GetName() == b.Name
-	started := s.started
+	lost, sameName, earlierStart := s.lost, s.announced.GetName() == b.Name, s.startedEarlier(b)
 	s.mu.Unlock()
-	if sameName {
-		if !b.Started.Before(started) && s.pool.allEnded() {
-			return evidenceConfirms
-		}
+	switch {
+	case earlierStart:
+		return evidenceNone
+	case sameName && !lost && s.pool.allEnded():
+		return evidenceConfirms
+	case sameName && !lost:
 		return evidenceNone
 	}
 	switch name, err := s.identify(ctx, b.Address, healthPath); {
@@ -122,6 +135,13 @@
 	}
 }
 
+// startedEarlier reports whether a heartbeat is of an incarnation that has the name of
+// the announced one, or of the lost one, and started before it by the backend server's
+// clock. The caller holds the lock.
+func (s *Server) startedEarlier(b dialect.Heartbeat) bool {
+	return s.announced.GetName() == b.Name && b.Started.Before(s.started)
+}
+
 // identify requests the name of the backend server at an address.
 func (s *Server) identify(ctx context.Context, address, healthPath string) (string, error) {
 	if healthPath == "" {
--- a/node/internal/backend/succession_test.go
+++ b/node/internal/backend/succession_test.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -24,6 +26,8 @@
 		{"refuted for good", succession{evidence: evidenceRefutes, claim: claim{heartbeats: 9}}, false},
 		{"while keys are held", succession{claim: claim{heartbeats: 9, since: before}, announced: true, holdsUntil: after}, false},
 		{"while the announced one reports", succession{claim: claim{heartbeats: 9, since: before}, announced: true, holdsUntil: before, lastHeartbeat: now}, false},
+		{"heartbeats of an earlier start that arrive together", succession{claim: claim{heartbeats: 9, since: now}, earlierStart: true, interval: time.Second}, false},
+		{"heartbeats of an earlier start, one after the other", succession{claim: claim{heartbeats: 2, since: before}, earlierStart: true, interval: time.Second}, true},
 		{"the announced one is silent without keys", succession{claim: claim{heartbeats: 2, since: before}, announced: true, holdsUntil: before, lastHeartbeat: before}, true},
 	} {
 		if got := c.succession.accepts(now); got != c.want {
@@ -41,3 +45,56 @@
 		}
 	}
 }
+
+// fixedClock is a clock that advances only when the test changes now.
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+// named is a backend server protocol whose health path states a name.
+type named struct{ dialect.Backend }
+
+func (named) ServerName(h http.Header) string { return h.Get("Name") }
+
+// TestLateHeartbeatsAfterLoss guards against late heartbeats of an earlier life that
+// bring it back after the life that followed was lost. The heartbeats of the next life
+// were then ignored, because it has the name of an announced one and another start.
+func TestLateHeartbeatsAfterLoss(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Name", "i-1") }))
+	defer server.Close()
+	for _, healthPath := range []string{"", "/health"} {
+		c := &fixedClock{time.Unix(2000, 0)}
+		s := New(Config{
+			Clock: c, Dialect: &dialect.Dialect{Backend: named{}, LostAfter: time.Second}, HeartbeatInterval: time.Second,
+			HoldsUntil: func() time.Time { return time.Time{} },
+		})
+		send := func(started time.Time, sequence uint64) bool {
+			t.Helper()
+			current, err := s.Heartbeat(t.Context(), dialect.Heartbeat{
+				Name: "i-1", Upstream: "desk", Address: server.Listener.Addr().String(), Started: started, Sequence: sequence, Slots: 4,
+			}, healthPath)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return current
+		}
+		started := c.now
+		send(started, 1)
+		if c.now = c.now.Add(time.Second); !send(started, 2) {
+			t.Fatal("the announced server's heartbeat was not accepted")
+		}
+		s.loseReplaced("i-1")
+		for i := range uint64(3) {
+			if send(started.Add(-time.Hour), 70+i) {
+				t.Errorf("health path %q: late heartbeat %d of the earlier life was accepted", healthPath, i+1)
+			}
+		}
+		c.now = c.now.Add(time.Second)
+		if current := send(started.Add(time.Minute), 1); current != (healthPath != "") {
+			t.Errorf("health path %q: first heartbeat of the next life accepted %v", healthPath, current)
+		}
+		if c.now = c.now.Add(time.Second); !send(started.Add(time.Minute), 2) {
+			t.Errorf("health path %q: second heartbeat of the next life was not accepted", healthPath)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -155,7 +155,7 @@
 	n.backend = backend.New(backend.Config{
 		Clock: clock, RequestClock: requestClock, Log: log, HealthInterval: n.cfg.HealthInterval, ConnectTimeout: n.cfg.ConnectTimeout, LinkRate: n.cfg.LinkMbps * bytesPerMegabit,
 		OnChange: func() { n.session.BackendChanged() },
-		Dialect:  n.cfg.Dialect, HoldsUntil: func() time.Time { return n.owner.HoldsUntil() },
+		Dialect:  n.cfg.Dialect, HeartbeatInterval: n.cfg.HeartbeatInterval, HoldsUntil: func() time.Time { return n.owner.HoldsUntil() },
 	})
 	n.owner = owner.New(owner.Config{Clock: clock, Log: log, View: n.view, Backend: n.backend, GrantsByHeartbeat: n.cfg.Dialect != nil, HeartbeatInterval: n.cfg.HeartbeatInterval, WithoutLease: n.cfg.WithoutLease})
 	n.backend.SetPartitionCounter(n.owner.Partitions)
