backend: a backend server whose clock was set back gets keys before its earlier life's grants end

Seen in the emulator: a backend server that starts again under its name and address, with a start time below that of its earlier life, got its heartbeats acknowledged with {} and held no keys for as long as the grants of the earlier life lasted (about 5 s; each key of its share was refused meanwhile).

Cause: the start time was the only witness that told a new life from a late heartbeat of an earlier one. Without it, even ended connections counted as no evidence, and the claim waited for the last grant to end.

Fix: if all connections from before the latest heartbeat of the announced life have ended, that life holds nothing. What remains to be told is whether the claim is a process that runs: the announced life must have been silent for one and a half intervals, and the claim needs two heartbeats half an interval apart. One odd heartbeat, or a burst of late ones, still changes nothing, and without ended connections the claim waits as before.

--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -35,11 +35,15 @@
 	evidenceConfirms
 	// evidenceRefutes means that it is not.
 	evidenceRefutes
+	// evidenceEnded means that the process of the announced backend server has ended.
+	// It does not tell which process follows: the heartbeat may be a late one of an
+	// earlier process.
+	evidenceEnded
 )
 
 // String returns the evidence as it is written in log lines.
 func (e evidence) String() string {
-	return [...]string{"none", "confirms", "refutes"}[e]
+	return [...]string{"none", "confirms", "refutes", "ended"}[e]
 }
 
 // claim counts the heartbeats of one incarnation that is not the announced one.
@@ -95,14 +99,18 @@
 // has been silent for as long as the claim exists. A process that starts accepts the
 // first heartbeat: it gets no rules before it has registered, and a second
 // registration of all nodes after the loss of all processes would delay each of them.
+// If the announced process has ended, it holds no keys, but it may have sent a
+// heartbeat right before, and one of another writer may follow.
 func (s succession) accepts(now time.Time) bool {
 	switch {
-	case s.evidence != evidenceNone:
+	case s.evidence == evidenceConfirms, s.evidence == evidenceRefutes:
 		return s.evidence == evidenceConfirms
 	case s.starting:
 		return true
 	case !s.sent(now):
 		return false
+	case s.evidence == evidenceEnded && now.Sub(s.lastHeartbeat) >= 3*s.interval/2:
+		return true
 	default:
 		return !s.announced || now.After(s.holdsUntil) && !s.lastHeartbeat.After(s.claim.since)
 	}
@@ -116,12 +124,12 @@
 	s.mu.Lock()
 	lost, sameName, earlierStart := s.lost, s.announced.GetName() == b.Name, s.startedEarlier(b)
 	s.mu.Unlock()
-	switch {
-	case earlierStart:
-		return evidenceNone
-	case sameName && !lost && s.pool.allEnded():
+	switch ended := sameName && !lost && s.pool.allEnded(); {
+	case ended && !earlierStart:
 		return evidenceConfirms
-	case sameName && !lost:
+	case ended:
+		return evidenceEnded
+	case earlierStart, sameName && !lost:
 		return evidenceNone
 	}
 	switch name, err := s.identify(ctx, b.Address, healthPath); {
