backend: a backend server that becomes cold again is noticed between two heartbeats

Found by reading, and seen in the emulator with a backend server that sends no heartbeat meanwhile: callers' requests reach a server that has become cold again at the usual rate until its next heartbeat. With 388 requests/s, 366, 371 and 372 reached it in its first second of cold start; coldPerS 40 allows 65. A cold server crashes well above that rate.

Cause: only heartbeats stated a cold start, about one a second. The health path states it at any time (Jujubeknot-Cold-Remaining-Ms). Other answers do not.

Fix: the controller counts the requests that start beyond the cold rate since the latest report. What a server gets before the answer plus the cold rate after it stays below the bound for answers within 15 ms at 400 requests/s. Heartbeats count as reports, so a server that gets no more than its cold rate is never asked.

TestReportDueBoundsColdAgain passes 2,000 draws and fails at its second with a count of the whole cold rate.

--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -6,6 +6,10 @@
 // may start at once during cold start. At least one may.
 const coldBurstShare = 0.2
 
+// unreportedShare times the permitted requests/s is the number of requests beyond
+// that rate that start before another report of the server is due.
+const unreportedShare = 0.4
+
 // coldStartLimiter limits the rate of request starts while a backend server
 // reports cold start. Without it, the servers of an availability zone that
 // returns under full load get all of their callers at once and fail.
@@ -14,6 +18,9 @@
 	// lastCheck is the time of the last call of wait.
 	lastCheck time.Time
 	bucket    tokenBucket
+	// unreported is emptied by the requests that start, beyond the rate of a cold
+	// server, while the latest report says that the server is warm.
+	unreported tokenBucket
 }
 
 func (c *coldStartLimiter) configure(now time.Time, config Config) {
@@ -22,9 +29,15 @@
 		perSecond = float64(config.Slots)
 	}
 	c.bucket.configure(perSecond, max(1, perSecond*coldBurstShare))
+	c.unreported.configure(perSecond, max(1, perSecond*unreportedShare))
 	c.lastCheck = now
 }
 
+// recordReport records that the server reported at the given time.
+func (c *coldStartLimiter) recordReport(now time.Time) {
+	c.unreported.tokens, c.unreported.lastRefill = c.unreported.burst, now
+}
+
 // setUntil begins a cold start or changes its end.
 func (c *coldStartLimiter) setUntil(now, until time.Time) {
 	if !c.active(now) {
@@ -32,6 +45,7 @@
 		c.bucket.tokens, c.bucket.lastRefill = 0, now
 	}
 	c.until, c.lastCheck = until, now
+	c.recordReport(now)
 }
 
 func (c *coldStartLimiter) active(now time.Time) bool {
@@ -50,7 +64,10 @@
 func (c *coldStartLimiter) take() {
 	if c.active(c.lastCheck) {
 		c.bucket.take()
+		return
 	}
+	c.unreported.timeToToken(c.lastCheck)
+	c.unreported.take()
 }
 
 // nextStart returns the time at which a request may start, the zero time if
@@ -78,3 +95,16 @@
 func (c *Controller) SetColdUntil(now, until time.Time) {
 	c.coldStart.setUntil(now, until)
 }
+
+// ReportWarm records that the backend server reported at the given time that it is in
+// no cold start. One that it reported before keeps its end.
+func (c *Controller) ReportWarm(now time.Time) {
+	c.coldStart.recordReport(now)
+}
+
+// ReportDue reports whether the backend server should be asked for its cold start: so
+// many requests have started since its latest report that it would get too many if it
+// has become cold since. It is false without Config.ColdRate.
+func (c *Controller) ReportDue() bool {
+	return c.config.ReportsColdStart && c.config.ColdRate > 0 && c.coldStart.unreported.tokens < 1
+}
--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/jujubeknot/jujubeknot/core/admission"
 )
 
@@ -84,3 +86,46 @@
 		t.Errorf("limit %d, cold %v; want 6 and false", c.Limit(), c.Cold())
 	}
 }
+
+// TestReportDueBoundsColdAgain guards against a server that becomes cold again and gets
+// more requests than a cold one sustains before it is asked for its cold start, and
+// against requests for it while the server gets no more than that.
+func TestReportDueBoundsColdAgain(t *testing.T) {
+	const coldRate, coldFor, most = 40, time.Second, 65
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.IntRange(1, 400).Draw(t, "requests per second")
+		coldAfter := time.Duration(rapid.IntRange(0, 3000).Draw(t, "cold after ms")) * time.Millisecond
+		answerTime := time.Duration(rapid.IntRange(0, 15).Draw(t, "answer time ms")) * time.Millisecond
+		c := admission.New(admission.Config{Slots: 10, MaxQueued: -1, ReportsColdStart: true, ColdRate: coldRate})
+		now := time.Unix(100, 0)
+		cold, starts := now.Add(coldAfter), 0
+		var answer time.Time
+		for id := uint64(1); now.Before(cold.Add(coldFor)); id++ {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			switch {
+			case answer.IsZero() || answer.After(now):
+			case now.Before(cold):
+				answer = time.Time{}
+				c.ReportWarm(now)
+			default:
+				answer = time.Time{}
+				c.SetColdUntil(now, cold.Add(time.Minute))
+			}
+			if c.Offer(now, admission.Request{ID: id}).Verdict == admission.VerdictAdmit {
+				if !now.Before(cold) {
+					starts++
+				}
+				c.Done(now, id, admission.Result{Kind: admission.ResultOK, Latency: time.Millisecond})
+			}
+			if answer.IsZero() && c.ReportDue() {
+				answer = now.Add(answerTime)
+				if perSecond <= coldRate {
+					t.Fatal("the server is asked for its cold start, want never at this rate")
+				}
+			}
+		}
+		if starts > most {
+			t.Errorf("%d requests started in the first second of a cold start, want at most %d", starts, most)
+		}
+	})
+}
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -61,6 +61,9 @@
 	// ServerName returns the name that a backend server states in the header of the
 	// response of its health path, or an empty string if it states none.
 	ServerName(header http.Header) string
+	// ColdRemaining returns the remaining time of the cold start that a backend server
+	// states in the header of the response of its health path, or 0 if it states none.
+	ColdRemaining(header http.Header) time.Duration
 }
 
 // Call is one call to the backend server.
--- a/node/internal/backend/admission.go
+++ b/node/internal/backend/admission.go
@@ -25,10 +25,13 @@
 	timer      *time.Timer
 	// expireAt is when the timer fires, zero if it does not run.
 	expireAt time.Time
+	// reportDue receives a value when the backend server should be asked for its cold
+	// start.
+	reportDue chan struct{}
 }
 
 func newAdmissionController(c clock.Clock, cfg admission.Config) *admissionController {
-	return &admissionController{clock: c, controller: admission.New(cfg), waiting: map[uint64]chan admission.Decision{}}
+	return &admissionController{clock: c, controller: admission.New(cfg), waiting: map[uint64]chan admission.Decision{}, reportDue: make(chan struct{}, 1)}
 }
 
 // acquire waits until a call may start, until the context ends, or until halt
@@ -115,6 +118,19 @@
 	a.wake(nil)
 }
 
+func (a *admissionController) reportWarm() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.ReportWarm(a.clock.Now())
+}
+
+// needsReport reports whether the backend server should be asked for its cold start.
+func (a *admissionController) needsReport() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.ReportDue()
+}
+
 func (a *admissionController) cold() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -146,6 +162,7 @@
 // next expiry. The caller holds the lock.
 func (a *admissionController) wake(events []admission.Event) {
 	a.deliver(events)
+	defer a.signalReport()
 	next := a.controller.NextExpire()
 	if next.IsZero() {
 		return
@@ -160,6 +177,17 @@
 	a.schedule(now, next)
 }
 
+func (a *admissionController) signalReport() {
+	if !a.controller.ReportDue() {
+		return
+	}
+	select {
+	case a.reportDue <- struct{}{}:
+	default:
+		// A report is being requested.
+	}
+}
+
 func (a *admissionController) deliver(events []admission.Event) {
 	for _, e := range events {
 		if decided, ok := a.waiting[e.ID]; ok {
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -65,9 +65,7 @@
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
 	s.mu.Unlock()
 	s.pool.countHeartbeat()
-	if b.ColdRemaining > 0 {
-		s.admission.setColdUntil(now.Add(b.ColdRemaining))
-	}
+	s.recordColdStart(now, b.ColdRemaining)
 	if changed {
 		s.log.Info().Str("name", b.Name).Str("upstream", b.Upstream).Str("address", b.Address).Str("life", incarnation).
 			Bool("started", !sameIncarnation).Msg("backend server announced")
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -281,6 +281,12 @@
 		s.sendCancels(ctx)
 	}()
 	defer func() { <-ended }()
+	reportsEnded := make(chan struct{})
+	go func() {
+		defer close(reportsEnded)
+		s.readColdReports(ctx)
+	}()
+	defer func() { <-reportsEnded }()
 	for {
 		select {
 		case <-ctx.Done():
--- a/node/internal/backend/succession.go
+++ b/node/internal/backend/succession.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,10 +11,8 @@
 )
 
 const (
-	// identifyTimeout limits a request for the name of a backend server. The
-	// heartbeat that caused it must get its response within a second.
-	identifyTimeout = 250 * time.Millisecond
-	// minIdentifyInterval is the least time between two such requests.
+	// minIdentifyInterval is the least time between two requests for the name of a
+	// backend server.
 	minIdentifyInterval = 200 * time.Millisecond
 	// minClaimHeartbeats is the number of heartbeats after which a backend server
 	// can be announced without evidence.
@@ -165,19 +162,11 @@
 	if early {
 		return "", errors.New("identify backend server: requested too recently")
 	}
-	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
-	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+healthPath, nil)
+	header, err := s.requestHealth(ctx, address, healthPath, true)
 	if err != nil {
 		return "", fmt.Errorf("identify backend server: %w", err)
 	}
-	q.Close = true
-	response, err := s.client.Do(q)
-	if err != nil {
-		return "", fmt.Errorf("identify backend server: %w", err)
-	}
-	_ = response.Body.Close()
-	name := s.cfg.Dialect.Backend.ServerName(response.Header)
+	name := s.cfg.Dialect.Backend.ServerName(header)
 	if name == "" {
 		return "", fmt.Errorf("identify backend server: %w", errNoName)
 	}
