core/admission: Configure takes ReportsColdStart back

Found by reading. Callers have not met it: the protocol of a node, and with it ReportsColdStart, is fixed when the node starts.

Cause: Configure applied only the change from false to true. A controller that was told that its server no longer reports cold starts kept the full limit and a reported cold start of any length.

Fix: a change in either direction begins as New does.

TestConfigureWithoutReports: before, not cold with limit 6, and still in the reported cold start of an hour after 1,000 requests; now limit 1, and warm within 1,000 requests.

--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -129,3 +129,27 @@
 		}
 	})
 }
+
+// TestConfigureWithoutReports guards against a controller that goes on as if the server
+// reported its cold starts after Configure says that it does not.
+func TestConfigureWithoutReports(t *testing.T) {
+	now := time.Unix(100, 0)
+	config := admission.Config{Slots: 6, ReportsColdStart: true, ColdRate: 1}
+	c := admission.New(config)
+	c.SetColdUntil(now, now.Add(time.Hour))
+	config.ReportsColdStart = false
+	c.Configure(now, config)
+	if !c.Cold() || c.Limit() != 1 {
+		t.Errorf("a server of unknown cold start: cold %v, limit %d; want true and 1", c.Cold(), c.Limit())
+	}
+	for id := uint64(1); c.Cold() && id < 1000; id++ {
+		now = now.Add(10 * time.Millisecond)
+		if c.Offer(now, admission.Request{ID: id}).Verdict != admission.VerdictAdmit {
+			t.Fatalf("request %d was not admitted, so the cold rate of the reports is in force", id)
+		}
+		c.Done(now, id, admission.Result{Kind: admission.ResultOK, Latency: time.Millisecond})
+	}
+	if c.ColdAt(now) {
+		t.Error("cold after 1,000 requests without a failure, want warm")
+	}
+}
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -367,14 +367,18 @@
 	return c.Expire(now)
 }
 
-// Configure changes the configuration. Waiting requests keep their place even
+// Configure changes the configuration. A change of Config.ReportsColdStart begins as New
+// does. Without it, the cold start that was reported before has ended. Waiting requests keep their place even
 // if the queue has become shorter. While any wait, NextExpire is then not later
 // than now.
 func (c *Controller) Configure(now time.Time, config Config) {
 	c.config = config.withDefaults()
-	if c.config.ReportsColdStart && !c.limiter.reportsColdStart {
-		c.limiter.reportsColdStart = true
+	if c.config.ReportsColdStart != c.limiter.reportsColdStart {
+		c.limiter.reportsColdStart = c.config.ReportsColdStart
 		c.limiter.reset(c.started)
+		if !c.config.ReportsColdStart {
+			c.coldStart.until = time.Time{}
+		}
 	}
 	c.limiter.configure(c.config.Slots)
 	c.coldStart.configure(now, c.config)
