backend: a reported cold start ends with the life that reported it

Found by reading. Callers of a backend server that started again warm were refused beyond its cold rate for as long as the life before had said, up to an hour.

Cause: a report of no cold start changes nothing, because it may be older than one of a cold start. That held for the first report of a new life as well.

Fix: the first report of a life replaces what the life before reported.

TestColdStartEndsWithItsLife: before, cold at the first heartbeat of i-2 with nothing left (1 of 4 heartbeats wrong); now none wrong.

--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -65,7 +65,7 @@
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
 	s.mu.Unlock()
 	s.pool.countHeartbeat()
-	s.recordColdStart(now, b.ColdRemaining)
+	s.recordColdStart(now, b.ColdRemaining, !sameIncarnation)
 	if changed {
 		s.log.Info().Str("name", b.Name).Str("upstream", b.Upstream).Str("address", b.Address).Str("life", incarnation).
 			Bool("started", !sameIncarnation).Msg("backend server announced")
--- a/node/internal/backend/succession_test.go
+++ b/node/internal/backend/succession_test.go
@@ -102,3 +102,30 @@
 		}
 	}
 }
+
+// TestColdStartEndsWithItsLife guards against a backend server that gets its cold rate
+// because an earlier life reported a cold start.
+func TestColdStartEndsWithItsLife(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Name", "i-2") }))
+	defer server.Close()
+	c := &fixedClock{time.Unix(2000, 0)}
+	s := New(Config{
+		Clock: c, Dialect: &dialect.Dialect{Backend: named{}, LostAfter: time.Second}, HeartbeatInterval: time.Second,
+		HoldsUntil: func() time.Time { return time.Time{} },
+	})
+	for i, life := range []struct {
+		name      string
+		remaining time.Duration
+		cold      bool
+	}{{"i-1", time.Hour, true}, {"i-1", 0, true}, {"i-2", 0, false}, {"i-2", time.Minute, true}} {
+		current, err := s.Heartbeat(t.Context(), dialect.Heartbeat{
+			Name: life.name, Upstream: "desk", Address: server.Listener.Addr().String(), Started: c.now, Sequence: uint64(i + 1), Slots: 4, ColdRemaining: life.remaining,
+		}, map[bool]string{true: "/health"}[life.name == "i-2"])
+		if !current || err != nil {
+			t.Fatalf("heartbeat %d of %s: current %v, %v", i+1, life.name, current, err)
+		}
+		if s.Cold() != life.cold {
+			t.Errorf("heartbeat %d of %s with %v left: cold %v, want %v", i+1, life.name, life.remaining, s.Cold(), life.cold)
+		}
+	}
+}
