core/admission: the expected wait at a cold server follows its cold rate

Callers at a cold backend server waited until their deadline and were refused then, with no time left to go elsewhere.

Cause: the expected wait counted the service times of the requests ahead, as if the slots were what they wait for. In a reported cold start the rate of starts is what binds.

Fix: the wait is at least that of its place at the cold rate, but not longer than the cold start plus the usual wait.

TestColdRateBoundsWait, 50 requests with 1 s at 20 starts/s: before, 50 wait and 31 of them are refused late; now 5 to 8 wait and at most 1 is refused late. With 100 ms of cold start left all 50 wait and start, before and now.

--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -61,6 +61,17 @@
 	return min(c.bucket.timeToToken(now), c.until.Sub(now))
 }
 
+// extend returns the wait of the nth of the requests that start from now on, which is
+// wait without the cold start.
+func (c *coldStartLimiter) extend(now time.Time, wait time.Duration, n int) time.Duration {
+	if !c.active(now) || c.bucket.perSecond <= 0 {
+		return wait
+	}
+	c.bucket.timeToToken(now)
+	atRate := time.Duration((float64(n) - c.bucket.tokens) / c.bucket.perSecond * float64(time.Second))
+	return max(wait, min(atRate, c.until.Sub(now)+wait))
+}
+
 func (c *coldStartLimiter) take() {
 	if c.active(c.lastCheck) {
 		c.bucket.take()
--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -153,3 +153,42 @@
 		t.Error("cold after 1,000 requests without a failure, want warm")
 	}
 }
+
+// TestColdRateBoundsWait guards against requests that wait at a cold server until their
+// time is over, because their wait is estimated without its cold rate, and against
+// refusals of requests that can start once its cold start has ended.
+func TestColdRateBoundsWait(t *testing.T) {
+	for _, w := range []struct {
+		left                 time.Duration
+		minQueued, maxQueued int
+	}{{3 * time.Second, 5, 8}, {100 * time.Millisecond, 50, 50}} {
+		c := admission.New(admission.Config{Slots: 10, MaxQueued: 100, ReportsColdStart: true, ColdRate: 20})
+		now := time.Unix(100, 0)
+		for id := uint64(1000); id < 1100; id++ {
+			now = now.Add(time.Second)
+			c.Offer(now, admission.Request{ID: id})
+			c.Done(now, id, admission.Result{Kind: admission.ResultOK, Latency: 30 * time.Millisecond})
+		}
+		c.SetColdUntil(now, now.Add(w.left))
+		deadline := now.Add(time.Second)
+		for id := uint64(1); id <= 50; id++ {
+			c.Offer(now, admission.Request{ID: id, Deadline: deadline, Target: deadline})
+		}
+		queued, late := c.Queued(), 0
+		for ; now.Before(deadline); now = now.Add(10 * time.Millisecond) {
+			events := c.Expire(now)
+			for len(events) > 0 {
+				e := events[0]
+				events = events[1:]
+				if e.Decision.Verdict != admission.VerdictAdmit {
+					late++
+					continue
+				}
+				events = append(events, c.Done(now, e.ID, admission.Result{Kind: admission.ResultOK, Latency: 30 * time.Millisecond})...)
+			}
+		}
+		if queued < w.minQueued || queued > w.maxQueued || late > 1 {
+			t.Errorf("cold for %v: %d of 50 requests wait and %d of them are refused late, want %d to %d and at most 1", w.left, queued, late, w.minQueued, w.maxQueued)
+		}
+	}
+}
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -86,7 +86,7 @@
 }
 
 // expectedWait estimates the time until a request that enters the queue now
-// gets a slot. It is 0 until a first latency is known.
+// gets a slot. Outside of a reported cold start, it is 0 until a first latency is known.
 func (c *Controller) expectedWait(now time.Time, r Request, class int) time.Duration {
 	ahead := c.queue.countAbove(class)
 	newest := c.newestFirst(now)
@@ -101,7 +101,7 @@
 		// While other keys wait, this key gets no more than its share.
 		wait = max(wait, c.latency.mean*float64(k.queued+1)/float64(c.maxSlotsPerKey()))
 	}
-	return time.Duration(wait)
+	return c.coldStart.extend(now, time.Duration(wait), ahead+1)
 }
 
 const (
