core/admission: refusals of a server that reports a cold start say cold

Found by reading. Callers and logs got queueFull where the cold rate was what bound, so that a cold start could not be told from overload.

Cause: the reason looked only at cold starts that the controller assumes itself, which it never does for a server that reports its own.

Fix: both count. The node still says unreachable in place of either reason while the backend server refuses connections.

TestColdServerSaysSo: before, queueFull for the refusal during the cold start; now cold, and queueFull after it.

--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubeknot/jujubeknot/core/admission"
+	"github.com/jujubeknot/jujubeknot/core/outcome"
 )
 
 // TestReportedColdStart simulates the return of a server under full load. It
@@ -192,3 +193,20 @@
 		}
 	}
 }
+
+// TestColdServerSaysSo guards against refusals that do not say that the server is cold,
+// because only cold starts that the controller assumes itself were looked at.
+func TestColdServerSaysSo(t *testing.T) {
+	c := admission.New(admission.Config{Slots: 1, MaxQueued: -1, ReportsColdStart: true, ColdRate: 1})
+	now := time.Unix(100, 0)
+	for id, want := range []outcome.Reason{outcome.ReasonCold, outcome.ReasonQueueFull} {
+		c.SetColdUntil(now, now.Add(time.Minute))
+		if want == outcome.ReasonQueueFull {
+			now = now.Add(time.Hour)
+			c.Offer(now, admission.Request{ID: 1000})
+		}
+		if d := c.Offer(now, admission.Request{ID: uint64(id)}); d.Verdict != admission.VerdictRefuse || d.Reason != want {
+			t.Errorf("request %d: %v %s, want a refusal with reason %s", id, d.Verdict, d.Reason, want)
+		}
+	}
+}
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -150,14 +150,14 @@
 	class := classOf(r)
 	wait := c.expectedWait(now, r, class)
 	if !c.mayWait(now, r.Depth) {
-		return c.refuseBusy(wait), false
+		return c.refuseBusy(now, wait), false
 	}
 	if !r.Deadline.IsZero() && now.Add(wait+c.ExpectedService(r.Kind)).After(r.Deadline) {
 		c.deadlinesMissed = true
 		return refuse(outcome.ReasonDeadline, wait), false
 	}
 	if c.missesTarget(now, r, wait) {
-		return c.refuseBusy(wait), false
+		return c.refuseBusy(now, wait), false
 	}
 	newest := c.newestFirst(now)
 	if k := c.queue.keys[r.Key]; k != nil && k.queued >= c.maxQueuedPerKey() && c.queue.length > k.queued {
@@ -171,7 +171,7 @@
 		return Decision{}, true
 	}
 	if c.queue.length > c.config.MaxQueued || !c.dropForRequest(r, class, newest, wait) {
-		return c.refuseBusy(wait), false
+		return c.refuseBusy(now, wait), false
 	}
 	return Decision{}, true
 }
--- a/core/admission/rules.go
+++ b/core/admission/rules.go
@@ -144,8 +144,8 @@
 	return float64(wait) > maxTargetWaitShare*float64(room)
 }
 
-func (c *Controller) refuseBusy(wait time.Duration) Decision {
-	if c.limiter.cold {
+func (c *Controller) refuseBusy(now time.Time, wait time.Duration) Decision {
+	if c.ColdAt(now) {
 		return refuse(outcome.ReasonCold, wait)
 	}
 	return refuse(outcome.ReasonQueueFull, wait)
--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -58,7 +58,7 @@
 	}
 	ticket, refusal := s.admission.acquire(ctx, call, gate.Halt, gate.HaltReason)
 	if refusal != nil {
-		if refusal.Reason == outcome.ReasonQueueFull && s.unreachable.Load() {
+		if (refusal.Reason == outcome.ReasonQueueFull || refusal.Reason == outcome.ReasonCold) && s.unreachable.Load() {
 			// The queue is full because the backend server does not respond.
 			// With this reason, entry nodes hold the call until the partition
 			// has another owner.
