backend: an accepted connection ends unreachable

Found by reading. After one refused connection, callers of a backend server that had started again and worked on its first requests were told unreachable in place of queueFull: entry nodes hold keyed calls and record an outage then.

Cause: only a response took the mark back. With all slots taken by requests that run for long there is none for as long as they run.

Fix: a newly opened connection takes it back. An idle one that is used again does not: it may be one of a server that hangs.

TestReachedServerIsNotUnreachable: before, unreachable (3 of 3 fail); now queueFull (5 of 5 pass).

--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
 	}
+	if c.isNew() {
+		s.unreachable.Store(false)
+	}
 	a.x.c, a.x.method = c, call.Method
 	if d := s.cfg.Dialect; d != nil {
 		a.x.renameField, a.x.allowUnframed = d.Backend.RequestFieldName, true
--- a/node/internal/backend/conn.go
+++ b/node/internal/backend/conn.go
@@ -90,6 +90,9 @@
 	return n, err
 }
 
+// isNew reports whether the connection has not been idle since it was opened.
+func (c *conn) isNew() bool { return c.idleSince.IsZero() }
+
 // usable reports whether an idle connection is open and has nothing to read.
 // Pending bytes would be taken for the response to the next request.
 func (c *conn) usable() bool {
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -86,7 +86,8 @@
 	// refusedUntil is the end of the back-off after a refused connection, as
 	// Unix time in nanoseconds by Config.Clock.
 	refusedUntil atomic.Int64
-	// unreachable is true from a refused connection to the next response.
+	// unreachable is true from a refused connection to the next response or accepted
+	// connection.
 	unreachable atomic.Bool
 	// confirming is true while a second connection attempt checks a refusal.
 	confirming atomic.Bool
