caller: a hedged request goes to a node that was not tried

Found by reading. A request that one node had refused was sent to it again as a hedge: it takes a token of the hedge budget and reaches a server that has just refused it.

Cause: only the node of the running attempt was left out, and a hedge did not count as tried for a later attempt.

Fix: all tried nodes are left out, and the node of the hedge is one of them.

The token cannot be lost where none is picked: it is taken only if there is a candidate, and each policy picks one then.

--- a/node/internal/caller/choose.go
+++ b/node/internal/caller/choose.go
@@ -128,7 +128,7 @@
 	for {
 		select {
 		case <-timer.C:
-			second, ok := q.pickHedge(t, u, first, candidates)
+			second, ok := q.pickHedge(t, u, candidates)
 			if ok {
 				start(1, second)
 				running, hedge = running+1, true
@@ -182,12 +182,12 @@
 	won.response.OnClose(cancels[winner])
 }
 
-// pickHedge picks the node for a hedged request. It is neither the first node
-// nor one in cold start.
-func (q *request) pickHedge(t *routing.Table, u *upstreamState, first selection, candidates []choice.Candidate) (selection, bool) {
+// pickHedge picks the node for a hedged request. It is neither one that the request was
+// sent to before nor one in cold start.
+func (q *request) pickHedge(t *routing.Table, u *upstreamState, candidates []choice.Candidate) (selection, bool) {
 	warm := make([]choice.Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !c.Cold && c.Incarnation != first.node.GetIncarnation() {
+		if !c.Cold && !contains(q.tried, c.Incarnation) {
 			warm = append(warm, c)
 		}
 	}
@@ -198,6 +198,7 @@
 	if !ok {
 		return selection{}, false
 	}
+	q.tried = append(q.tried, picked.Incarnation)
 	q.h.cfg.Metrics.Attempts.Add("hedge", 1)
 	return selection{node: t.Node(picked.Incarnation), why: "hedge"}, true
 }
