core/routing: runs of assignments keep planned

Found by reading. Callers have not met it: control sends planned assignments singly, because the ids of moved requests are attached to them.

Cause: expandRuns copied each field of a run but planned. An owner that got a planned move in a run would have refused the resends that it was handed.

Fix: the field is copied.

TestRunsKeepPlanned: before, 2 of 3 partitions of the planned run not planned; now all as sent.

--- a/core/routing/shares_test.go
+++ b/core/routing/shares_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// TestRunsKeepPlanned guards against an owner that takes a planned move for the loss of
+// the earlier owner, because the assignment came as part of a run. It would refuse resends
+// that the earlier owner has handed over.
+func TestRunsKeepPlanned(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		want := routing.Assignment{Owner: 4, Epoch: 2, Planned: planned, Fence: 9, Handover: "token"}
+		table, err := routing.New().With(&wirev1.Update{Index: 1, Assignments: []*wirev1.Assignment{
+			{Upstream: "desk", Partition: 10, Owner: want.Owner, Epoch: want.Epoch, SinceIndex: want.Fence, Handover: want.Handover, Planned: planned, Following: 2},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for p := uint32(10); p <= 12; p++ {
+			if got := table.Assignment("desk", p); got != want {
+				t.Errorf("planned %v, partition %d: got %+v, want %+v", planned, p, got, want)
+			}
+		}
+	}
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -201,7 +201,7 @@
 		for i := range min(a.GetFollowing(), keyspace.MaxPartitions) {
 			all = append(all, &wirev1.Assignment{
 				Upstream: a.GetUpstream(), Partition: a.GetPartition() + i + 1, Owner: a.GetOwner(), Epoch: a.GetEpoch(),
-				SinceIndex: a.GetSinceIndex(), Handover: a.GetHandover(),
+				SinceIndex: a.GetSinceIndex(), Handover: a.GetHandover(), Planned: a.GetPlanned(),
 			})
 		}
 	}
