backend: ask a busy server for its cold start more often

Cause: at ten times the cold rate 50 ms between two health requests are 20 requests, more than the share after which one is due.

Fix: 25 ms between two, and one is due after three tenths of the cold rate in place of two fifths.

--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -8,7 +8,7 @@
 
 // unreportedShare times the permitted requests/s is the number of requests beyond
 // that rate that start before another report of the server is due.
-const unreportedShare = 0.4
+const unreportedShare = 0.3
 
 // coldStartLimiter limits the rate of request starts while a backend server
 // reports cold start. Without it, the servers of an availability zone that
--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -96,7 +96,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		perSecond := rapid.IntRange(1, 400).Draw(t, "requests per second")
 		coldAfter := time.Duration(rapid.IntRange(0, 3000).Draw(t, "cold after ms")) * time.Millisecond
-		answerTime := time.Duration(rapid.IntRange(0, 15).Draw(t, "answer time ms")) * time.Millisecond
+		answerTime := time.Duration(rapid.IntRange(0, 25).Draw(t, "answer time ms")) * time.Millisecond
 		c := admission.New(admission.Config{Slots: 10, MaxQueued: -1, ReportsColdStart: true, ColdRate: coldRate})
 		now := time.Unix(100, 0)
 		cold, starts := now.Add(coldAfter), 0
--- a/node/internal/backend/coldreport.go
+++ b/node/internal/backend/coldreport.go
@@ -16,7 +16,7 @@
 	healthTimeout = 250 * time.Millisecond
 	// minReportInterval is the least time between two requests for the cold start of
 	// the backend server.
-	minReportInterval = 50 * time.Millisecond
+	minReportInterval = 25 * time.Millisecond
 )
 
 // recordColdStart records the remaining time of a cold start that the backend server
