backend: how often the cold start is asked for follows the platform's bounds

Cause: the share was derived from a rate of 40 requests/s and a bound of 65. What a cold server bears is in the settings of the platform: coldOver times its rate plus coldSlack. At 7.7 requests/s and a slack of 10 that is an excess of 13.9, for which 2.3 were assumed.

Fix: the two bounds are settings (limits.coldOver, limits.coldSlack), and 0.6 of the excess may start between two reports. Without them it is half of the rate, as before.

--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -1,14 +1,21 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // coldBurstShare times the permitted requests/s is the number of requests that
 // may start at once during cold start. At least one may.
 const coldBurstShare = 0.2
 
-// unreportedShare times the permitted requests/s is the number of requests beyond
-// that rate that start before another report of the server is due.
-const unreportedShare = 0.3
+// unreportedShare is the part of Config.ColdExcess that starts before another report of
+// the server is due. The rest is for what starts until the report has arrived.
+const unreportedShare = 0.6
+
+// defaultColdExcessShare times the permitted requests/s is the default of
+// Config.ColdExcess.
+const defaultColdExcessShare = 0.5
 
 // coldStartLimiter limits the rate of request starts while a backend server
 // reports cold start. Without it, the servers of an availability zone that
@@ -29,7 +36,8 @@
 		perSecond = float64(config.Slots)
 	}
 	c.bucket.configure(perSecond, max(1, perSecond*coldBurstShare))
-	c.unreported.configure(perSecond, max(1, perSecond*unreportedShare))
+	excess := cmp.Or(config.ColdExcess, perSecond*defaultColdExcessShare)
+	c.unreported.configure(perSecond, max(1, excess*unreportedShare))
 	c.lastCheck = now
 }
 
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -97,6 +97,9 @@
 	// ColdRate limits the requests/s that start during a cold start reported by
 	// the backend server. 0 means one for each slot.
 	ColdRate float64
+	// ColdExcess is the number of requests beyond ColdRate that a cold backend server
+	// bears in one second. 0 means half of ColdRate.
+	ColdExcess float64
 }
 
 func (c Config) withDefaults() Config {
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -30,6 +30,10 @@
 	// backend server out of service until it receives no more requests and
 	// keys.
 	OutOfServiceTimeout time.Duration
+	// ColdExcessShare times the rate of an upstream's cold servers, and ColdExcess
+	// added to that, is the number of requests beyond this rate that a cold server bears
+	// in one second. If both are 0, it is half of the rate.
+	ColdExcessShare, ColdExcess float64
 	// LostAfter is the time without a heartbeat or a response after which a
 	// backend server without keys is considered lost.
 	LostAfter time.Duration
--- a/node/internal/backend/admission.go
+++ b/node/internal/backend/admission.go
@@ -9,6 +9,7 @@
 	"github.com/jujubeknot/jujubeknot/core/clock"
 	"github.com/jujubeknot/jujubeknot/core/outcome"
 	"github.com/jujubeknot/jujubeknot/core/rules"
+	"github.com/jujubeknot/jujubeknot/node/dialect"
 	"github.com/jujubeknot/jujubeknot/node/internal/relay"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
@@ -225,9 +226,13 @@
 }
 
 // admissionConfig derives the admission limits from announcement and rules.
-func admissionConfig(b *wirev1.BackendServer, u rules.Upstream, reportsColdStart bool) admission.Config {
-	return admission.Config{
+func admissionConfig(b *wirev1.BackendServer, u rules.Upstream, d *dialect.Dialect) admission.Config {
+	c := admission.Config{
 		Slots: slotLimit(b, u), MaxQueued: u.Queue, KeyShare: u.KeyShare, RequestsPerSecond: u.RequestsPerSecond,
-		ReportsColdStart: reportsColdStart, ColdRate: u.ColdStartRate,
+		ReportsColdStart: d != nil, ColdRate: u.ColdStartRate,
 	}
+	if d != nil {
+		c.ColdExcess = u.ColdStartRate*d.ColdExcessShare + d.ColdExcess
+	}
+	return c
 }
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -218,7 +218,7 @@
 		return
 	}
 	s.pool.configure(b.GetAddress(), connectionLimit(b, u), restarted)
-	s.admission.configure(admissionConfig(b, u, s.cfg.Dialect != nil))
+	s.admission.configure(admissionConfig(b, u, s.cfg.Dialect))
 }
 
 func connectionLimit(b *wirev1.BackendServer, u rules.Upstream) int {
