node: a stop that requests have used up does not wait for control

The platform kills the process at 6 s.

Cause: requests may use StopTimeout up, 5.5 s on the platform. The return of the lease follows it, with a timeout of its own of 500 ms, and in the project's own protocol the end of the grants with another 500 ms. If control does not answer, as when its connections are lost, the sum is 6.0 s (6.5 s) plus what the process takes to end.

Why it works: what follows StopTimeout ends 200 ms after it, so 300 ms before the grace on the platform. A stop that ends sooner gives the return of the lease its 500 ms as before; a lease that is not returned expires at control, as after a kill.

--- a/node/config.go
+++ b/node/config.go
@@ -88,9 +88,9 @@
 	// DrainTimeout limits the wait for partitions to be moved away and, without
 	// StopTimeout, the wait for requests to complete. Default DefaultDrainTimeout.
 	DrainTimeout time.Duration
-	// StopTimeout limits the whole stop. The time that remains of it after the
-	// moves is given to requests to complete. Default 0: requests get another
-	// DrainTimeout.
+	// StopTimeout limits the whole stop, except that the return of the lease may take
+	// 200 ms more. The time that remains of it after the moves is given to requests to
+	// complete. Default 0: requests get another DrainTimeout.
 	StopTimeout time.Duration
 	// OperatorSecret is required from clients of the operator port. Empty means
 	// that only loopback addresses have access.
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -49,6 +49,8 @@
 	// counts them.
 	holdReports bool
 	heldReports int
+	// holdReturns leaves returned leases without a response.
+	holdReturns bool
 	// renewals is the number of renewals received.
 	renewals int
 	// keyed has the number of partitions of each keyed upstream.
@@ -271,9 +273,15 @@
 	return connect.NewResponse(&wirev1.ReleasedResponse{}), nil
 }
 
-func (c *fakeControl) Deregister(_ context.Context, r *connect.Request[wirev1.DeregisterRequest]) (*connect.Response[wirev1.DeregisterResponse], error) {
+func (c *fakeControl) Deregister(ctx context.Context, r *connect.Request[wirev1.DeregisterRequest]) (*connect.Response[wirev1.DeregisterResponse], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.holdReturns {
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return nil, ctx.Err()
+	}
 	if c.nodes[r.Msg.GetIncarnation()] != nil {
 		delete(c.nodes, r.Msg.GetIncarnation())
 		c.publish(&wirev1.Update{RemovedNodes: []uint64{r.Msg.GetIncarnation()}})
--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -66,7 +66,7 @@
 	// Keyed work must end before another node can own the partitions. The lease is
 	// therefore returned only after EndLease.
 	s.cfg.View.SetIdentity(view.Identity{Secret: s.cfg.PeerSecret})
-	closing, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	closing, done := context.WithTimeout(context.WithoutCancel(ctx), s.returnTimeout())
 	defer done()
 	abandoned := errors.Is(context.Cause(ctx), ErrAbandoned) || ctx.Err() != nil && i.keepsLease()
 	if abandoned {
@@ -172,7 +172,7 @@
 // deregister returns the lease, so that other nodes can own the partitions at
 // once. If it fails, the lease expires at control.
 func (i *incarnation) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	ctx, cancel := context.WithTimeout(ctx, i.s.returnTimeout())
 	defer cancel()
 	for ctx.Err() == nil {
 		client, address := i.s.group.leader()
--- a/node/internal/controlclient/session.go
+++ b/node/internal/controlclient/session.go
@@ -34,6 +34,8 @@
 	renewTimeout        = 300 * time.Millisecond
 	lateResponseTimeout = 1500 * time.Millisecond
 	deregisterTimeout   = 500 * time.Millisecond
+	// minReturnTimeout lets a stop that is late still send the return of the lease.
+	minReturnTimeout = 50 * time.Millisecond
 	// minRetryBackoff is the shortest backoff after a failed call. It is also the
 	// longest backoff after the first of several failed registrations. It leads to
 	// about ten renewals during an election of 300 to 600 ms.
@@ -90,6 +92,9 @@
 	// renewNow causes an immediate renewal.
 	renewNow chan struct{}
 	stopping atomic.Bool
+	// stopEnd is the time at which Run must have returned the lease, nil without a
+	// limit.
+	stopEnd atomic.Pointer[time.Time]
 	// current is the current registration. It is nil before the first one.
 	current atomic.Pointer[incarnation]
 	// tableMu is held while the table of the view is replaced.
@@ -125,6 +130,18 @@
 	wake(s.renewNow)
 }
 
+// StopAt limits the return of the lease. Control may not answer while a node stops.
+func (s *Session) StopAt(end time.Time) { s.stopEnd.Store(&end) }
+
+// returnTimeout returns the time that a call which ends a lease may take.
+func (s *Session) returnTimeout() time.Duration {
+	end := s.stopEnd.Load()
+	if end == nil {
+		return deregisterTimeout
+	}
+	return max(min(deregisterTimeout, end.Sub(s.cfg.Clock.Now())), minReturnTimeout)
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/node/stop.go
+++ b/node/stop.go
@@ -17,6 +17,10 @@
 // callers that still wait are refused, so that none ends without a response.
 const finalResponseTime = 300 * time.Millisecond
 
+// leaseReturnTime is the time after the end of a stop within which the lease must have
+// been returned. If control does not answer, it expires there.
+const leaseReturnTime = 200 * time.Millisecond
+
 // drain stops the node in an order that causes no request to fail. First the
 // node gets no new partitions and no more requests from other nodes, then no
 // new callers. At the end the requests in flight complete.
@@ -26,6 +30,7 @@
 	keepsServer := n.cfg.TakesOver && !n.backend.Leaving() && n.backend.Announced() != nil
 	if n.cfg.StopTimeout > 0 {
 		n.owner.StopAt(startTime.Add(n.cfg.StopTimeout))
+		n.session.StopAt(startTime.Add(n.cfg.StopTimeout + leaseReturnTime))
 		stop := caller.Stop{End: startTime.Add(n.cfg.StopTimeout - finalResponseTime), ClosesAt: startTime}
 		if keepsServer {
 			stop.ClosesAt = startTime.Add(n.cfg.DrainNotice)
