owner: grants of new partitions are not sent beyond the lease

What was seen: nothing by itself; found by looking for what Node.Run waits for without a context. In the project's own protocol a stop beside a backend server that does not respond lasted half a second longer for each update that brought partitions.

Cause: each such update starts a goroutine that sends the grants, with a context that never ends. One sends at a time, and each waits for its own timeout of 500 ms. Node.Run waits for all of them, and the message that ends the grants waits for the one in flight.

Why it works: the goroutines have the context of the lease, which EndLease ends before it sends the end of the grants. What they would have sent is void by then.

Changed tests: two calls of TableChanged, which has no context any more.

--- a/node/internal/controlclient/peerrules.go
+++ b/node/internal/controlclient/peerrules.go
@@ -51,7 +51,7 @@
 			s.cfg.Log.Debug().Err(err).Str("peer", address).Msg("cannot fetch rules from another node")
 			continue
 		}
-		if r := response.GetRules(); r != nil && !s.adoptRules(ctx, r, address) {
+		if r := response.GetRules(); r != nil && !s.adoptRules(r, address) {
 			continue
 		}
 		if silence := time.Duration(response.GetSilenceMs()) * time.Millisecond; silence < s.cfg.FetchRulesAfter {
@@ -64,7 +64,7 @@
 // adoptRules puts rules of another node in force, and reports whether those or
 // later ones are in force. It does not change nodes and owners, because their
 // changes come with request ids, which only control sends.
-func (s *Session) adoptRules(ctx context.Context, r *wirev1.RulesRevision, from string) bool {
+func (s *Session) adoptRules(r *wirev1.RulesRevision, from string) bool {
 	s.tableMu.Lock()
 	defer s.tableMu.Unlock()
 	old := s.cfg.View.Table()
@@ -77,6 +77,6 @@
 		return true
 	}
 	s.cfg.Log.Info().Uint64("rulesRevision", t.Revision()).Uint64("index", t.Index()).Str("peer", from).Msg("rules in force")
-	s.putInForce(ctx, t)
+	s.putInForce(t)
 	return true
 }
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -68,7 +68,7 @@
 	for _, m := range u.GetMovedRequests() {
 		s.cfg.Owner.Import(m.GetUpstream(), m.GetPartition(), m.GetEpoch(), recordsFromWire(m))
 	}
-	if !s.replaceTable(ctx, u) {
+	if !s.replaceTable(u) {
 		return
 	}
 	for _, r := range u.GetReleases() {
@@ -78,7 +78,7 @@
 
 // replaceTable applies an update to the table. It returns false if the update
 // is older than the table.
-func (s *Session) replaceTable(ctx context.Context, u *wirev1.Update) bool {
+func (s *Session) replaceTable(u *wirev1.Update) bool {
 	s.tableMu.Lock()
 	defer s.tableMu.Unlock()
 	old := s.cfg.View.Table()
@@ -95,12 +95,12 @@
 	if t.Revision() != old.Revision() {
 		s.cfg.Log.Info().Uint64("rulesRevision", t.Revision()).Uint64("index", t.Index()).Msg("rules in force")
 	}
-	s.putInForce(ctx, t)
+	s.putInForce(t)
 	return true
 }
 
 // putInForce replaces the table of the node. The caller holds s.tableMu.
-func (s *Session) putInForce(ctx context.Context, t *routing.Table) {
+func (s *Session) putInForce(t *routing.Table) {
 	changed := t.Revision() != s.cfg.View.Table().Revision()
 	s.cfg.View.SetTable(s.cfg.Clock.Now(), t)
 	i := s.current.Load()
@@ -109,7 +109,7 @@
 			s.cfg.Backend.SetOutOfService(t.Leaving(self))
 		}
 	}
-	s.cfg.Owner.TableChanged(context.WithoutCancel(ctx), t)
+	s.cfg.Owner.TableChanged(t)
 	if changed && i != nil {
 		i.configure()
 		wake(i.reportSoon)
--- a/node/internal/owner/closelease_test.go
+++ b/node/internal/owner/closelease_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -30,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.TableChanged(context.Background(), table)
+	s.TableChanged(table)
 	if r := s.Respond(s.Receive(heartbeat), time.Minute); len(r.Grants) > 0 {
 		t.Errorf("got grants %+v after the lease was closed, want none", r.Grants)
 	}
--- a/node/internal/owner/grants.go
+++ b/node/internal/owner/grants.go
@@ -37,8 +37,9 @@
 	}
 }
 
-// sendNewGrants sends the grants of new partitions in the background. Calls for
-// them continue once the grants were sent, or after maxGrantWait.
+// sendNewGrants sends the grants of new partitions in the background, until the
+// context ends, which is that of their lease. Calls for them continue once the grants were sent, or
+// after maxGrantWait.
 func (s *Server) sendNewGrants(ctx context.Context, added []*partition) {
 	s.background.Go(func() {
 		var once sync.Once
--- a/node/internal/owner/heartbeats_test.go
+++ b/node/internal/owner/heartbeats_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -41,7 +40,7 @@
 		Clock: clock, View: v, Backend: backend.New(backend.Config{Clock: clock}), GrantsByHeartbeat: true, HeartbeatInterval: time.Second,
 	})
 	s.BeginLease()
-	s.TableChanged(context.Background(), table)
+	s.TableChanged(table)
 	return s
 }
 
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -131,7 +131,7 @@
 // TableChanged applies a new table. Partitions that this incarnation newly owns
 // are granted to the backend server. Partitions that it no longer owns are
 // removed.
-func (s *Server) TableChanged(ctx context.Context, t *routing.Table) {
+func (s *Server) TableChanged(t *routing.Table) {
 	self := s.cfg.View.Identity().Incarnation
 	now := s.cfg.Clock.Now()
 	var added []*partition
@@ -158,9 +158,10 @@
 	s.partitions = kept
 	s.notifyGrantsChanged()
 	s.addGrants(self, added)
+	lease := s.lease.context
 	s.mu.Unlock()
 	if len(added) > 0 && !s.cfg.GrantsByHeartbeat {
-		s.sendNewGrants(ctx, added)
+		s.sendNewGrants(lease, added)
 	}
 }
 
