node: a stop waits for the keys of a server that begins to leave in it

What callers saw: the keys of a backend server that began to leave after the signal to stop its node, and released them, had no owner for 5.1 s.

Cause: a node whose server keeps running hands nothing over and keeps its lease for the next process. If the server begins to leave meanwhile, control orders the releases, but the end of the stop did not wait for them. The lease is kept while the server holds keys, so those being released then stayed with a process that had ended, until the lease expired.

Why it works: if the server leaves once the requests have ended, the stop waits for the moves as other stops do, for what is left of StopTimeout, and then returns the lease.

--- a/node/stop.go
+++ b/node/stop.go
@@ -43,24 +43,35 @@
 		// so they get time to see that the node is not ready.
 		time.Sleep(n.cfg.DrainNotice)
 		n.shutDown(startTime)
+		if n.backend.Leaving() {
+			// It has begun to leave meanwhile. The lease is kept while it holds keys, and
+			// keys that it has released would have no owner until the lease expires.
+			n.waitForMoves(min(n.cfg.DrainTimeout, n.remaining(startTime)))
+		}
 		return
 	}
 	n.session.Drain()
 	n.cfg.Log.Info().Int("partitions", n.owner.Partitions()).Msg("draining")
-	n.waitForMoves()
+	n.waitForMoves(n.cfg.DrainTimeout)
 	n.shutDown(startTime)
 }
 
+// remaining returns the time until the end of a stop that began at startTime.
+func (n *Node) remaining(startTime time.Time) time.Duration {
+	if n.cfg.StopTimeout == 0 {
+		return n.cfg.DrainTimeout
+	}
+	return n.cfg.StopTimeout - boottime.Clock{}.Now().Sub(startTime)
+}
+
 // shutDown closes the listeners and waits for their requests to complete, until
 // the timeout of a stop that began at startTime. Callers are served until the calls
 // of other nodes have ended: the backend server sends the nested calls of these to
 // this node. A request that could last beyond the stop is refused.
 func (n *Node) shutDown(startTime time.Time) {
-	now := boottime.Clock{}.Now()
-	remaining := n.cfg.DrainTimeout
-	if n.cfg.StopTimeout > 0 {
-		remaining = n.cfg.StopTimeout - now.Sub(startTime)
-	} else {
+	remaining := n.remaining(startTime)
+	if n.cfg.StopTimeout == 0 {
+		now := boottime.Clock{}.Now()
 		n.callers.StopAt(caller.Stop{End: now.Add(remaining - finalResponseTime), ClosesAt: now})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
@@ -108,9 +119,9 @@
 // this node as leaving, so that other nodes no longer select it. A partition
 // that is released counts until control has assigned it: if the lease were
 // returned before control has the report, the request ids and the handover would
-// be lost. It waits for at most Config.DrainTimeout.
-func (n *Node) waitForMoves() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
+// be lost. It waits for at most limit.
+func (n *Node) waitForMoves(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
