peer: a call that waits for a full connection ends with its deadline

What callers saw: a request whose owner's node does not read its connection waits beyond its deadline, and goes on after its caller has left.

Cause: over 1 MB of queued frames, a call waits until the writer takes them, without a context. It ended only when the half-open detection or Client.Close closed the connection; a node that reads slowly is not half-open.

Evidence: the new test, 4,000 calls of 6 KiB to a listener that reads nothing, without that detection: the calls wait for more than four times their time, 3 of 3, with a deadline and with a caller that leaves.

Why it works: the wait ends with the context or the time left of the call, and the call is refused with notRun, as nothing of it was queued. Responses wait with the context of their call. The test passes 5 of 5, ./node/internal/peer 2 of 2, the tests of its connections once with the race detector.

--- a/node/internal/peer/client.go
+++ b/node/internal/peer/client.go
@@ -214,11 +214,15 @@
 		if conn, err = p.framed.connect(ctx, expired.C, to.GetPeerAddress()); err != nil {
 			return nil, relay.NotRun(outcome.ReasonUnreachable), err
 		}
-		s, id, err = conn.begin(p.view.Identity(), c, remaining)
+		s, id, err = conn.begin(ctx, p.view.Identity(), c, remaining)
 		switch {
 		case errors.Is(err, errConnClosed):
 			// The connection is closed or takes no new calls.
 			conn.unregister()
+		case errors.Is(err, context.Canceled):
+			return nil, relay.NotRun(outcome.ReasonCancelled), err
+		case errors.Is(err, context.DeadlineExceeded):
+			return nil, relay.NotRun(outcome.ReasonDeadline), err
 		case err != nil:
 			return nil, relay.NotRun(outcome.ReasonBadRequest), err
 		}
--- a/node/internal/peer/clientconn.go
+++ b/node/internal/peer/clientconn.go
@@ -158,7 +158,7 @@
 
 // begin sends a call. If it returns an error, the call was not sent. After
 // errConnClosed the call may be sent on another connection.
-func (c *clientConn) begin(i view.Identity, call *relay.Call, remaining time.Duration) (*stream, uint32, error) {
+func (c *clientConn) begin(ctx context.Context, i view.Identity, call *relay.Call, remaining time.Duration) (*stream, uint32, error) {
 	buffer := payloadBuffers.Get().(*[]byte)
 	defer payloadBuffers.Put(buffer)
 	var err error
@@ -166,7 +166,9 @@
 		return nil, 0, err
 	}
 	var size [binary.MaxVarintLen64]byte
-	c.waitForSpace()
+	if err := c.waitUntilDue(ctx, remaining); err != nil {
+		return nil, 0, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
@@ -189,6 +191,16 @@
 	return s, c.lastID, nil
 }
 
+// waitUntilDue is waitForSpace for a call with the given time left.
+func (c *clientConn) waitUntilDue(ctx context.Context, remaining time.Duration) error {
+	if c.hasSpace() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	return c.waitForSpace(ctx)
+}
+
 // cancel notifies the other node that the response to a call is no longer
 // needed.
 func (c *clientConn) cancel(id uint32) {
--- a/node/internal/peer/frameconn.go
+++ b/node/internal/peer/frameconn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -33,8 +35,8 @@
 	wake   chan struct{}
 
 	mu sync.Mutex
-	// spaceFreed is signalled when the writer has taken the queue and when the
-	// connection is closed.
+	// spaceFreed is signalled when the writer has taken the queue, when the connection
+	// is closed and when the context of a waiting call ends.
 	spaceFreed sync.Cond
 	// queue has the frames to write. spareBuffer is an empty buffer for reuse.
 	queue, spareBuffer []byte
@@ -85,14 +87,38 @@
 	}
 }
 
-// waitForSpace waits until the queue holds at most maxQueuedBytes or the
-// connection is closed.
-func (c *frameConn) waitForSpace() {
+// hasSpace reports whether the queue holds at most maxQueuedBytes or the connection is
+// closed.
+func (c *frameConn) hasSpace() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.queue) > maxQueuedBytes && !c.isClosed {
+	return c.isSpace()
+}
+
+// isSpace is hasSpace with c.mu held.
+func (c *frameConn) isSpace() bool { return len(c.queue) <= maxQueuedBytes || c.isClosed }
+
+// waitForSpace waits until hasSpace is true. It returns an error if the context ends
+// before.
+func (c *frameConn) waitForSpace(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isSpace() {
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.spaceFreed.Broadcast()
+	})
+	defer stop()
+	for !c.isSpace() {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("wait until queued frames are written: %w", err)
+		}
 		c.spaceFreed.Wait()
 	}
+	return nil
 }
 
 // send queues a frame and never blocks. It returns false, and sends nothing, if
--- a/node/internal/peer/serverconn.go
+++ b/node/internal/peer/serverconn.go
@@ -265,7 +265,9 @@
 	if len(length)+len(*buffer)+len(kept) > maxFrameBytes {
 		return errMalformed
 	}
-	s.conn.waitForSpace()
+	if err := s.conn.waitForSpace(s.ctx); err != nil {
+		return err
+	}
 	s.conn.send(frameAnswer, s.id, length, *buffer, kept)
 	if kind != bodyStreamed {
 		return nil
@@ -299,7 +301,9 @@
 func (s *serverCall) Write(p []byte) (int, error) {
 	l, total := s.conn, len(p)
 	for len(p) > 0 {
-		l.waitForSpace()
+		if err := l.waitForSpace(s.ctx); err != nil {
+			return total - len(p), err
+		}
 		l.mu.Lock()
 		for min(s.window, l.window) <= 0 && !s.cancelled {
 			l.windowChanged.Wait()
