owner: keys of a returned lease are revoked by the response to the next heartbeat

Seen: a backend server that is taken for lost, but runs, keeps its keys until its grants end, up to 5 s on the platform, though others are granted them at once. The responses to its heartbeats say nothing about keys, which renews nothing and revokes nothing, until the node is registered with it again.

From the return of a lease on, the response to a heartbeat of a server that holds keys revokes all of them, at once, until keys are granted under another lease. A lease that has expired or is kept for the next process of the node revokes nothing: its grants have ended, or are still good.

This bounds a mistake about the end of a process.

TestReturnedKeysAreRevoked does not compile before (LeaseReturned is new).

--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -83,6 +83,7 @@
 		sleep(ctx, expiry.Sub(s.cfg.Clock.Now()))
 	}
 	if held && !abandoned {
+		s.cfg.Owner.LeaseReturned()
 		i.deregister(context.WithoutCancel(ctx))
 	}
 	return reason
--- a/node/internal/owner/heartbeats.go
+++ b/node/internal/owner/heartbeats.go
@@ -91,6 +91,9 @@
 // grantsDiffer reports whether the backend server is to hold other keys than
 // the heartbeat reports. The caller holds s.mu.
 func (s *Server) grantsDiffer(heartbeat dialect.Heartbeat) bool {
+	if s.leaseReturned && len(heartbeat.Held) > 0 {
+		return true
+	}
 	owns, wanted := false, 0
 	for _, p := range s.partitions {
 		if p.id.Upstream != heartbeat.Upstream || p.state != stateServing {
@@ -129,12 +132,17 @@
 		// keys.
 		return response
 	}
-	if identity.Incarnation == 0 || !now.Before(identity.LeaseExpiry) || t.Node(identity.Incarnation) == nil {
+	u := t.Upstream(heartbeat.Upstream)
+	if u == nil || !u.NumericKeys {
 		return response
 	}
 	// The node's incarnation grants keys to one incarnation of the backend server
 	// only.
-	if u := t.Upstream(heartbeat.Upstream); u == nil || !u.NumericKeys || t.Node(identity.Incarnation).GetBackendServer().GetBootId() != heartbeat.Incarnation() {
+	if identity.Incarnation == 0 || !now.Before(identity.LeaseExpiry) || t.Node(identity.Incarnation).GetBackendServer().GetBootId() != heartbeat.Incarnation() {
+		if s.leaseReturned {
+			// Others may own the keys that a backend server taken for lost holds.
+			response.UpdatesGrants, response.GrantDuration = true, limit
+		}
 		return response
 	}
 	// The backend server counts the grant from the sending of the heartbeat, which
@@ -144,7 +152,7 @@
 	if response.GrantDuration <= 0 {
 		return response
 	}
-	response.UpdatesGrants = true
+	response.UpdatesGrants, s.leaseReturned = true, false
 	var granted []*partition
 	releasing, added := 0, 0
 	for _, p := range s.partitions {
--- a/node/internal/owner/heartbeats_test.go
+++ b/node/internal/owner/heartbeats_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// TestReturnedKeysAreRevoked guards against a backend server that was taken for lost and
+// keeps its keys until its grants end, because the responses to its heartbeats say nothing
+// about keys, while others own them already.
+func TestReturnedKeysAreRevoked(t *testing.T) {
+	b := heartbeat
+	s := registered(t, b, 7, 16, &wirev1.Assignment{Upstream: "desk", Partition: 3, Owner: 7, Epoch: 1})
+	if a := s.Respond(s.Receive(b), 5*time.Second); len(a.Grants) == 0 {
+		t.Fatalf("response is %+v, want grants", a)
+	}
+	s.EndLease(context.Background())
+	s.BeginLease()
+	other := b
+	other.Started, other.Held = b.Started.Add(time.Second), []dialect.FencedRange{{First: 3 << 12, Last: 4<<12 - 1, Fence: 9}}
+	if a := s.Respond(s.Receive(other), 5*time.Second); a.UpdatesGrants {
+		t.Errorf("response is %+v though the lease was not returned, want none about keys", a)
+	}
+	s.LeaseReturned()
+	received := s.Receive(other)
+	waited := time.Now()
+	s.AwaitGrantChange(context.Background(), received, time.Minute)
+	if a := s.Respond(received, 5*time.Second); !a.UpdatesGrants || len(a.Grants) > 0 || time.Since(waited) > 30*time.Second {
+		t.Errorf("response is %+v after %v, want all keys revoked at once", a, time.Since(waited))
+	}
+}
+
 // TestAllKeysAreGrantedWithinTheResponse guards against keys that are not served. Of
 // 1,871 partitions that a backend server received while zones were taken out of
 // service, 895 were left out of consecutive responses, 1.5 s apart, because each
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -64,6 +64,9 @@
 	// grantExpiry is the latest time at which the grants to the backend server
 	// expire by its own clock.
 	grantExpiry time.Time
+	// leaseReturned is true from the return of a lease until keys are granted under
+	// another one.
+	leaseReturned bool
 	// lastHeartbeat is the time of receipt of the latest heartbeat.
 	lastHeartbeat time.Time
 	// heartbeats is the number of heartbeats received.
--- a/node/internal/owner/partition.go
+++ b/node/internal/owner/partition.go
@@ -244,6 +244,15 @@
 	}
 }
 
+// LeaseReturned records that an ended lease is returned before its expiry. The responses
+// to heartbeats revoke all keys until keys are granted under another lease.
+func (s *Server) LeaseReturned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseReturned = true
+	s.notifyGrantsChanged()
+}
+
 // clear cancels the context of the lease, drops all partitions, and returns the
 // number of those that were not released yet and of their calls in flight. The
 // caller holds s.mu.
