backend: a server that refuses connections is lost only once its process ended

Seen: keys of a backend server that has closed its listener and runs nothing are granted to another although its heartbeats go on; both hold them for up to 0.2 s, 0.43 s beside load. Its other keys wait while it completes calls.

Cause: two refused connections counted as the end of the process, and the lease was returned. They show that it takes no new calls; one that stops closes its listener first.

Now it is lost at once if the connection of a call that ran, or of a heartbeat that waited, ended without a response and none is open. Without any of this it is lost when its next heartbeat is 0.5 s late, or its grants have ended.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -29,6 +29,7 @@
 	if !current {
 		return dialect.HeartbeatResponse{OnSent: func() {}}, nil
 	}
+	defer n.backend.AwaitsResponse(ctx)()
 	received := n.owner.Receive(b)
 	n.owner.AwaitGrantChange(ctx, received, max(n.cfg.Dialect.MaxHeartbeatWait-time.Since(arrived), 0))
 	return n.owner.Respond(received, n.cfg.Dialect.MaxHold), nil
--- a/node/internal/owner/heartbeats_test.go
+++ b/node/internal/owner/heartbeats_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
