cluster, node: a backend server that has left stays out after a restart of its node

What callers saw: a backend server sends Deregister, which its node acknowledges, and the node is killed right after that.

Cause: that a backend server leaves was known to the process that had acknowledged it. Control got it as draining of the node with the next renewal, after the acknowledgement, and dropped it with that registration. The next process registered with what the first heartbeat said.

Evidence: TestLeftServerStaysOutAfterRestart has four cases, with and without keys, by Deregister and by a draining heartbeat, after a kill, a kill with a pause in which the lease ends, and a planned stop.

The fix: BackendServer.leaving is part of what a node reports. The replicated state keeps name and boot id of the last 2,048 backend servers that leave, apart from registrations, and a node that registers with one of them drains. The node learns it from its table. A later start has another boot id and is let in. An in-memory note of the leader was ruled out, as it ends with the leader; carrying draining from one registration to the next was too, as the first is removed when its lease ends.

--- a/control/internal/leader/nodes.go
+++ b/control/internal/leader/nodes.go
@@ -172,8 +172,11 @@
 	}
 }
 
-func sameServer(a, b *wirev1.BackendServer) bool {
-	return a.GetAddress() == b.GetAddress() && a.GetBootId() == b.GetBootId() && a.GetSlots() == b.GetSlots() &&
+// sameServer reports whether a report states nothing new about a registered backend
+// server.
+func sameServer(report, b *wirev1.BackendServer) bool {
+	a := report
+	return (b.GetLeaving() || !a.GetLeaving()) && a.GetAddress() == b.GetAddress() && a.GetBootId() == b.GetBootId() && a.GetSlots() == b.GetSlots() &&
 		a.GetConnections() == b.GetConnections() && a.GetChecksFences() == b.GetChecksFences()
 }
 
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -83,6 +83,9 @@
 	history []*wirev1.RulesRevision
 	// recent has the request ids of the latest registrations, the oldest first.
 	recent []*wirev1.RecentRequest
+	// leaving has the backend servers that have reported that they leave, the oldest
+	// first.
+	leaving []*wirev1.BackendServer
 	// document is nil until one has been accepted.
 	document *wirev1.RulesDocument
 	deltas   deltas
@@ -141,6 +144,7 @@
 		Rules:          s.rules,
 		History:        s.history,
 		RecentRequests: s.recent,
+		LeavingServers: s.leaving,
 		Document:       s.document,
 	}
 	for _, name := range s.Upstreams() {
@@ -166,6 +170,7 @@
 		rules:    snapshot.GetRules(),
 		history:  snapshot.GetHistory(),
 		recent:   snapshot.GetRecentRequests(),
+		leaving:  snapshot.GetLeavingServers(),
 		document: snapshot.GetDocument(),
 		tables:   map[string]*table{},
 		// Nodes that follow from an older index get a full update.
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -36,13 +36,20 @@
 	kind := rapid.IntRange(0, 9).Draw(t, "kind")
 	switch kind {
 	case 0, 1:
-		return register(rapid.SampledFrom([]string{"s1", "s2", "s3", "s4"}).Draw(t, "server"), incarnation.Draw(t, "replaces"), id)
+		c := register(rapid.SampledFrom([]string{"s1", "s2", "s3", "s4"}).Draw(t, "server"), incarnation.Draw(t, "replaces"), id)
+		c.GetRegisterNode().GetNode().GetBackendServer().BootId = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "boot")
+		return c
 	case 2:
 		return &wirev1.Command{Kind: &wirev1.Command_RemoveNode{RemoveNode: &wirev1.RemoveNode{Incarnation: incarnation.Draw(t, "remove")}}}
 	case 3:
-		return &wirev1.Command{Kind: &wirev1.Command_UpdateNode{UpdateNode: &wirev1.UpdateNode{
+		update := &wirev1.UpdateNode{
 			Incarnation: incarnation.Draw(t, "update"), Draining: rapid.Bool().Draw(t, "draining"), Cold: rapid.Bool().Draw(t, "cold"),
-		}}}
+		}
+		if n := s.Node(update.GetIncarnation()); n != nil && rapid.Bool().Draw(t, "reports its server") {
+			update.BackendServer = proto.CloneOf(n.GetBackendServer())
+			update.BackendServer.Leaving = rapid.Bool().Draw(t, "leaving")
+		}
+		return &wirev1.Command{Kind: &wirev1.Command_UpdateNode{UpdateNode: update}}
 	case 4:
 		return applyRules(rapid.Uint64Range(0, s.Revision()+1).Draw(t, "base"), rapid.SampledFrom([]string{"x", "y", "z", ""}).Draw(t, "text"), id)
 	default:
@@ -112,6 +119,14 @@
 			t.Fatalf("backend server %s is held by incarnations %d and %d, want one", name, other, n.GetIncarnation())
 		}
 		servers[name] = n.GetIncarnation()
+		if leaves := n.GetBackendServer().GetLeaving(); leaves != after.Leaving(n.GetBackendServer()) || leaves && !n.GetDraining() {
+			t.Fatalf("node %v with a server recorded as leaving %v, want it to say so and to drain", n, after.Leaving(n.GetBackendServer()))
+		}
+	}
+	for n := range before.Nodes() {
+		if before.Leaving(n.GetBackendServer()) && !after.Leaving(n.GetBackendServer()) {
+			t.Fatalf("backend server %v no longer leaves", n.GetBackendServer())
+		}
 	}
 	for _, a := range result.Delta.GetAssignments() {
 		if after.Node(a.GetOwner()) == nil && a.GetOwner() != 0 {
@@ -181,7 +196,7 @@
 // TestApply guards against members that diverge after one of them has restored a
 // snapshot, and against states that change after they were published. It also
 // guards against epochs and revisions that fall, two holders of one backend server
-// name, and nodes that miss a change.
+// name, nodes that miss a change, and a leaving backend server that is forgotten.
 func TestApply(t *testing.T) {
 	codes := map[cluster.Code]int{}
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/cluster/nodes.go
+++ b/core/cluster/nodes.go
@@ -46,6 +46,7 @@
 	}
 	node := proto.CloneOf(command.GetNode())
 	node.Incarnation = s.index
+	s.applyLeaving(node)
 	s.nodes = append(nodes, node)
 	delta.Nodes = []*wirev1.Node{node}
 	if command.GetKeepsPartitions() && replaced != nil {
@@ -134,6 +135,7 @@
 		}
 		node.BackendServer = proto.CloneOf(server)
 	}
+	s.applyLeaving(node)
 	if proto.Equal(old, node) {
 		return Result{Code: CodeUnchanged}
 	}
--- a/node/dialect/dialect.go
+++ b/node/dialect/dialect.go
@@ -23,6 +23,9 @@
 	// MaxHeartbeatWait bounds how long the response to a heartbeat may wait for
 	// keys whose owner changes. 0 means that it does not wait.
 	MaxHeartbeatWait time.Duration
+	// LeaveTimeout bounds how long the response to a report that a backend server
+	// leaves may wait until control has stored the report.
+	LeaveTimeout time.Duration
 	// DrainTimeout is the time from a backend server's report that it is
 	// draining until it receives no more requests and keys.
 	DrainTimeout time.Duration
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeknot/jujubeknot/node/dialect"
 	"github.com/jujubeknot/jujubeknot/node/internal/backend"
 )
@@ -14,9 +16,15 @@
 // that cannot come from the backend server beside this node.
 var ErrForeignHeartbeat = backend.ErrForeignHeartbeat
 
+// errLeavingNotStored is returned for a report that the backend server leaves which
+// control has not stored in time.
+var errLeavingNotStored = errors.New("control has not stored that the backend server leaves")
+
 // Heartbeat handles a heartbeat of the backend server beside this node and
-// returns the response to it, after at most Dialect.MaxHeartbeatWait. It
-// requires Config.Dialect. It is safe for concurrent use.
+// returns the response to it, after at most Dialect.MaxHeartbeatWait, or
+// Dialect.LeaveTimeout if the backend server drains. Then the error is one of
+// Unacknowledged unless control has stored that. It requires Config.Dialect. It is
+// safe for concurrent use.
 func (n *Node) Heartbeat(ctx context.Context, b dialect.Heartbeat) (dialect.HeartbeatResponse, error) {
 	arrived := time.Now()
 	if u := n.view.Table().Upstream(b.Upstream); u != nil && u.NumericKeys && !b.ReportsKeys {
@@ -26,6 +34,11 @@
 	if err != nil {
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
+	if b.Draining {
+		if err := n.awaitLeavingStored(ctx, b.Incarnation()); err != nil {
+			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of draining backend server %q: %w", b.Name, err)
+		}
+	}
 	if !current {
 		return dialect.HeartbeatResponse{OnSent: func() {}}, nil
 	}
@@ -45,8 +58,48 @@
 }
 
 // Deregister records that the backend server with this name is stopping. If started
-// is not zero, it is the start of the incarnation that is stopping.
-func (n *Node) Deregister(name string, started time.Time) { n.backend.Deregister(name, started) }
+// is not zero, it is the start of the incarnation that is stopping. It waits like
+// Heartbeat until control has stored the report.
+func (n *Node) Deregister(ctx context.Context, name string, started time.Time) error {
+	incarnation, err := n.backend.Deregister(name, started)
+	if err == nil && incarnation != "" {
+		err = n.awaitLeavingStored(ctx, incarnation)
+	}
+	if err != nil {
+		return fmt.Errorf("deregister backend server %q: %w", name, err)
+	}
+	return nil
+}
+
+// awaitLeavingStored waits until control has stored that an incarnation of the backend
+// server leaves, for at most Dialect.LeaveTimeout. An acknowledgement binds the next
+// process of the node too, and that process has only what control knows.
+func (n *Node) awaitLeavingStored(ctx context.Context, incarnation string) error {
+	timer := time.NewTimer(n.cfg.Dialect.LeaveTimeout)
+	defer timer.Stop()
+	for {
+		changed := n.view.Changed()
+		switch stored, known := n.backend.LeavingStored(incarnation); {
+		case stored:
+			return nil
+		case !known:
+			return backend.ErrUnknownServer
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return errLeavingNotStored
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", errLeavingNotStored, ctx.Err())
+		}
+	}
+}
+
+// Unacknowledged reports whether an error of Heartbeat or Deregister concerns a proper
+// report, which the backend server may send again.
+func Unacknowledged(err error) bool {
+	return errors.Is(err, errLeavingNotStored) || errors.Is(err, backend.ErrUnknownServer)
+}
 
 // SetControlMembers replaces the configured addresses of control members, after
 // a change of the settings. Addresses learnt from control itself are kept.
--- a/node/internal/backend/announce.go
+++ b/node/internal/backend/announce.go
@@ -134,10 +134,11 @@
 		return errors.Errorf("name: this node already serves the backend server %q", old.GetName())
 	}
 	started := old == nil || old.GetBootId() != a.BootID
+	b.Leaving = !started && old.GetLeaving()
 	changed := s.lost || !proto.Equal(old, b)
 	s.announced, s.lastContact, s.lost = b, now, false
 	if started {
-		s.leaving = false
+		s.leaving, s.leavingStored = false, false
 	}
 	s.mu.Unlock()
 	s.grants.setServerClock(now, a.ClockMs)
@@ -163,8 +164,7 @@
 		s.mu.Unlock()
 		return leaveState{}, errors.New("no backend server of this name and bootId is announced")
 	}
-	first := !s.leaving
-	s.leaving = true
+	first := s.recordLeaving(s.cfg.Clock.Now(), true, true)
 	s.mu.Unlock()
 	if first {
 		s.log.Info().Str("name", l.Name).Msg("backend server leaves")
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -49,6 +49,7 @@
 		s.mu.Unlock()
 		return false, nil
 	}
+	next.Leaving = sameIncarnation && old.GetLeaving()
 	changed := s.lost || !proto.Equal(old, next)
 	s.announced, s.lastContact, s.lastHeartbeat, s.lost, s.started, s.sequence = next, now, now, false, b.Started, b.Sequence
 	s.adopted.since, s.claim = time.Time{}, claim{}
@@ -155,10 +156,11 @@
 func (s *Server) recordLeaving(now time.Time, leaving, sameIncarnation bool) bool {
 	beganLeaving := leaving && !(s.leaving && sameIncarnation)
 	if !sameIncarnation {
-		s.leaving = false
+		s.leaving, s.leavingStored = false, false
 	}
 	if beganLeaving {
 		s.leavingSince = now
+		s.announced = withLeaving(s.announced)
 	}
 	s.leaving = s.leaving || leaving
 	return beganLeaving
@@ -166,17 +168,27 @@
 
 // Deregister records that the backend server called name is about to end. It
 // may still serve requests for a short time. If started is not zero, it must be the
-// start of the announced incarnation.
-func (s *Server) Deregister(name string, started time.Time) {
+// start of the announced incarnation. It returns that incarnation, or an empty string
+// for a backend server that the announced one has replaced.
+func (s *Server) Deregister(name string, started time.Time) (string, error) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
-	known := s.announced.GetName() == name && (started.IsZero() || started.Equal(s.started))
-	beganLeaving := known && s.recordLeaving(now, true, true)
+	incarnation, named := s.announced.GetBootId(), s.announced.GetName() == name
+	switch {
+	case s.announced == nil || !started.IsZero() && started.After(s.started):
+		s.mu.Unlock()
+		return "", ErrUnknownServer
+	case !named || !started.IsZero() && !started.Equal(s.started):
+		s.mu.Unlock()
+		return "", nil
+	}
+	beganLeaving := s.recordLeaving(now, true, true)
 	s.mu.Unlock()
 	if beganLeaving {
 		s.log.Info().Str("name", name).Msg("backend server leaves without a drain")
 		s.cfg.OnChange()
 	}
+	return incarnation, nil
 }
 
 // SetOutOfService records whether the rules or control take the backend server
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -106,6 +106,8 @@
 	// respond. It may still be running.
 	unresponsive bool
 	leaving      bool
+	// leavingStored is true once control has stored that the backend server leaves.
+	leavingStored bool
 	// leavingSince is when the backend server first reported that it leaves.
 	leavingSince time.Time
 	// outOfServiceSince is when the backend server was taken out of service,
@@ -261,8 +263,8 @@
 	s.lost = false
 	if bootID != "" && s.announced != nil && bootID != s.announced.GetBootId() {
 		b := proto.CloneOf(s.announced)
-		b.BootId = bootID
-		s.announced, restarted = b, true
+		b.BootId, b.Leaving = bootID, false
+		s.announced, restarted, s.leaving, s.leavingStored = b, true, false, false
 	}
 	s.mu.Unlock()
 	if !found && !restarted {
--- a/node/internal/controlclient/renew.go
+++ b/node/internal/controlclient/renew.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jujubeknot/jujubeknot/node/internal/view"
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 	"github.com/jujubeknot/jujubeknot/wire/v1/wirev1connect"
@@ -149,7 +151,7 @@
 		// A restart of the backend server leads to another incarnation of the node,
 		// so this incarnation reports the backend server with which it was
 		// registered.
-		server = i.server
+		server = i.reportedServer(server)
 	}
 	return &wirev1.RenewRequest{
 		Incarnation: i.number, Index: t.Index(), RulesRevision: t.Revision(),
@@ -160,6 +162,17 @@
 	}
 }
 
+// reportedServer returns the backend server with which the incarnation was registered,
+// with the report that it leaves if announced has it.
+func (i *incarnation) reportedServer(announced *wirev1.BackendServer) *wirev1.BackendServer {
+	if !announced.GetLeaving() || announced.GetBootId() != i.server.GetBootId() {
+		return i.server
+	}
+	server := proto.CloneOf(i.server)
+	server.Leaving = true
+	return server
+}
+
 // expiryLoop ends the incarnation when the lease expires.
 func (i *incarnation) expiryLoop(ctx context.Context) {
 	for {
--- a/node/internal/controlclient/watch.go
+++ b/node/internal/controlclient/watch.go
@@ -102,12 +102,16 @@
 // putInForce replaces the table of the node. The caller holds s.tableMu.
 func (s *Session) putInForce(t *routing.Table) {
 	changed := t.Revision() != s.cfg.View.Table().Revision()
-	s.cfg.View.SetTable(s.cfg.Clock.Now(), t)
 	i := s.current.Load()
+	var self *wirev1.Node
 	if i != nil {
-		if self := t.Node(i.number); self != nil {
-			s.cfg.Backend.SetOutOfService(t.Leaving(self))
-		}
+		self = t.Node(i.number)
+	}
+	// SetTable wakes those that wait for what is recorded here.
+	s.cfg.Backend.RecordStored(self.GetBackendServer())
+	s.cfg.View.SetTable(s.cfg.Clock.Now(), t)
+	if self != nil {
+		s.cfg.Backend.SetOutOfService(t.Leaving(self))
 	}
 	s.cfg.Owner.TableChanged(t)
 	if changed && i != nil {
