backend: a zone that was out before the process started gets no full bound again

What callers see: a zone is out for longer than its bound, so that its backend server gets no more requests; its node is killed and started again, and the backend server gets requests again for the whole bound. Only keys that no other server can take are concerned.

Cause: the time since which the backend server is out of service was that of the process.

Why it works: a process that finds its backend server out of service with its first table cannot know since when, and ends its calls after the time of a drain, as for an adopted one. A server that is taken out while the process runs keeps the whole bound. Ending the calls at once was not chosen: a node that restarts right after the order would refuse all requests for keys that still have to move.

--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -192,17 +192,21 @@
 }
 
 // SetOutOfService records whether the rules or control take the backend server
-// out of service.
+// out of service. One that is out of service at the first call may have been so for
+// long before this process started. Its calls end after DrainTimeout.
 func (s *Server) SetOutOfService(outOfService bool) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
+	switch d := s.cfg.Dialect; {
 	case !outOfService:
 		s.outOfServiceSince = time.Time{}
+	case !s.serviceKnown && d != nil:
+		s.outOfServiceSince = now.Add(min(0, d.DrainTimeout-d.OutOfServiceTimeout))
 	case s.outOfServiceSince.IsZero():
 		s.outOfServiceSince = now
 	}
+	s.serviceKnown = true
 }
 
 // drained reports whether the drain of a backend server that leaves, may be
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -113,6 +113,8 @@
 	// outOfServiceSince is when the backend server was taken out of service,
 	// zero if it is in service.
 	outOfServiceSince time.Time
+	// serviceKnown is true after the first call of SetOutOfService.
+	serviceKnown bool
 	// adopted is zero for a backend server that no earlier process of the node
 	// served.
 	adopted adoption
