--- a/node/internal/backend/leaving_test.go
+++ b/node/internal/backend/leaving_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +107,38 @@
 		}
 	}
 }
+
+// TestAnnouncedServerLeaves guards against a backend server of the project's own protocol
+// whose leaving is known to one process of the node alone: with its next announcement it
+// would be registered as one that stays.
+func TestAnnouncedServerLeaves(t *testing.T) {
+	s := backend.New(backend.Config{Clock: &manualClock{}})
+	post := func(path, body string) {
+		t.Helper()
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+		if w.Code != http.StatusOK {
+			t.Fatalf("%s: got status %d %s, want 200", path, w.Code, w.Body)
+		}
+	}
+	announce := func(boot string) {
+		t.Helper()
+		post("/v1/announce", `{"name":"a1","upstream":"desk","address":"127.0.0.1:1","bootId":"`+boot+`","slots":4,"connections":4}`)
+	}
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := s.Announced().GetLeaving(); got != want || s.Leaving() != want {
+			t.Errorf("%s: announced as leaving %v, leaving %v; want %v", what, got, s.Leaving(), want)
+		}
+	}
+	announce("1")
+	check("announced", false)
+	post("/v1/leave", `{"name":"a1","bootId":"1"}`)
+	check("left", true)
+	announce("1")
+	check("announced again", true)
+	announce("2")
+	check("next start", false)
+	s.RecordStored(&wirev1.BackendServer{Name: "a1", BootId: "2", Leaving: true})
+	check("reported to the earlier process", true)
+}
