--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
+	if current {
+		defer n.backend.AwaitsResponse(ctx)()
+	}
 	if b.Draining {
 		if err := n.awaitLeavingStored(ctx, b.Incarnation()); err != nil {
 			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of draining backend server %q: %w", b.Name, err)
@@ -42,7 +45,6 @@
 	if !current {
 		return dialect.HeartbeatResponse{OnSent: func() {}}, nil
 	}
-	defer n.backend.AwaitsResponse(ctx)()
 	received := n.owner.Receive(b)
 	n.owner.AwaitGrantChange(ctx, received, max(n.cfg.Dialect.MaxHeartbeatWait-time.Since(arrived), 0))
 	return n.owner.Respond(received, n.cfg.Dialect.MaxHold), nil
