core/admission: a report of a cold start is due by the rate of starts

Cause: 0.6 of what a cold server bears beyond its rate could start between two reports.

Fix: a request is due when what is left of the excess would start within 50 ms at the rate since the latest report.

--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -9,9 +9,12 @@
 // may start at once during cold start. At least one may.
 const coldBurstShare = 0.2
 
-// unreportedShare is the part of Config.ColdExcess that starts before another report of
-// the server is due. The rest is for what starts until the report has arrived.
-const unreportedShare = 0.6
+const (
+	// reportTime is the time from the request for a report of the server to its effect.
+	reportTime = 50 * time.Millisecond
+	// minRateTime is the least time over which the rate of starts is taken.
+	minRateTime = 50 * time.Millisecond
+)
 
 // defaultColdExcessShare times the permitted requests/s is the default of
 // Config.ColdExcess.
@@ -28,6 +31,10 @@
 	// unreported is emptied by the requests that start, beyond the rate of a cold
 	// server, while the latest report says that the server is warm.
 	unreported tokenBucket
+	// reportedAt is the time of the latest report, or of the first request if there was
+	// none, and started the number of requests that have started since.
+	reportedAt time.Time
+	started    int
 }
 
 func (c *coldStartLimiter) configure(now time.Time, config Config) {
@@ -37,13 +44,14 @@
 	}
 	c.bucket.configure(perSecond, max(1, perSecond*coldBurstShare))
 	excess := cmp.Or(config.ColdExcess, perSecond*defaultColdExcessShare)
-	c.unreported.configure(perSecond, max(1, excess*unreportedShare))
+	c.unreported.configure(perSecond, max(1, excess))
 	c.lastCheck = now
 }
 
 // recordReport records that the server reported at the given time.
 func (c *coldStartLimiter) recordReport(now time.Time) {
 	c.unreported.tokens, c.unreported.lastRefill = c.unreported.burst, now
+	c.reportedAt, c.started = now, 0
 }
 
 // setUntil begins a cold start or changes its end.
@@ -87,6 +95,17 @@
 	}
 	c.unreported.timeToToken(c.lastCheck)
 	c.unreported.take()
+	if c.started == 0 && c.reportedAt.IsZero() {
+		c.reportedAt = c.lastCheck
+	}
+	c.started++
+}
+
+// reportDue reports whether a cold server would get more than it bears unless a report is
+// requested now. What starts until the report has its effect counts.
+func (c *coldStartLimiter) reportDue() bool {
+	rate := float64(c.started) / max(c.lastCheck.Sub(c.reportedAt), minRateTime).Seconds()
+	return c.unreported.tokens < min(1+rate*reportTime.Seconds(), c.unreported.burst)
 }
 
 // nextStart returns the time at which a request may start, the zero time if
@@ -125,5 +144,5 @@
 // many requests have started since its latest report that it would get too many if it
 // has become cold since. It is false without Config.ColdRate.
 func (c *Controller) ReportDue() bool {
-	return c.config.ReportsColdStart && c.config.ColdRate > 0 && c.coldStart.unreported.tokens < 1
+	return c.config.ReportsColdStart && c.config.ColdRate > 0 && c.coldStart.reportDue()
 }
