Revert "backend: a server that refuses connections is lost only once its process ended"

A node reported draining while its server refused connections, and took that back. Control ends a drain only if the leader that hears of its end also heard of its beginning: after an election, or a registration in between, the node counted as draining for good, with no keys and its server out of service; and the end of its report ended an operator's drain too.

The reports of nodes and of operators need fields of their own in the replicated state before this is tried again.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -34,9 +34,6 @@
 	if err != nil {
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
-	if current {
-		defer n.backend.AwaitsResponse(ctx)()
-	}
 	if b.Draining {
 		if err := n.awaitLeavingStored(ctx, b.Incarnation()); err != nil {
 			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of draining backend server %q: %w", b.Name, err)
--- a/node/internal/backend/attempt.go
+++ b/node/internal/backend/attempt.go
@@ -100,8 +100,6 @@
 	x       exchange
 	once    sync.Once
 	body    io.ReadCloser
-	// sent is when the sending of the request began.
-	sent time.Time
 	// server is the name of the backend server that the call is sent to.
 	server string
 }
@@ -146,7 +144,6 @@
 	x.watch(ctx)
 	x.watch(a.permit.Context)
 	x.c.written.Store(0)
-	a.sent = a.s.cfg.RequestClock.Now()
 	a.s.running.add(a.s.receivedID(a.call), a.call.Urgency())
 	if err := x.writeRequest(a.call, a.fields(remaining)); err != nil {
 		if x.c.written.Load() == 0 {
@@ -255,7 +252,6 @@
 // fail ends an attempt of which a byte may have been written, and makes the backend
 // server cancel it.
 func (a *attempt) fail(ctx context.Context, err error) *outcome.Refusal {
-	a.recordBrokenOff(err)
 	kind, refusal := admission.ResultFailed, relay.Unknown(outcome.ReasonConnectionLost)
 	switch {
 	case a.permit.Context != nil && a.permit.Context.Err() != nil:
@@ -333,7 +329,6 @@
 	if err == io.EOF {
 		a.finish(admission.ResultOK, true)
 	} else if err != nil {
-		a.recordBrokenOff(err)
 		a.cancel(admission.ResultFailed)
 	}
 	return n, err
--- a/node/internal/backend/heartbeat.go
+++ b/node/internal/backend/heartbeat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +14,11 @@
 	wirev1 "github.com/jujubeknot/jujubeknot/wire/v1"
 )
 
+// refusalRetryDelay is the time after which a refused connection is tried
+// again, to distinguish a backend server that has ended from one whose listener
+// is restarting.
+const refusalRetryDelay = 30 * time.Millisecond
+
 // minRestartTime is the least time between the end of a process of the node and
 // the start of the next one. What the backend server reported to the earlier
 // process is older than the adoption by at least this time.
@@ -56,11 +63,7 @@
 	if !sameIncarnation {
 		s.adopted.holdsUntil = time.Time{}
 	}
-	if !sameIncarnation || old.GetAddress() != b.Address {
-		s.presence = &presence{}
-	}
 	beganLeaving := s.recordLeaving(now, b.Draining, sameIncarnation)
-	foundRunning := s.presence.recordRunning()
 	s.mu.Unlock()
 	s.pool.countHeartbeat()
 	s.recordColdStart(now, b.ColdRemaining, !sameIncarnation)
@@ -75,10 +78,7 @@
 	if beganLeaving {
 		s.log.Info().Str("name", b.Name).Msg("backend server leaves")
 	}
-	if foundRunning {
-		s.logRunning(b.Name)
-	}
-	if changed || beganLeaving || foundRunning {
+	if changed || beganLeaving {
 		s.cfg.OnChange()
 	}
 	return true, nil
@@ -121,7 +121,7 @@
 		return
 	}
 	s.announced, s.lastContact, s.started = proto.CloneOf(b), now, time.UnixMilli(b.GetStartedUnixMs())
-	s.adopted, s.presence = adoption{since: now, holdsUntil: holdsUntil}, &presence{}
+	s.adopted = adoption{since: now, holdsUntil: holdsUntil}
 	s.mu.Unlock()
 	s.log.Info().Str("name", b.GetName()).Str("upstream", b.GetUpstream()).Str("address", b.GetAddress()).Str("life", b.GetBootId()).
 		Msg("backend server of the earlier process adopted")
@@ -225,24 +225,48 @@
 }
 
 // checkHeartbeats detects the loss of a backend server that no longer sends
-// heartbeats or responses. It counts as lost only once it holds no keys. It also checks
-// a backend server that refused connections again.
+// heartbeats or responses. It counts as lost only once it holds no keys.
 func (s *Server) checkHeartbeats() {
 	now, holdsUntil := s.cfg.Clock.Now(), s.HoldsUntil()
 	s.mu.Lock()
 	sinceContact := now.Sub(s.lastContact)
 	gone := s.announced != nil && !s.lost && sinceContact >= s.cfg.Dialect.LostAfter && now.After(holdsUntil)
 	if gone {
-		s.setLost(true)
+		s.lost, s.unresponsive = true, true
 	}
-	refused := !s.lost && !s.presence.refusedSince.IsZero()
 	s.mu.Unlock()
 	if gone {
 		s.handleLoss("no heartbeat and no answer", sinceContact)
 	}
-	if refused {
-		s.checkListener(0)
+}
+
+// confirmRefusal distinguishes a backend server that has ended from one that is
+// busy. It has ended if its listener refuses a second connection as well and
+// there was no contact meanwhile.
+func (s *Server) confirmRefusal(err error) {
+	if s.cfg.Dialect == nil || !errors.Is(err, syscall.ECONNREFUSED) || !s.confirming.CompareAndSwap(false, true) {
+		return
 	}
+	s.mu.Lock()
+	lastContact, address := s.lastContact, s.announced.GetAddress()
+	s.mu.Unlock()
+	time.AfterFunc(refusalRetryDelay, func() {
+		defer s.confirming.Store(false)
+		c, err := net.DialTimeout("tcp", address, s.cfg.ConnectTimeout)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		s.mu.Lock()
+		gone := errors.Is(err, syscall.ECONNREFUSED) && s.lastContact.Equal(lastContact) && !s.lost && s.announced.GetAddress() == address
+		if gone {
+			s.lost, s.unresponsive = true, false
+		}
+		s.mu.Unlock()
+		if gone {
+			s.handleLoss("connections are refused", 0)
+		}
+	})
 }
 
 // loseReplaced records that another server responds at the address of the
@@ -251,7 +275,7 @@
 	s.mu.Lock()
 	gone := !s.lost && s.announced.GetName() == name
 	if gone {
-		s.setLost(false)
+		s.lost, s.unresponsive = true, false
 	}
 	s.mu.Unlock()
 	if gone {
@@ -259,15 +283,8 @@
 	}
 }
 
-// setLost records the loss of the backend server. The caller holds the lock and calls
-// handleLoss afterwards.
-func (s *Server) setLost(unresponsive bool) {
-	s.lost, s.unresponsive = true, unresponsive
-	s.presence.recordAccepted()
-}
-
 // handleLoss logs the loss of the backend server, closes its connections and
-// notifies the node. The caller has called setLost.
+// notifies the node. The caller has set lost.
 func (s *Server) handleLoss(reason string, sinceContact time.Duration) {
 	s.log.Warn().Str("why", reason).Dur("silentFor", sinceContact).Msg("backend server lost")
 	s.pool.configure("", 0, true)
--- a/node/internal/backend/pool.go
+++ b/node/internal/backend/pool.go
@@ -28,8 +28,6 @@
 	idle       []*conn
 	open       int
 	generation uint64
-	// inUse is the number of connections of this generation that are in use.
-	inUse int
 	// heartbeats is the number of heartbeats of the backend server, and ended that of
 	// the idle connections which it has closed or reset since the latest one.
 	heartbeats uint64
@@ -89,7 +87,6 @@
 	if address != p.address || restarted {
 		p.address = address
 		p.generation++
-		p.inUse = 0
 		stale, p.idle = p.idle, nil
 		p.open -= len(stale)
 	}
@@ -161,14 +158,6 @@
 	return ended
 }
 
-// anyOpen reports whether a connection is in use, or an idle one was not ended by the
-// backend server.
-func (p *pool) anyOpen() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.inUse > 0 || slices.ContainsFunc(p.idle, func(c *conn) bool { return !c.endedByPeer() })
-}
-
 func (p *pool) expired(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,7 +173,6 @@
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; !c.sent.has(id) {
 			p.idle = slices.Delete(p.idle, i, i+1)
-			p.inUse++
 			return c, "", 0, nil
 		}
 	}
@@ -217,11 +205,6 @@
 	}
 	c := newConn(nc, generation)
 	c.heartbeats = heartbeats
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if generation == p.generation {
-		p.inUse++
-	}
 	return c, nil
 }
 
@@ -230,9 +213,6 @@
 // response was complete and nothing else was read.
 func (p *pool) put(c *conn, reusable bool) {
 	p.mu.Lock()
-	if c.generation == p.generation {
-		p.inUse--
-	}
 	if reusable && c.generation == p.generation && p.open <= p.maxOpen {
 		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
@@ -257,7 +237,6 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
-	p.inUse += len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
 		p.put(c, c.usable())
--- a/node/internal/backend/server.go
+++ b/node/internal/backend/server.go
@@ -37,9 +37,6 @@
 	// request stays taken. If the backend server has not responded by then, the
 	// state of its slots is unknown and waiting longer gains nothing.
 	DefaultCancelHold = 100 * time.Millisecond
-	// DefaultHeartbeatInterval is the time between two heartbeats of a backend server
-	// for which none is configured.
-	DefaultHeartbeatInterval = time.Second
 )
 
 // spareConnections is the number of connections that are kept open beyond the
@@ -92,7 +89,7 @@
 	// unreachable is true from a refused connection to the next response or accepted
 	// connection.
 	unreachable atomic.Bool
-	// confirming is true while a connection attempt checks a refusal.
+	// confirming is true while a second connection attempt checks a refusal.
 	confirming atomic.Bool
 	// cancels queues the cancellations to send to the backend server.
 	cancels chan cancellation
@@ -123,7 +120,6 @@
 	started       time.Time
 	sequence      uint64
 	lastHeartbeat time.Time
-	presence      *presence
 	// claim is the latest claim that was not accepted.
 	claim claim
 	// lastIdentified is the time of the latest request for the name of a backend
@@ -157,9 +153,6 @@
 	if cfg.CancelHold == 0 {
 		cfg.CancelHold = DefaultCancelHold
 	}
-	if cfg.HeartbeatInterval == 0 {
-		cfg.HeartbeatInterval = DefaultHeartbeatInterval
-	}
 	if cfg.OnChange == nil {
 		cfg.OnChange = func() {}
 	}
@@ -168,7 +161,6 @@
 		admission: newAdmissionController(cfg.RequestClock, admission.Config{}),
 		bodies:    newBodyReceiver(cfg.RequestClock, cfg.LinkRate),
 		grants:    grants{sending: make(chan struct{}, 1)},
-		presence:  &presence{},
 		client: &http.Client{
 			Transport:     &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxCallBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -201,12 +193,11 @@
 	return s.announced
 }
 
-// Leaving reports whether the backend server has announced that it leaves, or runs
-// without accepting connections.
+// Leaving reports whether the backend server has announced that it leaves.
 func (s *Server) Leaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || s.presence.running
+	return s.leaving
 }
 
 // Cold reports whether the backend server is in cold start.
