controlclient: the keys of an earlier process are not revoked with an empty lease

What callers see: a node is killed and starts again beside a cold backend server, which loses all its keys, 1,366 of 1,366, and gets them again without the work of the handover.

Cause: since the responses to heartbeats revoke all keys after the return of a lease. A process that does not know its backend server yet registers without it. With its first heartbeat that lease is returned for one with the backend server, to which control transfers the partitions of the earlier process. That heartbeat waits for a change of its keys meanwhile, and its response revokes them.

Why it works: no keys are granted under a lease without a backend server, so its return gives none to others.

--- a/node/internal/controlclient/incarnation.go
+++ b/node/internal/controlclient/incarnation.go
@@ -83,7 +83,11 @@
 		sleep(ctx, expiry.Sub(s.cfg.Clock.Now()))
 	}
 	if held && !abandoned {
-		s.cfg.Owner.LeaseReturned()
+		if i.server != nil {
+			// Without a backend server the lease was one under which no keys were granted.
+			// One that has appeared since may hold keys of an earlier process, which it keeps.
+			s.cfg.Owner.LeaseReturned()
+		}
 		i.deregister(context.WithoutCancel(ctx))
 	}
 	return reason
