node: the wait for a stored drain counts from the arrival of the heartbeat

Found by the review of the joined code, by reading: a draining heartbeat waits up to 250 ms for the name of its backend server and then up to 800 ms until control has stored the drain, over the second within which it gets its response. The 800 ms now count from its arrival.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -35,7 +35,7 @@
 		return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of backend server %q: %w", b.Name, err)
 	}
 	if b.Draining {
-		if err := n.awaitLeavingStored(ctx, b.Incarnation()); err != nil {
+		if err := n.awaitLeavingStored(ctx, arrived, b.Incarnation()); err != nil {
 			return dialect.HeartbeatResponse{}, fmt.Errorf("heartbeat of draining backend server %q: %w", b.Name, err)
 		}
 	}
@@ -62,7 +62,7 @@
 func (n *Node) Deregister(ctx context.Context, name string, started time.Time) error {
 	incarnation, err := n.backend.Deregister(name, started)
 	if err == nil && incarnation != "" {
-		err = n.awaitLeavingStored(ctx, incarnation)
+		err = n.awaitLeavingStored(ctx, time.Now(), incarnation)
 	}
 	if err != nil {
 		return fmt.Errorf("deregister backend server %q: %w", name, err)
@@ -71,10 +71,11 @@
 }
 
 // awaitLeavingStored waits until control has stored that an incarnation of the backend
-// server leaves, for at most Dialect.LeaveTimeout. An acknowledgement binds the next
-// process of the node too, and that process has only what control knows.
-func (n *Node) awaitLeavingStored(ctx context.Context, incarnation string) error {
-	timer := time.NewTimer(n.cfg.Dialect.LeaveTimeout)
+// server leaves, until Dialect.LeaveTimeout after the arrival of the report. An
+// acknowledgement binds the next process of the node too, and that process has only what
+// control knows.
+func (n *Node) awaitLeavingStored(ctx context.Context, arrived time.Time, incarnation string) error {
+	timer := time.NewTimer(n.cfg.Dialect.LeaveTimeout - time.Since(arrived))
 	defer timer.Stop()
 	for {
 		changed := n.view.Changed()
