--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -27,8 +27,8 @@
 	firstPort    = 21160
 )
 
-// restartDelay is the time after which a process that has ended is started again.
-const restartDelay = 300 * time.Millisecond
+// defaultRestartDelay is the time after which a process that has ended is started again.
+const defaultRestartDelay = 300 * time.Millisecond
 
 // machine is one machine of the platform with its process.
 type machine struct {
@@ -52,7 +52,7 @@
 	machines     []*machine
 	stopping     atomic.Bool
 	running      sync.WaitGroup
-	operatorLog  io.Writer
+	restartDelay time.Duration
 }
 
 var network = fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{root: root, folder: folder, record: rec}
+	p := &platform{root: root, folder: folder, record: rec, restartDelay: defaultRestartDelay}
 	zones := []string{"amman-a", "amman-b", "amman-c"}
 	var seeds []string
 	for i := range min(controls, 3) {
@@ -179,7 +179,7 @@
 		if down || m.p.stopping.Load() {
 			return
 		}
-		time.Sleep(restartDelay)
+		time.Sleep(m.p.restartDelay)
 		if !m.p.stopping.Load() {
 			if err := m.start(); err != nil {
 				m.p.record.add("platform", "%s: %v", m.name, err)
