--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -51,7 +51,12 @@
 	}
 	l := &lab{record: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	services := []string{"huvo11a", "huvo11a", "huvo11a", "wuno96b", "wuno96b"}
-	if l.platform, err = newPlatform(rec, os.Args[2], 3, services); err != nil {
+	controls, losses := 3, 1
+	if os.Args[1] == "contacts" {
+		// As many as in rahma-grants-grown.
+		controls, losses = 11, 2
+	}
+	if l.platform, err = newPlatform(rec, os.Args[2], controls, losses, services); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -57,9 +57,9 @@
 
 var network = fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
 
-// newPlatform lays out the machines: control members with a disk and a sidecar machine
-// for each entry of services.
-func newPlatform(rec *record, root string, controls int, services []string) (*platform, error) {
+// newPlatform lays out the machines: control members with a disk, of which losses may be lost,
+// and a sidecar machine for each entry of services.
+func newPlatform(rec *record, root string, controls, losses int, services []string) (*platform, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -73,7 +73,7 @@
 	for i := range controls {
 		m := &machine{name: fmt.Sprintf("core-%d", i+1), zone: zones[i%3], ip: fmt.Sprintf("%s.%d", network, 10+i), role: "control", p: p}
 		m.settings = map[string]string{
-			"limits.memoryMb": "280", "limits.cpuShare": "0.24", "bootstrap": "true", "faultTolerance.machines": "1",
+			"limits.memoryMb": "280", "limits.cpuShare": "0.24", "bootstrap": "true", "faultTolerance.machines": fmt.Sprint(losses),
 			"dataDir": filepath.Join(folder, m.name), "listen.control": m.address(portControl),
 		}
 		p.machines = append(p.machines, m)
