--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -57,6 +57,11 @@
 }
 
 func startUpstream(rec *record, m *machine, id string, sharded bool, work time.Duration) (*upstream, error) {
+	return startCold(rec, m, id, sharded, work, 0, 0)
+}
+
+// startCold starts an upstream that is cold for some time and sends its first heartbeat late.
+func startCold(rec *record, m *machine, id string, sharded bool, work, cold, late time.Duration) (*upstream, error) {
 	l, err := net.Listen("tcp", m.address(portServer))
 	if err != nil {
 		return nil, err
@@ -65,9 +70,12 @@
 		m: m, id: id, born: time.Now().UnixMilli(), sharded: sharded, slots: 6, work: work, record: rec, listener: l,
 		state: "ready", stopped: make(chan struct{}), fences: map[int]uint64{},
 	}
+	if cold > 0 {
+		u.coldTill = time.Now().Add(cold)
+	}
 	u.server = &http.Server{Handler: u, IdleTimeout: 10 * time.Second}
 	go func() { _ = u.server.Serve(l) }()
-	go u.beats()
+	time.AfterFunc(late, u.beats)
 	return u, nil
 }
 
@@ -237,6 +245,9 @@
 	h.Set("Jujubeknot-Server-Load", load)
 	if r.URL.Path == "/healthz" {
 		h.Set("Jujubeknot-Instance-Id", u.id)
+		if left := time.Until(u.coldTill).Milliseconds(); left > 0 {
+			h.Set("Jujubeknot-Cold-Remaining-Ms", strconv.FormatInt(left, 10))
+		}
 		return
 	}
 	id := r.Header.Get("Jujubeknot-Attempt-Id")
